--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+
+.PHONY: demo test bench install
+
+install: $(VENV)/installed
+
+$(VENV)/installed: pyproject.toml
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --editable '.[dev]'
+	touch $@
+
+demo: install
+	$(PYTHON) -m standins.demo
+
+test: install
+	$(VENV)/bin/ruff format --check src standins tests benchmarks
+	$(VENV)/bin/ruff check src standins tests benchmarks
+	$(VENV)/bin/mypy
+	$(PYTHON) -m pytest
+
+bench: install
+	$(PYTHON) -m pytest benchmarks --benchmark-enable
--- /dev/null
+++ b/src/carawaybank/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: look-ups of entry VMs and forwarding of requests."""
--- /dev/null
+++ b/src/carawaybank/callers/forwarding.py
@@ -0,0 +1,139 @@
+"""Forwarding: performs what the decision core says until the request has a verdict."""
+
+import itertools
+import threading
+import time
+from typing import Protocol
+
+from carawaybank.host import Host
+from carawaybank.metrics import Metrics
+from carawaybank.siblings.client import SiblingClient
+from carawaybank.steering.messages import (
+    Action,
+    AnnounceCrash,
+    CrashAnnounced,
+    Dispatch,
+    Finish,
+    Message,
+    PassOn,
+    Relay,
+    RequestArrived,
+    RequestInfo,
+)
+from carawaybank.targets.client import TargetClient
+from carawaybank.transport import HttpRequest
+from carawaybank.verdicts import Verdict
+
+
+class CrashAnnouncer(Protocol):
+    """Tells siblings of crashes."""
+
+    def announce_crash(self) -> None:
+        """Tells all reachable siblings, within a short time."""
+
+
+class Ended:
+    """A request that has its verdict, and the targets that it was at."""
+
+    def __init__(self, *, verdict: Verdict, tried: tuple[str, ...]) -> None:
+        """Records the end.
+
+        Args:
+            verdict: The verdict.
+            tried: Targets that it was at here.
+        """
+        self.verdict = verdict
+        self.tried = tried
+
+
+class Forwarder:
+    """Runs requests from arrival to verdict."""
+
+    def __init__(
+        self,
+        *,
+        host: Host,
+        targets: TargetClient,
+        siblings: SiblingClient,
+        announcer: CrashAnnouncer,
+        metrics: Metrics,
+    ) -> None:
+        """Takes what requests are performed with.
+
+        Args:
+            host: The decision core.
+            targets: Dispatches to targets.
+            siblings: Relays to siblings.
+            announcer: Tells siblings of crashes.
+            metrics: Counts requests and attempts.
+        """
+        self._host = host
+        self._targets = targets
+        self._siblings = siblings
+        self._announcer = announcer
+        self._metrics = metrics
+        self._keys = itertools.count(1)
+        self._in_flight = 0
+        self._lock = threading.Lock()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests under way."""
+        return self._in_flight
+
+    def run(
+        self,
+        info: RequestInfo,
+        request: HttpRequest,
+        *,
+        relayed: bool = False,
+        passed_on: bool = False,
+        tried: tuple[str, ...] = (),
+    ) -> Ended:
+        """Returns how a request ended.
+
+        Args:
+            info: What steering needs to know.
+            request: What goes to a target.
+            relayed: Whether a sibling sent it to be run on an owned target.
+            passed_on: Whether a sibling sent it because its id is bound here.
+            tried: Targets that it was at before.
+        """
+        started = time.monotonic()
+        self._count(1)
+        try:
+            arrived = RequestArrived(next(self._keys), info, relayed, passed_on, tried)
+            ended = self._perform(arrived, request, info.service)
+        finally:
+            self._count(-1)
+        self._metrics.count_request(info.service, ended.verdict, time.monotonic() - started)
+        return ended
+
+    def _perform(self, arrived: Message, request: HttpRequest, service: str) -> Ended:
+        tried: list[str] = []
+        message = arrived
+        while True:
+            (action,) = self._host.handle(message)
+            if isinstance(action, Finish):
+                return Ended(verdict=action.verdict, tried=tuple(tried))
+            if isinstance(action, Dispatch):
+                tried.append(action.target)
+            message = self._perform_step(action, request, service)
+
+    def _perform_step(self, action: Action, request: HttpRequest, service: str) -> Message:
+        match action:
+            case Dispatch():
+                self._metrics.count_attempt(service)
+                return self._targets.dispatch(action, request)
+            case Relay():
+                return self._siblings.relay(action, request, service)
+            case PassOn():
+                return self._siblings.pass_on(action, request, service)
+            case AnnounceCrash():
+                self._announcer.announce_crash()
+                return CrashAnnounced(action.key)
+        raise TypeError(action)
+
+    def _count(self, change: int) -> None:
+        with self._lock:
+            self._in_flight += change
--- /dev/null
+++ b/src/carawaybank/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators: tickets, read-back, state dumps and planned stops."""
--- /dev/null
+++ b/src/carawaybank/platform/__init__.py
@@ -0,0 +1,16 @@
+"""The platform: table service, object store and list of VMs, each behind a protocol."""
+
+from carawaybank.platform.adapters import HttpObjectStore, HttpTable, HttpVmList
+from carawaybank.platform.models import ListedVm, ObjectStore, Row, Table, VmList, Write
+
+__all__ = [
+    "HttpObjectStore",
+    "HttpTable",
+    "HttpVmList",
+    "ListedVm",
+    "ObjectStore",
+    "Row",
+    "Table",
+    "VmList",
+    "Write",
+]
--- /dev/null
+++ b/src/carawaybank/platform/tickets.py
@@ -0,0 +1,212 @@
+"""Tickets in the platform's table, and snapshots of the state in its object store.
+
+Acceptance is one transaction that inserts the ticket's row and moves the head. Snapshots carry
+the digest of their bytes in their key, so that a damaged one is noticed and the one before used.
+"""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from carawaybank import documents
+from carawaybank.exceptions import DocumentError, PlatformError, SnapshotError
+from carawaybank.platform.models import ObjectStore, Table, Write
+from carawaybank.steering import hashing
+from carawaybank.steering.tickets import (
+    EMPTY,
+    AcceptedTicket,
+    State,
+    TicketDocument,
+    apply,
+    find_faults,
+    nonce,
+)
+from carawaybank.verdicts import MayHaveRun, NotRun, Reason
+
+_HEAD_KEY = "tickets/head"
+_ROW_PREFIX = "tickets/number/"
+_SNAPSHOT_PREFIX = "snapshots/"
+_PAGE = 100
+SNAPSHOT_INTERVAL = 20
+
+
+class Accepted(NamedTuple):
+    """A ticket that was accepted, now or by the same command before."""
+
+    number: int
+    repeated: bool = False
+
+
+Submission = Accepted | NotRun | MayHaveRun
+
+
+class TicketStore:
+    """Reads and accepts tickets."""
+
+    def __init__(self, *, table: Table, objects: ObjectStore) -> None:
+        """Takes the platform's services.
+
+        Args:
+            table: Holds the tickets.
+            objects: Holds the snapshots.
+        """
+        self._table = table
+        self._objects = objects
+
+    def head(self) -> int:
+        """Returns the number of the last accepted ticket; 0 before the first.
+
+        Raises:
+            PlatformError: If the table does not answer.
+        """
+        row = self._table.get(_HEAD_KEY)
+        return int(row["value"]) if row else 0
+
+    def read_after(self, number: int, *, limit: int = _PAGE) -> list[AcceptedTicket]:
+        """Returns accepted tickets that follow a number, in order.
+
+        Raises:
+            PlatformError: If the table does not answer.
+        """
+        rows = self._table.scan(_ROW_PREFIX, after=_row_key(number), limit=limit)
+        return [_decode(row["value"]) for row in rows]
+
+    def read(self, number: int) -> AcceptedTicket | None:
+        """Returns one accepted ticket.
+
+        Raises:
+            PlatformError: If the table does not answer.
+        """
+        row = self._table.get(_row_key(number))
+        return _decode(row["value"]) if row else None
+
+    def load_state(self, *, number: int | None = None) -> State:
+        """Returns the state after a ticket, or after the last one.
+
+        Raises:
+            PlatformError: If the platform does not answer.
+        """
+        state = self._load_snapshot(number)
+        while number is None or state.number < number:
+            tickets = self.read_after(state.number)
+            if not tickets:
+                return state
+            for accepted in tickets:
+                if number is None or state.number < number:
+                    state = apply(state, accepted["ticket"])
+        return state
+
+    def submit(self, ticket: TicketDocument, *, accepted_at: float) -> Submission:
+        """Accepts a ticket if it may follow the last one.
+
+        Args:
+            ticket: The ticket.
+            accepted_at: Wall-clock seconds, for people only.
+
+        Returns:
+            ``Accepted``; ``NotRun`` when it certainly was not accepted; ``MayHaveRun`` when that
+            cannot be found out now. Submitting the same ticket again is always safe.
+        """
+        mark = nonce(ticket)
+        try:
+            earlier = self.read(ticket["number"])
+            if earlier is not None:
+                return _compare(earlier, mark)
+            state = self.load_state()
+            head = self._table.get(_HEAD_KEY)
+        except PlatformError as error:
+            return NotRun(Reason.PLATFORM_UNREACHABLE, 5.0, str(error))
+        faults = find_faults(state, ticket)
+        if faults:
+            return NotRun(Reason.TICKET_REFUSED, 0.0, "; ".join(faults))
+        accepted = AcceptedTicket(ticket=ticket, nonce=mark, accepted_at=accepted_at)
+        writes = [
+            Write(_row_key(ticket["number"]), accepted, if_version=0),
+            Write(_HEAD_KEY, ticket["number"], if_version=head["version"] if head else 0),
+        ]
+        try:
+            conflict = self._table.commit(writes)
+        except PlatformError as error:
+            return self._resolve(ticket["number"], mark, error)
+        if conflict is not None:
+            return self._explain_conflict(ticket["number"], mark)
+        return Accepted(ticket["number"])
+
+    def write_snapshot(self, state: State) -> None:
+        """Stores a snapshot of the state.
+
+        Raises:
+            PlatformError: If the object store does not answer.
+        """
+        data = documents.encode_json(state)
+        self._objects.put(
+            f"{_SNAPSHOT_PREFIX}{state.number:012d}-{hashing.fingerprint(data)}", data
+        )
+
+    def _resolve(self, number: int, mark: str, error: PlatformError) -> Submission:
+        if not error.may_have_run:
+            return NotRun(Reason.PLATFORM_UNREACHABLE, 5.0, str(error))
+        try:
+            written = self.read(number)
+        except PlatformError:
+            written = None
+        if written is not None:
+            return _compare(written, mark)
+        detail = f"the table did not say whether it accepted; repeat the same command ({error})"
+        return MayHaveRun(Reason.PLATFORM_UNKNOWN, 2.0, detail)
+
+    def _explain_conflict(self, number: int, mark: str) -> Submission:
+        try:
+            winner = self.read(number)
+        except PlatformError:
+            winner = None
+        if winner is not None:
+            return _compare(winner, mark)
+        return NotRun(Reason.TICKET_RACE_LOST, 1.0, "another ticket was accepted meanwhile")
+
+    def _load_snapshot(self, number: int | None) -> State:
+        keys = self._objects.list(_SNAPSHOT_PREFIX)
+        for key in reversed(keys):
+            if number is not None and int(key[len(_SNAPSHOT_PREFIX) :].partition("-")[0]) > number:
+                continue
+            try:
+                return read_snapshot(self._objects.get, key)
+            except SnapshotError:
+                continue
+        return EMPTY
+
+
+def read_snapshot(get: Callable[[str], bytes | None], key: str) -> State:
+    """Returns the state in a snapshot.
+
+    Raises:
+        SnapshotError: If it is missing, damaged or not a state.
+    """
+    data = get(key)
+    if data is None or hashing.fingerprint(data) != key.rpartition("-")[2]:
+        raise SnapshotError(f"{key} is missing or damaged")
+    try:
+        return documents.decode_json(data, State, source=key)
+    except DocumentError as error:
+        raise SnapshotError(str(error)) from None
+
+
+def _compare(accepted: AcceptedTicket, mark: str) -> Submission:
+    ticket = accepted["ticket"]
+    if accepted["nonce"] == mark:
+        return Accepted(ticket["number"], repeated=True)
+    detail = (
+        f"ticket {ticket['number']} is that of {ticket['author']}: {ticket['reason']}; "
+        f"yours was not accepted"
+    )
+    return NotRun(Reason.TICKET_RACE_LOST, 0.0, detail)
+
+
+def _decode(value: Any) -> AcceptedTicket:
+    try:
+        return documents.convert(value, AcceptedTicket, source="table")
+    except DocumentError as error:
+        raise PlatformError(message=str(error), may_have_run=False) from None
+
+
+def _row_key(number: int) -> str:
+    return f"{_ROW_PREFIX}{number:012d}"
--- /dev/null
+++ b/src/carawaybank/siblings/app.py
@@ -0,0 +1,81 @@
+"""What siblings see: exchanges, snapshots, relayed requests and requests bound here."""
+
+from carawaybank import documents, headers
+from carawaybank.callers.app import CallersApp, not_ready, split_service
+from carawaybank.callers.forwarding import Forwarder
+from carawaybank.exceptions import DocumentError
+from carawaybank.host import Host
+from carawaybank.siblings.client import (
+    BOUND_PREFIX,
+    EXCHANGE_PATH,
+    RELAY_PREFIX,
+    SNAPSHOT_PATH,
+)
+from carawaybank.steering.exchange import Exchange
+from carawaybank.web import (
+    BadRequestError,
+    Router,
+    WebRequest,
+    WebResponse,
+    json_response,
+    verdict_response,
+)
+
+
+class SiblingsApp:
+    """Handlers for other entry VMs."""
+
+    def __init__(self, *, host: Host, forwarder: Forwarder, callers: CallersApp) -> None:
+        """Takes what exchanges and relays are answered with.
+
+        Args:
+            host: The decision core.
+            forwarder: Runs requests.
+            callers: Reads requests as callers send them.
+        """
+        self._host = host
+        self._forwarder = forwarder
+        self._callers = callers
+
+    def mount(self, router: Router) -> None:
+        """Mounts the handlers."""
+        router.mount(EXCHANGE_PATH, self.exchange, methods=("POST",))
+        router.mount(SNAPSHOT_PATH, self.snapshot)
+        router.mount_prefix(RELAY_PREFIX, self.relay)
+        router.mount_prefix(BOUND_PREFIX, self.run_bound)
+
+    def exchange(self, request: WebRequest) -> WebResponse:
+        """Takes an exchange and answers with ours."""
+        try:
+            message = documents.decode_json(request.body, Exchange, source=request.peer)
+        except DocumentError as error:
+            raise BadRequestError(detail=str(error)) from None
+        return json_response(self._host.answer(message))
+
+    def snapshot(self, _: WebRequest) -> WebResponse:
+        """Answers with the state in force."""
+        return json_response(self._host.log.state)
+
+    def relay(self, request: WebRequest) -> WebResponse:
+        """Runs a request on a target that this entry VM owns."""
+        service, path = split_service(request, RELAY_PREFIX)
+        info, forwarded = self._callers.read_request(request, service, path)
+        if not self._host.is_ready:
+            return verdict_response(not_ready(), request_id=info.request_id)
+        tried = tuple(filter(None, request.headers.get(headers.TRIED.lower(), "").split(",")))
+        ended = self._forwarder.run(info, forwarded, relayed=True, tried=tried)
+        response = verdict_response(ended.verdict, request_id=info.request_id)
+        marks = (
+            (headers.TRIED, ",".join(ended.tried)),
+            (headers.FREE, str(self._host.free(service))),
+        )
+        return response._replace(headers=(*response.headers, *marks))
+
+    def run_bound(self, request: WebRequest) -> WebResponse:
+        """Runs a request whose id is bound here, for a sibling."""
+        service, path = split_service(request, BOUND_PREFIX)
+        info, forwarded = self._callers.read_request(request, service, path)
+        if not self._host.is_ready:
+            return verdict_response(not_ready(), request_id=info.request_id)
+        ended = self._forwarder.run(info, forwarded, passed_on=True)
+        return verdict_response(ended.verdict, request_id=info.request_id)
--- /dev/null
+++ b/src/carawaybank/siblings/tasks.py
@@ -0,0 +1,190 @@
+"""The task that exchanges with siblings, and the workers that it hands exchanges to."""
+
+import queue
+import threading
+import time
+
+from carawaybank import logs
+from carawaybank.host import Host
+from carawaybank.platform.tasks import Holding
+from carawaybank.settings import Settings
+from carawaybank.siblings.client import SiblingClient
+from carawaybank.steering.membership import Member, Status
+from carawaybank.steering.ownership import DeathProof
+from carawaybank.verdicts import NotRun, Reason
+
+_TICK_S = 0.1
+_WORKERS = 6
+_EXCHANGE_TIMEOUT_S = 0.5
+_CONTACT_INTERVAL_S = 1.0
+_VERIFY_LIMIT_S = 1.0
+_ANNOUNCE_LIMIT_S = 0.1
+
+
+class Contact:
+    """An address of an entry VM that is not yet known by name."""
+
+    def __init__(self, *, address: str, holding: Holding | None = None) -> None:
+        """Starts untried.
+
+        Args:
+            address: Its control address.
+            holding: The start of a daemon that the table names at the address.
+        """
+        self.address = address
+        self.holding = holding
+        self.tried = False
+        self.next_at = 0.0
+
+
+class SiblingTask(threading.Thread):
+    """Lets time pass in the core and sends the exchanges that are due."""
+
+    def __init__(self, *, host: Host, client: SiblingClient, settings: Settings) -> None:
+        """Prepares the task.
+
+        Args:
+            host: The decision core.
+            client: Talks to siblings.
+            settings: Seeds and addresses.
+        """
+        super().__init__(name="siblings", daemon=True)
+        self._host = host
+        self._client = client
+        self._own_address = settings.control_address
+        self._contacts = {
+            seed: Contact(address=seed)
+            for seed in settings.seeds
+            if seed != settings.control_address
+        }
+        self._work: queue.Queue[tuple[Member | None, str]] = queue.Queue()
+        self._pending: set[str] = set()
+        self._stopping = threading.Event()
+        self._verifying_since: float | None = None
+        self._log = logs.part("siblings")
+
+    @property
+    def contacts_tried(self) -> bool:
+        """Whether every contact was tried once."""
+        return all(contact.tried for contact in list(self._contacts.values()))
+
+    def add_contact(self, address: str, holding: Holding) -> None:
+        """Adds an address that the table names."""
+        if address != self._own_address:
+            self._contacts[address] = Contact(address=address, holding=holding)
+
+    def run(self) -> None:
+        """Runs until stopped."""
+        for index in range(_WORKERS):
+            threading.Thread(target=self._work_loop, name=f"exchange-{index}", daemon=True).start()
+        while not self._stopping.wait(_TICK_S):
+            try:
+                self._run_once()
+            except Exception:
+                self._log.exception("Tick failed")
+
+    def stop(self) -> None:
+        """Ends the task."""
+        self._stopping.set()
+
+    def announce_crash(self) -> None:
+        """Tells all reachable siblings of the crash reports, within a short time."""
+        with self._host.lock:
+            others = [m for m in self._host.membership.others() if m.status is not Status.SUSPECT]
+        threads = [
+            threading.Thread(target=self._announce_to, args=(member,), daemon=True)
+            for member in others
+        ]
+        for thread in threads:
+            thread.start()
+        deadline = time.monotonic() + _ANNOUNCE_LIMIT_S
+        for thread in threads:
+            thread.join(max(0.0, deadline - time.monotonic()))
+
+    def _announce_to(self, member: Member) -> None:
+        message = self._host.compose(member.vm, with_crashes=True)
+        answer = self._client.exchange(
+            member.control_address, message, timeout_s=_EXCHANGE_TIMEOUT_S
+        )
+        if not isinstance(answer, NotRun):
+            self._host.receive(answer)
+
+    def _run_once(self) -> None:
+        for member in self._host.tick():
+            self._enqueue(member, member.control_address)
+        self._contact_unknown()
+        self._limit_verification()
+
+    def _contact_unknown(self) -> None:
+        now = time.monotonic()
+        with self._host.lock:
+            known = {
+                m.control_address
+                for m in self._host.membership.all()
+                if m.status is not Status.DEAD
+            }
+        for contact in list(self._contacts.values()):
+            if contact.address in known:
+                contact.tried = True
+            elif now >= contact.next_at:
+                contact.next_at = now + _CONTACT_INTERVAL_S
+                self._enqueue(None, contact.address)
+
+    def _limit_verification(self) -> None:
+        if self._host.is_ready:
+            self._verifying_since = None
+            return
+        now = time.monotonic()
+        if self._verifying_since is None:
+            self._verifying_since = now
+        elif now - self._verifying_since > _VERIFY_LIMIT_S:
+            self._host.stop_verifying()
+
+    def _enqueue(self, member: Member | None, address: str) -> None:
+        if address in self._pending:
+            return
+        self._pending.add(address)
+        self._work.put((member, address))
+
+    def _work_loop(self) -> None:
+        while not self._stopping.is_set():
+            member, address = self._work.get()
+            try:
+                self._exchange(member, address)
+            except Exception:
+                self._log.exception("Exchange failed")
+            finally:
+                self._pending.discard(address)
+
+    def _exchange(self, member: Member | None, address: str) -> None:
+        message = self._host.compose(member.vm if member else None)
+        answer = self._client.exchange(address, message, timeout_s=_EXCHANGE_TIMEOUT_S)
+        contact = self._contacts.get(address)
+        if contact is not None:
+            contact.tried = True
+        if isinstance(answer, NotRun):
+            if answer.reason is Reason.CONNECTION_REFUSED:
+                self._note_refusal(member, contact)
+            return
+        if member is not None and answer["vm"] != member.vm:
+            self._prove_dead(member)
+        self._host.receive(answer)
+        if answer.get("behind"):
+            self._fetch_snapshot(address)
+
+    def _note_refusal(self, member: Member | None, contact: Contact | None) -> None:
+        if member is not None:
+            self._prove_dead(member)
+        elif contact is not None and contact.holding is not None:
+            vm, incarnation = contact.holding
+            self._host.prove_dead(vm, incarnation, DeathProof.CONNECTION_REFUSED)
+
+    def _fetch_snapshot(self, address: str) -> None:
+        state = self._client.fetch_snapshot(address, timeout_s=_EXCHANGE_TIMEOUT_S)
+        if state is not None:
+            self._host.install(state)
+
+    def _prove_dead(self, member: Member) -> None:
+        proof = DeathProof.CONNECTION_REFUSED
+        if self._host.prove_dead(member.vm, member.incarnation, proof):
+            self._log.warning("{} is gone: {}", member.vm, proof)
--- /dev/null
+++ b/src/carawaybank/steering/core.py
@@ -0,0 +1,456 @@
+"""Steering of requests: from arrival to verdict.
+
+:class:`Steering` takes typed messages with a time and returns typed actions; its host performs
+them and reports how they ended. See :mod:`carawaybank.steering.messages`.
+"""
+
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple, TypeVar
+
+from carawaybank.steering.admission import admit
+from carawaybank.steering.deduplication import RequestMemory
+from carawaybank.steering.fairness import FairShares
+from carawaybank.steering.holdings import Holdings
+from carawaybank.steering.membership import Membership
+from carawaybank.steering.messages import (
+    Action,
+    AnnounceCrash,
+    AttemptEnded,
+    CrashAnnounced,
+    CrashesHeard,
+    Dispatch,
+    Finish,
+    Message,
+    PassOn,
+    ProbeEnded,
+    Relay,
+    RelayEnded,
+    RequestArrived,
+    RequestInfo,
+)
+from carawaybank.steering.overload import Pressure
+from carawaybank.steering.ownership import Ownership
+from carawaybank.steering.pools import PoolTarget
+from carawaybank.steering.progress import RequestProgress
+from carawaybank.steering.quarantine import CrashReport, Quarantine
+from carawaybank.steering.relays import RelayChooser
+from carawaybank.steering.retries import RetryBudget
+from carawaybank.steering.shifts import ShiftAllowances
+from carawaybank.steering.tickets import State
+from carawaybank.verdicts import UNREACHED, Answered, MayHaveRun, NotRun, Reason, Verdict
+
+_T = TypeVar("_T")
+
+_MAX_INCIDENTS = 1000
+_MAX_RELAYS = 4
+_REUSE_PATIENCE_S = 0.25
+_REUSE_PATIENCE_FACTOR = 8
+_FAIR_RESERVE = 0.1
+_FAIR_MEMORY_S = 10.0
+
+
+class Options(NamedTuple):
+    """Bounds of the steering of requests.
+
+    Attributes:
+        retry_share: Extra attempts for each first one.
+        retry_burst: Extra attempts that may be saved up.
+        ramp_s: Seconds in which cold targets and raised caps reach their limit.
+        epoch_s: Length of an id epoch in seconds.
+        retention_epochs: Epochs for which ids are remembered.
+        memory_capacity: Most ids remembered.
+        crash_limit: Targets that one request may cost.
+        crash_memory_s: Seconds for which crashes are remembered.
+        retry_after_s: Retry-After in seconds under light excess.
+    """
+
+    retry_share: float = 0.1
+    retry_burst: float = 10.0
+    ramp_s: float = 10.0
+    epoch_s: float = 60.0
+    retention_epochs: int = 10
+    memory_capacity: int = 50_000
+    crash_limit: int = 2
+    crash_memory_s: float = 600.0
+    retry_after_s: float = 0.5
+
+
+class Incident(NamedTuple):
+    """A request whose outcome is unknown, for the account manager.
+
+    Attributes:
+        request_id: The request.
+        service: Its service.
+        customer: Its customer.
+        reason: Why the outcome is unknown.
+        at: Time on this process's monotonic clock.
+    """
+
+    request_id: str
+    service: str
+    customer: str
+    reason: Reason
+    at: float
+
+
+class Steering:
+    """Decides what happens to each request."""
+
+    def __init__(
+        self,
+        *,
+        membership: Membership,
+        ownership: Ownership,
+        released: Callable[[str], int],
+        options: Options,
+        rng: random.Random,
+        started_at: float = 0.0,
+    ) -> None:
+        """Starts with no state in force.
+
+        Args:
+            membership: The entry VMs.
+            ownership: Who owns which key in the cell.
+            released: Units of a key that former owners still use.
+            options: Bounds.
+            rng: Source of draws and jitter.
+            started_at: Time of the start, from which id epochs count.
+        """
+        own = membership.own
+        self._own = own
+        self._membership = membership
+        self._options = options
+        self._rng = rng
+        self._started_at = started_at
+        self.holdings = Holdings(
+            cell=own.cell,
+            ownership=ownership,
+            released=released,
+            ramp_s=options.ramp_s,
+            rng=rng,
+        )
+        self.shifts = ShiftAllowances(
+            region=own.region, cell=own.cell, ownership=ownership, released=released
+        )
+        self.relays = RelayChooser(membership=membership, rng=rng)
+        self.memory = RequestMemory(
+            retention_epochs=options.retention_epochs, capacity=options.memory_capacity
+        )
+        self.quarantine = Quarantine(
+            limit=options.crash_limit, expiry_s=options.crash_memory_s, capacity=10_000
+        )
+        self.incidents: deque[Incident] = deque(maxlen=_MAX_INCIDENTS)
+        self._requests: dict[int, RequestProgress] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._pressures: dict[str, Pressure] = {}
+        self._shares: dict[str, FairShares] = {}
+
+    @property
+    def state(self) -> State:
+        """The state in force."""
+        return self.holdings.state
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have not ended."""
+        return len(self._requests)
+
+    def epoch(self, now: float) -> int:
+        """Returns the id epoch at a time."""
+        return int((now - self._started_at) / self._options.epoch_s)
+
+    def update_state(self, state: State, *, now: float) -> None:
+        """Puts a new state in force."""
+        self.holdings.update(state, now=now)
+        self.shifts.update(state, now=now)
+
+    def tick(self, now: float) -> None:
+        """Returns what lingering requests held."""
+        self.holdings.expire(now)
+        self.shifts.expire(now)
+
+    def released(self) -> dict[str, int]:
+        """Returns units still in use of keys that others own now."""
+        return {**self.holdings.released(), **self.shifts.released()}
+
+    def free_slots(self) -> dict[str, int]:
+        """Returns free owned slots by service."""
+        return {service: self.holdings.pool(service).free for service in self.state.services}
+
+    def handle(self, message: Message, now: float) -> list[Action]:
+        """Takes a message and returns what to do."""
+        match message:
+            case RequestArrived():
+                return self._arrive(message, now)
+            case AttemptEnded():
+                return self._end_attempt(message, now)
+            case RelayEnded():
+                return self._end_relay(message, now)
+            case CrashAnnounced():
+                return self._after_crash(message.key, now)
+            case ProbeEnded():
+                standing = self.holdings.standing(message.target)
+                if standing is not None:
+                    standing.probed(message.health, busy=message.busy, now=now)
+            case CrashesHeard():
+                for report in message.reports:
+                    self.quarantine.report(report, now=now)
+        return []
+
+    def _arrive(self, message: RequestArrived, now: float) -> list[Action]:
+        request = message.request
+        refusal = self._precheck(request, now)
+        if refusal is not None:
+            return [Finish(message.key, refusal)]
+        progress = RequestProgress(
+            key=message.key, request=request, relayed=message.relayed, tried=message.tried
+        )
+        if not message.relayed and not request.repeatable:
+            decision = admit(
+                request,
+                memory=self.memory,
+                membership=self._membership,
+                epoch=self.epoch(now),
+                passed_on=message.passed_on,
+            )
+            if isinstance(decision, str):
+                return self._pass_on(progress, decision)
+            if decision is not None:
+                self._note_incident(request, decision, now)
+                return [Finish(message.key, decision)]
+            progress.bound = True
+        self._requests[message.key] = progress
+        if self.quarantine.is_refused(request.fingerprint, now=now):
+            detail = "requests like this one crashed their targets"
+            return self._finish(progress, MayHaveRun(Reason.QUARANTINED, 60.0, detail), now)
+        if not message.relayed:
+            self._budget(request.service).earn()
+        return self._next_step(progress, now)
+
+    def _precheck(self, request: RequestInfo, now: float) -> NotRun | None:
+        if self.state.number == 0:
+            return NotRun(Reason.NO_TICKET, 1.0, "no change ticket is in force here yet")
+        if request.service not in self.state.services:
+            return NotRun(Reason.UNKNOWN_SERVICE, 60.0, f"there is no service {request.service}")
+        if now >= request.deadline:
+            return NotRun(Reason.DEADLINE_PASSED, 0.0, "the deadline passed before it was begun")
+        return None
+
+    def _pass_on(self, progress: RequestProgress, vm: str) -> list[Action]:
+        member = self._membership.find(vm)
+        if member is None:
+            raise LookupError(vm)
+        progress.passed_to = vm
+        self._requests[progress.key] = progress
+        deadline = progress.request.deadline
+        return [PassOn(progress.key, vm, member.control_address, deadline)]
+
+    def _next_step(self, progress: RequestProgress, now: float) -> list[Action]:
+        if now >= progress.request.deadline:
+            verdict = progress.last or NotRun(Reason.DEADLINE_PASSED, 0.0, "the deadline passed")
+            return self._finish(progress, verdict, now)
+        target = self._take_target(progress, now)
+        if target is not None:
+            return [self._dispatch(progress, target, now)]
+        relay = None if progress.relayed else self._choose_relay(progress, now)
+        if relay is not None:
+            return [relay]
+        return self._give_up(progress, now)
+
+    def _take_target(self, progress: RequestProgress, now: float) -> PoolTarget | None:
+        request = progress.request
+        pool = self.holdings.pool(request.service)
+        if not pool.capacity:
+            return None
+        shares = self._fair_shares(request.service)
+        weights = {name: doc["weight"] for name, doc in self.state.customers.items()}
+        if not shares.admits(
+            request.customer, weights=weights, capacity=pool.capacity, in_use=pool.in_use, now=now
+        ):
+            progress.reason = Reason.OVER_FAIR_SHARE
+            return None
+        target = pool.take(tried=progress.tried, now=now)
+        if target is None:
+            progress.reason = Reason.NO_CAPACITY
+            return None
+        shares.take(request.customer)
+        return target
+
+    def _dispatch(self, progress: RequestProgress, target: PoolTarget, now: float) -> Dispatch:
+        request = progress.request
+        standing = self.holdings.standing(target.name)
+        if standing is None:
+            raise LookupError(target.name)
+        first = not progress.tried
+        progress.begin_attempt(target.name, standing)
+        patience = max(_REUSE_PATIENCE_S, _REUSE_PATIENCE_FACTOR * standing.latency_s)
+        return Dispatch(
+            key=progress.key,
+            target=target.name,
+            address=target.address,
+            deadline=request.deadline,
+            reuse_deadline=min(request.deadline, now + patience),
+            fresh_connection=not (request.repeatable and first),
+        )
+
+    def _choose_relay(self, progress: RequestProgress, now: float) -> Relay | None:
+        if len(progress.relayed_to) >= _MAX_RELAYS:
+            return None
+        service = progress.request.service
+        tried = progress.relayed_to
+        vm = self.relays.near(self.state, service, tried=tried, now=now)
+        if vm is None:
+            vm = self._choose_far_relay(progress, now)
+        member = self._membership.find(vm) if vm else None
+        if member is None:
+            return None
+        progress.relayed_to.add(member.vm)
+        return Relay(
+            key=progress.key,
+            vm=member.vm,
+            address=member.control_address,
+            deadline=progress.request.deadline,
+            tried=progress.tried,
+            fresh_connection=not progress.request.repeatable,
+        )
+
+    def _choose_far_relay(self, progress: RequestProgress, now: float) -> str | None:
+        service = progress.request.service
+        for shift, region in self.shifts.destinations(service):
+            vm = self.relays.far(self.state, service, region, tried=progress.relayed_to, now=now)
+            if vm is None:
+                continue
+            if self.shifts.take(shift, ramp_s=self._options.ramp_s, now=now):
+                progress.shift = shift
+                return vm
+            progress.reason = Reason.OVER_CAP
+        return None
+
+    def _end_attempt(self, message: AttemptEnded, now: float) -> list[Action]:
+        progress = self._requests[message.key]
+        standing = progress.end_attempt()
+        request = progress.request
+        self._fair_shares(request.service).give_back(request.customer)
+        verdict = message.verdict
+        progress.note(verdict)
+        if message.draining:
+            standing.set_draining(True, now=now)
+        if isinstance(verdict, Answered):
+            standing.answered(message.latency_s)
+            return self._finish(progress, verdict, now)
+        if isinstance(verdict, NotRun):
+            if verdict.reason in UNREACHED:
+                standing.failed(now=now, linger_until=None, fatal=True)
+            else:
+                standing.shed()
+            return self._retry(progress, verdict, now)
+        linger_until = request.deadline if message.may_linger else None
+        standing.failed(now=now, linger_until=linger_until, fatal=message.crashed)
+        if not message.crashed:
+            return self._retry(progress, verdict, now)
+        report = CrashReport(request.fingerprint, progress.tried[-1], self._own.vm)
+        self.quarantine.report(report, now=now)
+        return [AnnounceCrash(progress.key, report)]
+
+    def _after_crash(self, key: int, now: float) -> list[Action]:
+        progress = self._requests[key]
+        verdict = progress.last or MayHaveRun(Reason.TARGET_CRASHED)
+        if self.quarantine.is_refused(progress.request.fingerprint, now=now):
+            return self._finish(progress, verdict, now)
+        return self._retry(progress, verdict, now)
+
+    def _retry(self, progress: RequestProgress, verdict: Verdict, now: float) -> list[Action]:
+        safe = isinstance(verdict, NotRun) or progress.request.repeatable
+        if not safe or now >= progress.request.deadline:
+            return self._finish(progress, verdict, now)
+        if not self._budget(progress.request.service).try_spend():
+            return self._finish(progress, verdict, now)
+        return self._next_step(progress, now)
+
+    def _end_relay(self, message: RelayEnded, now: float) -> list[Action]:
+        progress = self._requests[message.key]
+        verdict = message.verdict
+        if progress.passed_to is not None:
+            return self._finish(progress, self._passed_verdict(progress, verdict), now)
+        service = progress.request.service
+        if message.free is not None:
+            self.relays.note_free(message.vm, service, message.free, now=now)
+        if progress.shift is not None:
+            lingers = isinstance(verdict, MayHaveRun)
+            until = progress.request.deadline if lingers else None
+            self.shifts.give_back(progress.shift, linger_until=until)
+            progress.shift = None
+        progress.tried = (*progress.tried, *message.tried)
+        progress.note(verdict)
+        if isinstance(verdict, Answered):
+            return self._finish(progress, verdict, now)
+        if isinstance(verdict, NotRun) and not message.tried:
+            progress.reason = verdict.reason
+            return self._next_step(progress, now)
+        return self._retry(progress, verdict, now)
+
+    def _passed_verdict(self, progress: RequestProgress, verdict: Verdict) -> Verdict:
+        unreached = isinstance(verdict, NotRun) and verdict.reason in UNREACHED
+        if unreached and not progress.request.first_send:
+            detail = "the entry VM that knows its outcome cannot be reached"
+            return MayHaveRun(Reason.INCARNATION_GONE, 1.0, detail)
+        return verdict
+
+    def _give_up(self, progress: RequestProgress, now: float) -> list[Action]:
+        retry_after_s = self._pressure(progress.request.service).refuse(now=now)
+        detail = "no target within the limits has room"
+        return self._finish(progress, NotRun(progress.reason, retry_after_s, detail), now)
+
+    def _finish(self, progress: RequestProgress, verdict: Verdict, now: float) -> list[Action]:
+        self._requests.pop(progress.key, None)
+        request = progress.request
+        if isinstance(verdict, NotRun) and progress.ambiguous is not None:
+            verdict = progress.ambiguous
+        if progress.bound and request.bound_id is not None:
+            self.memory.finish(request.bound_id, verdict)
+        if isinstance(verdict, Answered):
+            self._pressure(request.service).admit(now=now)
+        if not progress.relayed:
+            self._note_incident(request, verdict, now)
+        return [Finish(progress.key, verdict)]
+
+    def _note_incident(self, request: RequestInfo, verdict: Verdict, now: float) -> None:
+        if not isinstance(verdict, MayHaveRun) or request.repeatable:
+            return
+        if verdict.reason is Reason.STILL_RUNNING:
+            return
+        incident = Incident(
+            request.request_id, request.service, request.customer, verdict.reason, now
+        )
+        self.incidents.append(incident)
+
+    def _budget(self, service: str) -> RetryBudget:
+        return _get(
+            self._budgets,
+            service,
+            lambda: RetryBudget(share=self._options.retry_share, burst=self._options.retry_burst),
+        )
+
+    def _pressure(self, service: str) -> Pressure:
+        return _get(
+            self._pressures,
+            service,
+            lambda: Pressure(
+                rng=self._rng, base_s=self._options.retry_after_s, limit_s=30.0, window_s=1.0
+            ),
+        )
+
+    def _fair_shares(self, service: str) -> FairShares:
+        return _get(
+            self._shares,
+            service,
+            lambda: FairShares(reserve=_FAIR_RESERVE, memory_s=_FAIR_MEMORY_S),
+        )
+
+
+def _get(table: dict[str, _T], key: str, make: Callable[[], _T]) -> _T:
+    if key not in table:
+        table[key] = make()
+    return table[key]
--- /dev/null
+++ b/src/carawaybank/steering/dissemination.py
@@ -0,0 +1,106 @@
+"""Dissemination of accepted tickets among entry VMs.
+
+A ticket is *held* once received and *in force* once each live member of the cell holds it, so that
+a replacement that asks the cell never starts with less than was served. Numbers in force only
+rise. A member that stays silent delays a ticket by the hold limit at most.
+
+Usage::
+
+    >>> log = TicketLog(hold_limit_s=1.0)
+    >>> accepted = AcceptedTicket(
+    ...     ticket={"number": 1, "author": "mori", "reason": "-"}, nonce="n", accepted_at=0.0)
+    >>> log.offer([accepted], now=0.0)
+    True
+    >>> log.advance(held_by_cell=[], now=0.0), log.state.number
+    (True, 1)
+"""
+
+from collections.abc import Iterable, Sequence
+from itertools import takewhile
+
+from carawaybank.steering.tickets import EMPTY, AcceptedTicket, State, apply
+
+_KEPT_TICKETS = 256
+
+
+class TicketLog:
+    """Accepted tickets after a base state, and the state in force."""
+
+    def __init__(self, *, hold_limit_s: float) -> None:
+        """Starts with nothing in force.
+
+        Args:
+            hold_limit_s: Longest time in seconds that a ticket waits for the cell.
+        """
+        self._hold_limit_s = hold_limit_s
+        self._state = EMPTY
+        self._tickets: dict[int, AcceptedTicket] = {}
+        self._held_at: dict[int, float] = {}
+        self._held = 0
+
+    @property
+    def state(self) -> State:
+        """The state in force."""
+        return self._state
+
+    @property
+    def held(self) -> int:
+        """The highest number held without a gap."""
+        return self._held
+
+    def offer(self, tickets: Iterable[AcceptedTicket], *, now: float) -> bool:
+        """Holds tickets that are new here; returns whether the held number rose."""
+        for accepted in tickets:
+            number = accepted["ticket"]["number"]
+            if number > self._held:
+                self._tickets.setdefault(number, accepted)
+        before = self._held
+        while self._held + 1 in self._tickets:
+            self._held += 1
+            self._held_at[self._held] = now
+        return self._held > before
+
+    def install(self, state: State) -> bool:
+        """Starts from a snapshot if it is ahead of what is held; returns whether it was."""
+        if state.number <= self._held:
+            return False
+        self._state = state
+        self._held = state.number
+        self._tickets = {n: t for n, t in self._tickets.items() if n > state.number}
+        self._held_at.clear()
+        return True
+
+    def advance(self, *, held_by_cell: Sequence[int], now: float) -> bool:
+        """Puts held tickets in force as far as the cell holds them; returns whether any was.
+
+        Args:
+            held_by_cell: Highest number held by each live member of the cell but this one.
+            now: The time.
+        """
+        agreed = min([self._held, *held_by_cell])
+        before = self._state.number
+        for number in range(before + 1, self._held + 1):
+            waited = now - self._held_at.get(number, now)
+            if number > agreed and waited < self._hold_limit_s:
+                break
+            self._state = apply(self._state, self._tickets[number]["ticket"])
+            self._held_at.pop(number, None)
+        self._drop_old()
+        return self._state.number > before
+
+    def after(self, number: int, *, limit: int) -> list[AcceptedTicket]:
+        """Returns held tickets that follow the number, without a gap, at most ``limit``."""
+        numbers = range(number + 1, min(self._held, number + limit) + 1)
+        return [self._tickets[n] for n in takewhile(self._tickets.__contains__, numbers)]
+
+    def can_follow(self, number: int) -> bool:
+        """Returns whether :meth:`after` can bring a sibling at this number up to date."""
+        return number >= self._held or number + 1 in self._tickets
+
+    def history(self) -> list[AcceptedTicket]:
+        """Returns the tickets kept, oldest first."""
+        return [self._tickets[n] for n in sorted(self._tickets)]
+
+    def _drop_old(self) -> None:
+        for number in [n for n in self._tickets if n <= self._state.number - _KEPT_TICKETS]:
+            del self._tickets[number]
--- /dev/null
+++ b/src/carawaybank/steering/tickets.py
@@ -0,0 +1,315 @@
+"""Change tickets: their documents, their checks and the state that they produce.
+
+A ticket holds the whole new state of each entity that it touches: an entry replaces the entity of
+that name, and ``removed`` lists entities that end. State is immutable; :func:`apply` returns the
+next one.
+
+Usage::
+
+    >>> ticket: TicketDocument = {
+    ...     "number": 1, "author": "mori", "reason": "first region",
+    ...     "regions": {"sask": {"utilisation": 0.9}},
+    ... }
+    >>> apply(EMPTY, ticket).number
+    1
+"""
+
+import ipaddress
+import math
+from collections.abc import Callable, Mapping
+from typing import Literal, NamedTuple, NotRequired, TypedDict, cast
+
+from carawaybank import documents
+from carawaybank.steering import hashing
+
+MAX_NAME_LENGTH = 64
+
+
+class RegionDocument(TypedDict):
+    """A region: the share of its slots that steering may fill, from 0 to 1."""
+
+    utilisation: float
+
+
+class FailureDomainDocument(TypedDict):
+    """A failure domain, its region and the cells that its entry VMs form."""
+
+    region: str
+    cells: NotRequired[list[str]]
+
+
+class ServiceDocument(TypedDict):
+    """A service and how its steering weighs latency against headroom, each from 0 to 1."""
+
+    latency_weight: NotRequired[float]
+    headroom_weight: NotRequired[float]
+
+
+class TargetDocument(TypedDict):
+    """A target: a server of a service, with its slots and connections."""
+
+    service: str
+    failure_domain: str
+    address: str
+    slots: int
+    connections: NotRequired[int]
+    state: NotRequired[Literal["active", "draining"]]
+
+
+class ShiftDocument(TypedDict):
+    """A shift of a service's requests between regions; ``cap`` bounds those in flight."""
+
+    service: str
+    from_region: str
+    to_region: str
+    cap: int
+
+
+class CustomerDocument(TypedDict):
+    """A customer and its weight when capacity is short."""
+
+    weight: float
+
+
+class BlocksDocument(TypedDict):
+    """The map of client blocks: an object's key and the digest of its bytes."""
+
+    object: str
+    digest: str
+    sites: list[str]
+
+
+class TicketDocument(TypedDict):
+    """A change ticket as operators write it."""
+
+    number: int
+    author: str
+    reason: str
+    regions: NotRequired[dict[str, RegionDocument]]
+    failure_domains: NotRequired[dict[str, FailureDomainDocument]]
+    services: NotRequired[dict[str, ServiceDocument]]
+    targets: NotRequired[dict[str, TargetDocument]]
+    shifts: NotRequired[dict[str, ShiftDocument]]
+    customers: NotRequired[dict[str, CustomerDocument]]
+    blocks: NotRequired[BlocksDocument]
+    removed: NotRequired[list[str]]
+
+
+class AcceptedTicket(TypedDict):
+    """A ticket as the table keeps it.
+
+    Attributes:
+        nonce: Tells this submission from any other of the same number.
+        accepted_at: Wall-clock seconds, for people only.
+    """
+
+    ticket: TicketDocument
+    nonce: str
+    accepted_at: float
+
+
+class State(NamedTuple):
+    """What is in force after a ticket."""
+
+    number: int
+    regions: Mapping[str, RegionDocument]
+    failure_domains: Mapping[str, FailureDomainDocument]
+    services: Mapping[str, ServiceDocument]
+    targets: Mapping[str, TargetDocument]
+    shifts: Mapping[str, ShiftDocument]
+    customers: Mapping[str, CustomerDocument]
+    blocks: BlocksDocument | None
+
+    def region_of(self, failure_domain: str) -> str:
+        """Returns the region of a failure domain, or an empty string."""
+        place = self.failure_domains.get(failure_domain)
+        return place["region"] if place else ""
+
+    def cells_of(self, failure_domain: str) -> list[str]:
+        """Returns the cells of a failure domain; its own name when it is one cell."""
+        place = self.failure_domains.get(failure_domain)
+        return (place.get("cells") if place else None) or [failure_domain]
+
+    def cell_of_target(self, name: str) -> str:
+        """Returns the cell whose entry VMs may own the target."""
+        cells = self.cells_of(self.targets[name]["failure_domain"])
+        return hashing.rank(key=name, members=cells)[0]
+
+
+KINDS = ("regions", "failure_domains", "services", "targets", "shifts", "customers")
+EMPTY = State(0, {}, {}, {}, {}, {}, {}, None)
+
+
+def apply(state: State, ticket: TicketDocument) -> State:
+    """Returns the state after the ticket, which must be the next number.
+
+    Raises:
+        ValueError: If the ticket's number does not follow the state's.
+    """
+    if ticket["number"] != state.number + 1:
+        raise ValueError(f"ticket {ticket['number']} does not follow {state.number}")
+    tables: dict[str, dict[str, object]] = {}
+    for kind in KINDS:
+        tables[kind] = {**getattr(state, kind), **cast(dict[str, object], ticket.get(kind, {}))}
+    for path in ticket.get("removed", []):
+        kind, _, name = path.partition("/")
+        tables.get(kind, {}).pop(name, None)
+    blocks = ticket.get("blocks", state.blocks)
+    return State(ticket["number"], **tables, blocks=blocks)  # type: ignore[arg-type]
+
+
+def nonce(ticket: TicketDocument) -> str:
+    """Returns a digest of the ticket, so that the same command repeated is recognized."""
+    return hashing.fingerprint(documents.encode_json(ticket))
+
+
+def find_faults(state: State, ticket: TicketDocument) -> list[str]:
+    """Returns every reason why the ticket must not follow the state; empty when it may."""
+    if ticket["number"] != state.number + 1:
+        return [f"number {ticket['number']} does not follow {state.number}; use {state.number + 1}"]
+    faults = _removal_faults(state, ticket)
+    after = apply(state, ticket)
+    for check in _CHECKS:
+        faults.extend(check(after))
+    faults.extend(_overload_faults(state, after))
+    if not ticket["author"].strip():
+        faults.append("author is empty")
+    return faults
+
+
+def region_slots(state: State, *, region: str, service: str) -> int:
+    """Returns the slots of a service's active targets in a region."""
+    return sum(
+        target["slots"]
+        for target in state.targets.values()
+        if target["service"] == service
+        and target.get("state", "active") == "active"
+        and state.region_of(target["failure_domain"]) == region
+    )
+
+
+def _removal_faults(state: State, ticket: TicketDocument) -> list[str]:
+    faults = []
+    for path in ticket.get("removed", []):
+        kind, _, name = path.partition("/")
+        if kind not in KINDS:
+            faults.append(
+                f"removed: {path!r} must be KIND/NAME with KIND one of {', '.join(KINDS)}"
+            )
+        elif name not in getattr(state, kind):
+            faults.append(f"removed: there is no {path}")
+        elif name in cast(dict[str, object], ticket.get(kind, {})):
+            faults.append(f"removed: {path} is also set by this ticket")
+    return faults
+
+
+def _name_faults(state: State) -> list[str]:
+    faults = []
+    for kind in KINDS:
+        for name in getattr(state, kind):
+            plain = name.replace("-", "").replace("_", "")
+            if not plain.isalnum() or len(name) > MAX_NAME_LENGTH:
+                faults.append(f"{kind}.{name}: names are letters, digits, - and _, at most 64")
+    return faults
+
+
+def _place_faults(state: State) -> list[str]:
+    faults = []
+    for name, region in state.regions.items():
+        if not 0 < region["utilisation"] <= 1:
+            faults.append(f"regions.{name}.utilisation: {region['utilisation']} is not in (0, 1]")
+    for name, place in state.failure_domains.items():
+        if place["region"] not in state.regions:
+            faults.append(f"failure_domains.{name}.region: there is no region {place['region']}")
+    for name, customer in state.customers.items():
+        if not (customer["weight"] > 0 and math.isfinite(customer["weight"])):
+            faults.append(f"customers.{name}.weight: {customer['weight']} is not above 0")
+    return faults
+
+
+def _target_faults(state: State) -> list[str]:
+    faults = []
+    addresses: dict[str, str] = {}
+    for name, target in state.targets.items():
+        at = f"targets.{name}"
+        if target["service"] not in state.services:
+            faults.append(f"{at}.service: there is no service {target['service']}")
+        if target["failure_domain"] not in state.failure_domains:
+            faults.append(f"{at}.failure_domain: there is no {target['failure_domain']}")
+        if not is_ip_address(target["address"]):
+            faults.append(f"{at}.address: {target['address']!r} is not IP:PORT")
+        if target["slots"] < 1:
+            faults.append(f"{at}.slots: {target['slots']} is not 1 or more")
+        other = addresses.setdefault(target["address"], name)
+        if other != name:
+            faults.append(f"{at}.address: {target['address']} is also that of {other}")
+    return faults
+
+
+def _shift_faults(state: State) -> list[str]:
+    faults = []
+    for name, shift in state.shifts.items():
+        at = f"shifts.{name}"
+        if shift["service"] not in state.services:
+            faults.append(f"{at}.service: there is no service {shift['service']}")
+            continue
+        faults.extend(
+            f"{at}.{end}: there is no region {region}"
+            for end, region in (("from", shift["from_region"]), ("to", shift["to_region"]))
+            if region not in state.regions
+        )
+        if shift["from_region"] == shift["to_region"]:
+            faults.append(f"{at}: from_region and to_region are the same")
+        if shift["cap"] < 0:
+            faults.append(f"{at}.cap: {shift['cap']} is below 0")
+    return faults + _shift_load_faults(state)
+
+
+def _shift_load_faults(state: State) -> list[str]:
+    incoming: dict[tuple[str, str], int] = {}
+    for shift in state.shifts.values():
+        key = (shift["to_region"], shift["service"])
+        incoming[key] = incoming.get(key, 0) + shift["cap"]
+    faults = []
+    for (region, service), cap in incoming.items():
+        if region not in state.regions:
+            continue
+        slots = region_slots(state, region=region, service=service)
+        limit = math.floor(slots * state.regions[region]["utilisation"])
+        if cap > limit:
+            faults.append(
+                f"shifts into {region}: caps for {service} add up to {cap}, above its limit {limit}"
+            )
+    return faults
+
+
+def _overload_faults(before: State, after: State) -> list[str]:
+    faults = []
+    for service in after.services:
+        had = any(region_slots(before, region=r, service=service) for r in before.regions)
+        has = any(region_slots(after, region=r, service=service) for r in after.regions)
+        if had and not has:
+            faults.append(f"services.{service}: the ticket leaves it without active targets")
+    return faults
+
+
+def is_ip_address(text: str) -> bool:
+    """Returns whether the text is an IP number with a port.
+
+    >>> is_ip_address("127.0.0.1:80"), is_ip_address("localhost:80")
+    (True, False)
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isdecimal() and 0 < int(port) < 65_536
+
+
+_CHECKS: tuple[Callable[[State], list[str]], ...] = (
+    _name_faults,
+    _place_faults,
+    _target_faults,
+    _shift_faults,
+)
--- /dev/null
+++ b/src/carawaybank/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Targets: dispatch of requests and probes."""
--- /dev/null
+++ b/src/carawaybank/targets/client.py
@@ -0,0 +1,92 @@
+"""Sends requests to targets and says what became of them."""
+
+import time
+
+from carawaybank import headers
+from carawaybank.steering.messages import AttemptEnded, Dispatch, ProbeEnded
+from carawaybank.steering.pools import PoolTarget
+from carawaybank.steering.standing import Health
+from carawaybank.transport import ConnectionPool, HttpRequest, Outcome
+from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason
+
+_PROBE_TIMEOUT_S = 0.5
+_RECONNECT_TIMEOUT_S = 0.3
+_PROBE_PATH = "/health"
+
+
+class TargetClient:
+    """Dispatches requests to targets."""
+
+    def __init__(self, *, pool: ConnectionPool) -> None:
+        """Takes the connections to use.
+
+        Args:
+            pool: Connections to targets.
+        """
+        self._pool = pool
+
+    def dispatch(self, action: Dispatch, request: HttpRequest) -> AttemptEnded:
+        """Sends a request to the chosen target; returns how the attempt ended."""
+        started = time.monotonic()
+        outcome = self._pool.send(
+            action.address,
+            _with_deadline(request, action.deadline),
+            deadline=action.deadline,
+            reuse_deadline=action.reuse_deadline,
+            fresh=action.fresh_connection,
+        )
+        latency_s = time.monotonic() - started
+        return self._judge(action, outcome, latency_s)
+
+    def probe(self, target: PoolTarget) -> ProbeEnded:
+        """Asks a target how it is, on a connection opened for it."""
+        request = HttpRequest("GET", _PROBE_PATH, {"Connection": "close"})
+        deadline = time.monotonic() + _PROBE_TIMEOUT_S
+        verdict = self._pool.send(target.address, request, deadline=deadline, fresh=True).verdict
+        if not isinstance(verdict, Answered):
+            return ProbeEnded(target.name, Health.UNREACHABLE)
+        busy = _find_header(verdict, headers.BUSY)
+        draining = _find_header(verdict, headers.DRAINING) == "true"
+        health = Health.DRAINING if draining else Health.SERVING
+        return ProbeEnded(target.name, health, int(busy) if busy.isdecimal() else None)
+
+    def _judge(self, action: Dispatch, outcome: Outcome, latency_s: float) -> AttemptEnded:
+        verdict = outcome.verdict
+        if isinstance(verdict, Answered):
+            draining = _find_header(verdict, headers.DRAINING) == "true"
+            if _find_header(verdict, headers.NOT_RUN) == "true":
+                retry_after_s = _seconds(_find_header(verdict, "Retry-After"))
+                shed = NotRun(Reason.TARGET_SHED, retry_after_s, "the target shed the request")
+                return AttemptEnded(action.key, shed, latency_s, draining=draining)
+            answered = verdict._replace(target=action.target)
+            return AttemptEnded(action.key, answered, latency_s, draining=draining)
+        if isinstance(verdict, NotRun):
+            return AttemptEnded(action.key, verdict, latency_s)
+        crashed = outcome.broken and (not outcome.reused or not self._accepts(action.address))
+        if crashed:
+            verdict = MayHaveRun(Reason.TARGET_CRASHED, 1.0, "the target was lost while it ran")
+        return AttemptEnded(action.key, verdict, latency_s, crashed, may_linger=not outcome.broken)
+
+    def _accepts(self, address: str) -> bool:
+        probe = HttpRequest("GET", _PROBE_PATH, {"Connection": "close"})
+        deadline = time.monotonic() + _RECONNECT_TIMEOUT_S
+        outcome = self._pool.send(address, probe, deadline=deadline, fresh=True)
+        return isinstance(outcome.verdict, Answered)
+
+
+def _with_deadline(request: HttpRequest, deadline: float) -> HttpRequest:
+    remaining_s = max(0.0, deadline - time.monotonic())
+    marks = {
+        headers.DEADLINE_MS: str(int(remaining_s * 1000)),
+        headers.DEADLINE_AT: f"{time.time() + remaining_s:.3f}",
+    }
+    return request._replace(headers={**request.headers, **marks})
+
+
+def _find_header(answer: Answered, name: str) -> str:
+    wanted = name.lower()
+    return next((value for key, value in answer.headers if key.lower() == wanted), "")
+
+
+def _seconds(text: str) -> float:
+    return float(text) if text.isdecimal() else 1.0
--- /dev/null
+++ b/src/carawaybank/verdicts.py
@@ -0,0 +1,113 @@
+"""Verdicts: what is known about whether a request ran.
+
+Every request ends in exactly one verdict, and the three types are the only outcomes that
+cross module and process borders:
+
+* :class:`NotRun`: no target executed any part of the request. Repeating it is safe.
+* :class:`Answered`: the complete answer to this very request.
+* :class:`MayHaveRun`: anything else. Repeating it is safe only for idempotent requests.
+
+Usage::
+
+    >>> verdict = NotRun(Reason.NO_CAPACITY, retry_after_s=0.5)
+    >>> may_have_run(verdict)
+    False
+    >>> may_have_run(MayHaveRun(Reason.CONNECTION_LOST))
+    True
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Reason(StrEnum):
+    """Why a request did not run, or why its outcome is unknown."""
+
+    NO_CAPACITY = "no-capacity"
+    OVER_FAIR_SHARE = "over-fair-share"
+    OVER_CAP = "over-cap"
+    TARGET_SHED = "target-shed"
+    CONNECT_FAILED = "connect-failed"
+    CONNECTION_REFUSED = "connection-refused"
+    DEADLINE_PASSED = "deadline-passed"
+    NOT_OWNER = "not-owner"
+    UNKNOWN_SERVICE = "unknown-service"
+    UNBOUND_REQUEST_ID = "unbound-request-id"
+    MEMORY_FULL = "deduplication-memory-full"
+    NO_TICKET = "no-ticket-in-force"
+    STOPPING = "stopping"
+    QUARANTINED = "quarantined"
+    BAD_REQUEST = "bad-request"
+    TICKET_REFUSED = "ticket-refused"
+    TICKET_RACE_LOST = "ticket-race-lost"
+    PLATFORM_UNREACHABLE = "platform-unreachable"
+    PLATFORM_UNKNOWN = "platform-outcome-unknown"
+    CONNECTION_LOST = "connection-lost"
+    ANSWER_TRUNCATED = "answer-truncated"
+    ANSWER_TOO_LARGE = "answer-too-large"
+    ANSWER_CROSSED = "answer-of-another-request"
+    TIMEOUT = "timeout"
+    INCARNATION_GONE = "entry-vm-incarnation-gone"
+    REQUEST_ID_EXPIRED = "request-id-expired"
+    STILL_RUNNING = "still-running"
+    TARGET_CRASHED = "target-crashed"
+
+
+#: The peer was never reached.
+UNREACHED = frozenset({Reason.CONNECT_FAILED, Reason.CONNECTION_REFUSED})
+
+
+class NotRun(NamedTuple):
+    """No target executed any part of the request.
+
+    Attributes:
+        reason: Why it did not run.
+        retry_after_s: Seconds after which a new try is worthwhile.
+        detail: A sentence for people.
+    """
+
+    reason: Reason
+    retry_after_s: float = 1.0
+    detail: str = ""
+
+
+class MayHaveRun(NamedTuple):
+    """The request may have run, wholly, partly or not at all.
+
+    Attributes:
+        reason: Why the outcome is unknown.
+        retry_after_s: Seconds after which the outcome may be looked up again.
+        detail: A sentence for people.
+    """
+
+    reason: Reason
+    retry_after_s: float = 1.0
+    detail: str = ""
+
+
+class Answered(NamedTuple):
+    """The complete answer to this very request.
+
+    Attributes:
+        status: HTTP status of the target's answer.
+        headers: End-to-end headers of the answer.
+        body: The whole body.
+        target: Name of the target that answered.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    target: str = ""
+
+
+Verdict = NotRun | Answered | MayHaveRun
+
+
+def may_have_run(verdict: Verdict) -> bool:
+    """Returns whether a target may have executed the request.
+
+    >>> may_have_run(Answered(200))
+    True
+    """
+    return not isinstance(verdict, NotRun)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what carawaybank meets: the platform and targets."""
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,153 @@
+"""A stand-in for the platform: table, object store and VM list, with faults on request.
+
+Usage: python -m standins.platform ADDRESS
+
+``POST /faults`` takes ``{"mode": MODE, "delay_s": SECONDS}`` with MODE one of ``none``,
+``refuse`` (503 before any effect), ``drop`` (no answer after the effect), ``delay`` and ``damage``
+(object reads return altered bytes).
+"""
+
+import sys
+import threading
+import time
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+
+from carawaybank.web import Router, WebRequest, WebResponse, json_response, make_server
+
+_DROPPED_ANSWER_S = 3.0
+
+
+class Platform:
+    """Rows, objects and VMs in memory."""
+
+    def __init__(self) -> None:
+        """Starts empty and without faults."""
+        self.rows: dict[str, dict[str, Any]] = {}
+        self.objects: dict[str, bytes] = {}
+        self.vms: list[dict[str, str]] = []
+        self.faults: dict[str, Any] = {"mode": "none", "delay_s": 0.0}
+        self.counts = {"reads": 0, "writes": 0}
+        self._lock = threading.Lock()
+
+    def commit(self, writes: list[dict[str, Any]]) -> str | None:
+        """Writes all or nothing; returns the key of a failed condition."""
+        with self._lock:
+            for write in writes:
+                version = self.rows.get(write["key"], {"version": 0})["version"]
+                if write["if_version"] is not None and write["if_version"] != version:
+                    return str(write["key"])
+            for write in writes:
+                self._apply(write)
+        return None
+
+    def _apply(self, write: dict[str, Any]) -> None:
+        key = write["key"]
+        if write["value"] is None:
+            self.rows.pop(key, None)
+            return
+        version = self.rows.get(key, {"version": 0})["version"] + 1
+        self.rows[key] = {"key": key, "value": write["value"], "version": version}
+
+
+class PlatformApp:
+    """Handlers of the stand-in."""
+
+    def __init__(self, *, platform: Platform) -> None:
+        """Takes the platform to serve."""
+        self._platform = platform
+
+    def mount(self, router: Router) -> None:
+        """Mounts the handlers."""
+        router.mount("/faults", self.set_faults, methods=("POST",))
+        router.mount("/counts", lambda _: json_response(self._platform.counts))
+        router.mount("/vms", self.vms, methods=("GET", "PUT"))
+        router.mount("/table/commit", self._faulty(self.commit), methods=("POST",))
+        router.mount("/table/range", self._faulty(self.scan))
+        router.mount("/objects", self._faulty(self.list_objects))
+        router.mount_prefix("/table/rows/", self._faulty(self.get_row))
+        router.mount_prefix("/objects/", self._faulty(self.object))
+
+    def set_faults(self, request: WebRequest) -> WebResponse:
+        """Sets the fault mode."""
+        self._platform.faults.update(msgspec.json.decode(request.body))
+        return json_response(self._platform.faults)
+
+    def vms(self, request: WebRequest) -> WebResponse:
+        """Reads or replaces the VM list."""
+        if request.method == "PUT":
+            self._platform.vms = msgspec.json.decode(request.body)
+        if self._platform.faults["mode"] == "refuse":
+            return json_response({}, status=503)
+        return json_response(self._platform.vms)
+
+    def commit(self, request: WebRequest) -> WebResponse:
+        """Runs a transaction."""
+        self._platform.counts["writes"] += 1
+        conflict = self._platform.commit(msgspec.json.decode(request.body))
+        if conflict is not None:
+            return json_response({"conflict": conflict}, status=409)
+        return json_response({})
+
+    def get_row(self, request: WebRequest) -> WebResponse:
+        """Reads a row."""
+        self._platform.counts["reads"] += 1
+        row = self._platform.rows.get(unquote(request.path[len("/table/rows/") :]))
+        return json_response(row) if row else json_response({}, status=404)
+
+    def scan(self, request: WebRequest) -> WebResponse:
+        """Reads rows by prefix."""
+        self._platform.counts["reads"] += 1
+        query = parse_qs(request.query, keep_blank_values=True)
+        prefix, after, limit = query["prefix"][0], query["after"][0], int(query["limit"][0])
+        keys = sorted(k for k in list(self._platform.rows) if k.startswith(prefix) and k > after)
+        return json_response([self._platform.rows[key] for key in keys[:limit]])
+
+    def object(self, request: WebRequest) -> WebResponse:
+        """Reads or writes an object."""
+        key = unquote(request.path[len("/objects/") :])
+        if request.method == "PUT":
+            self._platform.counts["writes"] += 1
+            self._platform.objects[key] = request.body
+            return json_response({})
+        self._platform.counts["reads"] += 1
+        data = self._platform.objects.get(key)
+        if data is None:
+            return json_response({}, status=404)
+        if self._platform.faults["mode"] == "damage":
+            data = data[: len(data) // 2] + b"?"
+        return WebResponse(200, (), data)
+
+    def list_objects(self, request: WebRequest) -> WebResponse:
+        """Lists objects by prefix."""
+        self._platform.counts["reads"] += 1
+        prefix = parse_qs(request.query, keep_blank_values=True)["prefix"][0]
+        return json_response(sorted(k for k in self._platform.objects if k.startswith(prefix)))
+
+    def _faulty(self, handler: Any) -> Any:
+        def handle(request: WebRequest) -> WebResponse:
+            faults = self._platform.faults
+            if faults["mode"] == "refuse":
+                return json_response({}, status=503)
+            if faults["mode"] == "delay":
+                time.sleep(faults["delay_s"])
+            response: WebResponse = handler(request)
+            if faults["mode"] == "drop" and request.method != "GET":
+                time.sleep(_DROPPED_ANSWER_S)
+            return response
+
+        return handle
+
+
+def main() -> None:
+    """Serves a platform until ended."""
+    router = Router(max_body_bytes=64 * 1024 * 1024)
+    PlatformApp(platform=Platform()).mount(router)
+    server = make_server(sys.argv[1], router, threads=16)
+    server.safe_start()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,187 @@
+"""A stand-in for a target: runs requests in its slots, and fails as the request asks.
+
+Usage: python -m standins.target NAME ADDRESS SLOTS [WORK_MS]
+
+A request's path chooses what happens: ``/run``, ``/slow`` (X-Work-Ms), ``/crash`` (the process
+exits), ``/drop`` (runs, then closes without an answer), ``/truncate``, ``/cross`` (answers with
+another id), ``/freeze`` (no answer). ``GET /runs`` lists the ids that ran, with their counts;
+``POST /drain`` makes it say that it is leaving.
+"""
+
+import os
+import socket
+import sys
+import threading
+import time
+from collections import Counter
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import msgspec
+
+from carawaybank import headers
+
+_FREEZE_S = 30.0
+
+
+class TargetState:
+    """What the target counts."""
+
+    def __init__(self, *, name: str, slots: int, work_s: float) -> None:
+        """Starts idle.
+
+        Args:
+            name: Name of the target.
+            slots: Requests that it runs at once; more are shed.
+            work_s: Seconds that a request takes.
+        """
+        self.name = name
+        self.slots = slots
+        self.work_s = work_s
+        self.busy = 0
+        self.peak = 0
+        self.offered_peak = 0
+        self.shed = 0
+        self.draining = False
+        self.drained_at = 0.0
+        self.last_run_at = 0.0
+        self.runs: Counter[str] = Counter()
+        self.lock = threading.Lock()
+
+    def begin(self, request_id: str) -> bool:
+        """Takes a slot for a request; returns whether one was free."""
+        with self.lock:
+            self.offered_peak = max(self.offered_peak, self.busy + 1)
+            if self.busy >= self.slots:
+                self.shed += 1
+                return False
+            self.busy += 1
+            self.peak = max(self.peak, self.busy)
+            self.runs[request_id] += 1
+            self.last_run_at = time.time()
+            return True
+
+    def end(self) -> None:
+        """Gives a slot back."""
+        with self.lock:
+            self.busy -= 1
+
+    def report(self) -> dict[str, object]:
+        """Returns the counts."""
+        return {
+            "name": self.name,
+            "runs": dict(self.runs),
+            "total": sum(self.runs.values()),
+            "busy": self.busy,
+            "peak": self.peak,
+            "offered_peak": self.offered_peak,
+            "shed": self.shed,
+            "drained_at": self.drained_at,
+            "last_run_at": self.last_run_at,
+        }
+
+
+class TargetHandler(BaseHTTPRequestHandler):
+    """Handles one connection to the target."""
+
+    protocol_version = "HTTP/1.1"
+    state: TargetState
+
+    def do_GET(self) -> None:
+        """Handles a GET request."""
+        self._handle()
+
+    def do_POST(self) -> None:
+        """Handles a POST request."""
+        self._handle()
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Logs nothing."""
+
+    def _handle(self) -> None:
+        length = int(self.headers.get("Content-Length") or 0)
+        body = self.rfile.read(length) if length else b""
+        path = self.path.partition("?")[0]
+        if path == "/health":
+            self._send(200, b"{}", "", {headers.BUSY: str(self.state.busy)})
+        elif path == "/runs":
+            self._send(200, msgspec.json.encode(self.state.report()), "")
+        elif path == "/drain":
+            self.state.draining = True
+            self.state.drained_at = time.time()
+            self._send(200, b"{}", "")
+        else:
+            self._run(path, body)
+
+    def _run(self, path: str, body: bytes) -> None:
+        request_id = self.headers.get(headers.REQUEST_ID, "")
+        deadline_at = float(self.headers.get(headers.DEADLINE_AT) or "inf")
+        if time.time() > deadline_at or not self.state.begin(request_id):
+            self._send(503, b"{}", request_id, {headers.NOT_RUN: "true", "Retry-After": "1"})
+            return
+        try:
+            self._work(path)
+            self._finish(path, body, request_id)
+        finally:
+            self.state.end()
+
+    def _work(self, path: str) -> None:
+        if path == "/crash":
+            os._exit(1)
+        if path == "/freeze":
+            time.sleep(_FREEZE_S)
+        asked_ms = self.headers.get("X-Work-Ms")
+        time.sleep(float(asked_ms) / 1000 if asked_ms else self.state.work_s)
+
+    def _finish(self, path: str, body: bytes, request_id: str) -> None:
+        answer = msgspec.json.encode({"target": self.state.name, "echo": body.decode("latin-1")})
+        if path == "/drop":
+            self._cut()
+        elif path == "/truncate":
+            self._start(200, request_id, {"Content-Length": str(len(answer) + 10)})
+            self.wfile.write(answer)
+            self._cut()
+        elif path == "/cross":
+            self._send(200, answer, "another-id")
+        else:
+            self._send(200, answer, request_id)
+
+    def _cut(self) -> None:
+        self.wfile.flush()
+        self.close_connection = True
+        self.connection.shutdown(socket.SHUT_RDWR)
+
+    def _send(
+        self, status: int, body: bytes, request_id: str, marks: dict[str, str] | None = None
+    ) -> None:
+        self._start(status, request_id, {"Content-Length": str(len(body)), **(marks or {})})
+        self.wfile.write(body)
+
+    def _start(self, status: int, request_id: str, marks: dict[str, str]) -> None:
+        self.send_response(status)
+        if request_id:
+            self.send_header(headers.REQUEST_ID, request_id)
+        if self.state.draining:
+            self.send_header(headers.DRAINING, "true")
+        for name, value in marks.items():
+            self.send_header(name, value)
+        self.end_headers()
+
+
+class TargetServer(ThreadingHTTPServer):
+    """Serves each connection in a thread."""
+
+    request_queue_size = 256
+    daemon_threads = True
+
+
+def main() -> None:
+    """Serves a target until ended."""
+    name, address, slots = sys.argv[1:4]
+    work_ms = float(sys.argv[4]) if len(sys.argv) > 4 else 2.0
+    host, _, port = address.rpartition(":")
+    TargetHandler.state = TargetState(name=name, slots=int(slots), work_s=work_ms / 1000)
+    TargetServer((host, int(port)), TargetHandler).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/steering/test_purity.py
@@ -0,0 +1,39 @@
+"""The decision core imports nothing that reaches outside it."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+import carawaybank.steering
+
+CORE = Path(carawaybank.steering.__file__).parent
+FORBIDDEN = {
+    "socket",
+    "threading",
+    "time",
+    "os",
+    "pathlib",
+    "urllib3",
+    "cheroot",
+    "loguru",
+    "asyncio",
+}
+
+
+@pytest.mark.parametrize("module", sorted(CORE.glob("*.py")), ids=lambda path: path.stem)
+def test_core_imports_nothing_impure(module):
+    imported = set()
+    for node in ast.walk(ast.parse(module.read_text())):
+        if isinstance(node, ast.Import):
+            imported |= {alias.name.split(".")[0] for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            imported.add(node.module.split(".")[0])
+    assert not imported & FORBIDDEN
+
+
+@pytest.mark.parametrize("module", sorted(CORE.glob("*.py")), ids=lambda path: path.stem)
+def test_core_draws_only_from_a_generator_passed_in(module):
+    for node in ast.walk(ast.parse(module.read_text())):
+        if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name):
+            assert node.value.id != "random" or node.attr == "Random"
