Keep limits, fair shares and verdicts under every cut

Cause: limits were checked only for shifts, fairness and the cuts of an exchange not at all. New scenarios fill regions to 75% with callers of one region asking for 2.5 times its slots, while entry VMs die, pause, are replaced and cut off; 43 tests cut an exchange at every place, on new and on reused connections, against a scripted socket server.

Found and mended: - After a takeover the busy slots that a target reports were compared with the use at present instead of at the report, so an owner counted its own requests of half a second ago as another's. One slot is now kept back at least, and 25% while such customers are refused; Retry-After and the number of siblings asked follow the excess of the customer instead of the service.

--- a/src/carawaybank/steering/core.py
+++ b/src/carawaybank/steering/core.py
@@ -41,15 +41,17 @@
 from carawaybank.steering.tickets import State
 from carawaybank.verdicts import UNREACHED, Answered, MayHaveRun, NotRun, Reason, Verdict
 
+_K = TypeVar("_K")
 _T = TypeVar("_T")
 
 _MAX_INCIDENTS = 1000
+_MAX_PRESSURES = 4096
 _MAX_RELAYS = 10
 _MAX_RELAYS_OVERLOADED = 3
 _OVERLOAD_EXCESS = 0.2
 _REUSE_PATIENCE_S = 0.25
 _REUSE_PATIENCE_FACTOR = 8
-_FAIR_RESERVE = 0.1
+_FAIR_RESERVE = 0.25
 _FAIR_MEMORY_S = 10.0
 
 
@@ -146,7 +148,7 @@
         self.incidents: deque[Incident] = deque(maxlen=_MAX_INCIDENTS)
         self._requests: dict[int, RequestProgress] = {}
         self._budgets: dict[str, RetryBudget] = {}
-        self._pressures: dict[str, Pressure] = {}
+        self._pressures: dict[tuple[str, str], Pressure] = {}
         self._shares: dict[str, FairShares] = {}
 
     @property
@@ -272,15 +274,15 @@
     ) -> PoolTarget | None:
         request = progress.request
         pool = self.holdings.pool(request.service, now=now)
-        if pool.in_use >= pool.capacity:
-            progress.reason = Reason.NO_CAPACITY
+        if not pool.capacity:
             return None
         shares = self._fair_shares(request.service)
         weights = {name: doc["weight"] for name, doc in self.state.customers.items()}
         if not shares.admits(
             request.customer, weights=weights, capacity=pool.capacity, in_use=pool.in_use, now=now
         ):
-            progress.reason = Reason.OVER_FAIR_SHARE
+            full = pool.in_use >= pool.capacity
+            progress.reason = Reason.NO_CAPACITY if full else Reason.OVER_FAIR_SHARE
             return None
         target = pool.take(tried=progress.tried, now=now, last_resort=last_resort)
         if target is None:
@@ -308,7 +310,7 @@
 
     def _choose_relay(self, progress: RequestProgress, now: float) -> Relay | None:
         service = progress.request.service
-        overloaded = self._pressure(service).excess > _OVERLOAD_EXCESS
+        overloaded = self._pressure(progress.request).excess > _OVERLOAD_EXCESS
         self.relays.overloaded = overloaded
         if len(progress.relayed_to) >= (_MAX_RELAYS_OVERLOADED if overloaded else _MAX_RELAYS):
             return None
@@ -416,7 +418,7 @@
     def _give_up(self, progress: RequestProgress, now: float) -> list[Action]:
         retry_after_s = self._options.retry_after_s
         if not progress.relayed:
-            retry_after_s = self._pressure(progress.request.service).refuse(now=now)
+            retry_after_s = self._pressure(progress.request).refuse(now=now)
         detail = "no target within the limits has room"
         return self._finish(progress, NotRun(progress.reason, retry_after_s, detail), now)
 
@@ -429,7 +431,7 @@
             self.memory.finish(request.bound_id, verdict)
         if not progress.relayed:
             if isinstance(verdict, Answered):
-                self._pressure(request.service).admit(now=now)
+                self._pressure(request).admit(now=now)
             self._note_incident(request, verdict, now)
         return [Finish(progress.key, verdict)]
 
@@ -450,10 +452,13 @@
             lambda: RetryBudget(share=self._options.retry_share, burst=self._options.retry_burst),
         )
 
-    def _pressure(self, service: str) -> Pressure:
+    def _pressure(self, request: RequestInfo) -> Pressure:
+        key = (request.service, request.customer)
+        if len(self._pressures) > _MAX_PRESSURES:
+            self._pressures.clear()
         return _get(
             self._pressures,
-            service,
+            key,
             lambda: Pressure(
                 rng=self._rng, base_s=self._options.retry_after_s, limit_s=30.0, window_s=1.0
             ),
@@ -467,7 +472,7 @@
         )
 
 
-def _get(table: dict[str, _T], key: str, make: Callable[[], _T]) -> _T:
+def _get(table: dict[_K, _T], key: _K, make: Callable[[], _T]) -> _T:
     if key not in table:
         table[key] = make()
     return table[key]
--- a/src/carawaybank/steering/fairness.py
+++ b/src/carawaybank/steering/fairness.py
@@ -2,7 +2,8 @@
 
 While slots are plentiful, any customer may use them. Once the free slots fall to the reserve, a
 customer may only use what its weight gives it among the customers seen lately, so that the
-largest cannot push the others out.
+largest cannot push the others out. The reserve is one slot, and more while customers below their
+share are refused.
 
 Usage::
 
@@ -14,6 +15,8 @@
 import math
 from collections.abc import Mapping
 
+_DENIAL_MEMORY_S = 0.5
+
 
 class FairShares:
     """Use of one service's slots by customer."""
@@ -22,13 +25,15 @@
         """Starts without customers.
 
         Args:
-            reserve: Share of the slots that only customers below their fair share may use.
+            reserve: Share of the slots that only customers below their fair share may use while
+                such customers are refused.
             memory_s: Seconds for which a customer counts after its last request.
         """
         self._reserve = reserve
         self._memory_s = memory_s
         self._in_use: dict[str, int] = {}
         self._seen: dict[str, float] = {}
+        self._denied_at = -math.inf
 
     @property
     def in_use(self) -> dict[str, int]:
@@ -41,11 +46,15 @@
         """Returns whether the customer may take one more slot."""
         self._see(customer, now)
         free_after = capacity - in_use - 1
-        if free_after >= math.floor(capacity * self._reserve):
-            return True
+        if len(self._seen) == 1:
+            return free_after >= 0
         total = sum(weights.get(name, 1.0) for name in self._seen)
         fair = math.ceil(capacity * weights.get(customer, 1.0) / total)
-        return self._in_use.get(customer, 0) < fair
+        if self._in_use.get(customer, 0) < fair:
+            if free_after < 0:
+                self._denied_at = now
+            return free_after >= 0
+        return free_after >= self._reserved(capacity, now)
 
     def take(self, customer: str) -> None:
         """Counts a slot taken by the customer."""
@@ -59,6 +68,11 @@
         else:
             self._in_use.pop(customer, None)
 
+    def _reserved(self, capacity: int, now: float) -> int:
+        if now - self._denied_at > _DENIAL_MEMORY_S:
+            return 1
+        return max(1, math.ceil(capacity * self._reserve))
+
     def _see(self, customer: str, now: float) -> None:
         self._seen[customer] = now
         if len(self._seen) > 1:
--- a/src/carawaybank/steering/overload.py
+++ b/src/carawaybank/steering/overload.py
@@ -13,7 +13,7 @@
 
 
 class Pressure:
-    """Decaying counts of admitted and refused requests of one service."""
+    """Decaying counts of admitted and refused requests of one customer of a service."""
 
     def __init__(
         self, *, rng: random.Random, base_s: float, limit_s: float, window_s: float
--- a/src/carawaybank/steering/standing.py
+++ b/src/carawaybank/steering/standing.py
@@ -46,7 +46,7 @@
         self._failures = 0
         self._ejected_until = -math.inf
         self._ejections = 0
-        self._reported_busy = 0
+        self._excess_busy = 0
         self._reported_at = -math.inf
         self._taken_over_at = -math.inf
         self.draining = False
@@ -152,7 +152,7 @@
         self._failures = 0
         self.set_draining(health is Health.DRAINING, now=now)
         if busy is not None:
-            self._reported_busy = busy
+            self._excess_busy = max(0, busy - self.in_use)
             self._reported_at = now
 
     def set_draining(self, draining: bool, *, now: float) -> None:
@@ -162,10 +162,10 @@
         self.draining = draining
 
     def excess_busy(self, now: float) -> int:
-        """Returns reported busy slots beyond our own use; 0 once the report is old."""
+        """Returns slots that others were using at the last report; 0 once it is old."""
         if now - self._reported_at > _REPORT_LIFETIME_S:
             return 0
-        return max(0, self._reported_busy - self.in_use)
+        return self._excess_busy
 
     def expire_lingering(self, now: float) -> None:
         """Gives back the slots of abandoned requests whose deadline has passed."""
--- a/src/carawaybank/targets/client.py
+++ b/src/carawaybank/targets/client.py
@@ -12,6 +12,7 @@
 _PROBE_TIMEOUT_S = 0.5
 _RECONNECT_TIMEOUT_S = 0.3
 _PROBE_PATH = "/health"
+_LINGERING = frozenset({Reason.TIMEOUT, Reason.ANSWER_CROSSED})
 
 
 class TargetClient:
@@ -65,7 +66,8 @@
         crashed = outcome.broken and (not outcome.reused or not self._accepts(action.address))
         if crashed:
             verdict = MayHaveRun(Reason.TARGET_CRASHED, 1.0, "the target was lost while it ran")
-        return AttemptEnded(action.key, verdict, latency_s, crashed, may_linger=not outcome.broken)
+        may_linger = verdict.reason in _LINGERING
+        return AttemptEnded(action.key, verdict, latency_s, crashed, may_linger)
 
     def _accepts(self, address: str) -> bool:
         probe = HttpRequest("GET", _PROBE_PATH, {"Connection": "close"})
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -137,6 +137,7 @@
         self.shift_use: Counter[tuple[str, str]] = Counter()
         self.crashing: set[str] = set()
         self.messages = 0
+        self.misleading = False
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._keys = itertools.count(1)
@@ -321,7 +322,8 @@
             else:
                 leaving = target.draining_since is not None
                 health = Health.DRAINING if leaving else Health.SERVING
-                probe = ProbeEnded(owned.name, health, target.busy)
+                busy = 0 if self.misleading else target.busy
+                probe = ProbeEnded(owned.name, health, busy)
             vm.host.handle(probe)
         self.after(_PROBE_S, lambda: self._probe(vm))
 
--- /dev/null
+++ b/tests/targets/test_client.py
@@ -0,0 +1,233 @@
+"""Every place at which an exchange with a target can be cut, and the verdict for it."""
+
+import socket
+import struct
+import time
+
+import pytest
+
+from carawaybank.steering.messages import Dispatch
+from carawaybank.targets.client import TargetClient
+from carawaybank.transport import ConnectionPool, HttpRequest
+from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason
+from tests.scripted import ScriptedServer, answer, read_request
+
+ID = "r1"
+
+
+def reset(connection: socket.socket) -> None:
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+
+
+def script(*steps):
+    def run(connection):
+        for step in steps:
+            step(connection)
+
+    return run
+
+
+def send(data: bytes):
+    return lambda connection: connection.sendall(data)
+
+
+def close(connection: socket.socket) -> None:
+    connection.shutdown(socket.SHUT_RDWR)
+    connection.close()
+
+
+def freeze(connection: socket.socket) -> None:
+    time.sleep(5)
+
+
+WHOLE = answer(ID)
+CUTS = {
+    "before the request is read": (script(reset), Reason.TARGET_CRASHED),
+    "after the request is read": (script(read_request, close), Reason.TARGET_CRASHED),
+    "reset after the request": (script(read_request, reset), Reason.TARGET_CRASHED),
+    "in the status line": (script(read_request, send(WHOLE[:7]), close), Reason.TARGET_CRASHED),
+    "in the headers": (script(read_request, send(WHOLE[:40]), close), Reason.ANSWER_TRUNCATED),
+    "between headers and body": (
+        script(read_request, send(WHOLE[: -len(b"whole")]), close),
+        Reason.TARGET_CRASHED,
+    ),
+    "in the body": (script(read_request, send(WHOLE[:-2]), close), Reason.TARGET_CRASHED),
+    "in a chunked body": (
+        script(
+            read_request,
+            send(
+                b"HTTP/1.1 200 OK\r\nCarawaybank-Request-Id: r1\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n"
+            ),
+            close,
+        ),
+        Reason.TARGET_CRASHED,
+    ),
+    "frozen before the answer": (script(read_request, freeze), Reason.TIMEOUT),
+    "frozen in the headers": (script(read_request, send(WHOLE[:40]), freeze), Reason.TIMEOUT),
+    "frozen in the body": (script(read_request, send(WHOLE[:-2]), freeze), Reason.TIMEOUT),
+    "another request's answer": (
+        script(read_request, send(answer("r2")), freeze),
+        Reason.ANSWER_CROSSED,
+    ),
+    "an answer without an id": (
+        script(read_request, send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), freeze),
+        Reason.ANSWER_CROSSED,
+    ),
+    "an answer without a length": (
+        script(
+            read_request,
+            send(b"HTTP/1.1 200 OK\r\nCarawaybank-Request-Id: r1\r\n\r\nwhole"),
+            close,
+        ),
+        Reason.ANSWER_TRUNCATED,
+    ),
+    "an answer that is too large": (
+        script(read_request, send(answer(ID, b"x" * 5000)), freeze),
+        Reason.ANSWER_TOO_LARGE,
+    ),
+    "no HTTP at all": (script(read_request, send(b"hello\r\n\r\n"), close), Reason.TARGET_CRASHED),
+    "two lengths": (
+        script(
+            read_request,
+            send(
+                b"HTTP/1.1 200 OK\r\nCarawaybank-Request-Id: r1\r\n"
+                b"Content-Length: 5\r\nContent-Length: 2\r\n\r\nwhole"
+            ),
+            close,
+        ),
+        Reason.TARGET_CRASHED,
+    ),
+}
+
+
+@pytest.fixture
+def pool():
+    pool = ConnectionPool(connect_timeout_s=0.5, max_body_bytes=1000)
+    yield pool
+    pool.close()
+
+
+@pytest.fixture
+def server():
+    servers = []
+
+    def start(*scripts):
+        servers.append(ScriptedServer(*scripts))
+        return servers[-1]
+
+    yield start
+    for started in servers:
+        started.close()
+
+
+def dispatch(pool, address, *, fresh=True, patience=0.3, body=b"job"):
+    now = time.monotonic()
+    action = Dispatch(1, "t1", address, now + 0.6, now + patience, fresh)
+    request = HttpRequest("POST", "/run", {"Carawaybank-Request-Id": ID}, body, ID)
+    return TargetClient(pool=pool).dispatch(action, request)
+
+
+def test_a_whole_answer_is_passed_on(pool, server):
+    ended = dispatch(pool, server(script(read_request, send(WHOLE))).address)
+    assert isinstance(ended.verdict, Answered)
+    assert ended.verdict.body == b"whole"
+
+
+def test_a_refused_connection_did_not_run(pool):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+    ended = dispatch(pool, address)
+    assert isinstance(ended.verdict, NotRun)
+    assert ended.verdict.reason is Reason.CONNECTION_REFUSED
+
+
+def test_a_request_that_the_target_shed_did_not_run(pool, server):
+    shed = (
+        b"HTTP/1.1 503 Busy\r\nCarawaybank-Request-Id: r1\r\nCarawaybank-Not-Run: true\r\n"
+        b"Retry-After: 2\r\nContent-Length: 0\r\n\r\n"
+    )
+    verdict = dispatch(pool, server(script(read_request, send(shed))).address).verdict
+    assert verdict == NotRun(Reason.TARGET_SHED, 2.0, verdict.detail)
+
+
+def test_another_requests_shed_answer_is_not_believed(pool, server):
+    shed = (
+        b"HTTP/1.1 503 Busy\r\nCarawaybank-Request-Id: r2\r\nCarawaybank-Not-Run: true\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+    ended = dispatch(pool, server(script(read_request, send(shed))).address)
+    assert isinstance(ended.verdict, MayHaveRun)
+
+
+@pytest.mark.parametrize("cut", CUTS)
+def test_every_cut_says_that_it_may_have_run(cut, pool, server):
+    behaviour, reason = CUTS[cut]
+    ended = dispatch(pool, server(behaviour).address)
+    assert isinstance(ended.verdict, MayHaveRun)
+    assert ended.verdict.reason is reason
+
+
+@pytest.mark.parametrize("cut", CUTS)
+def test_every_cut_on_a_reused_connection_says_that_it_may_have_run(cut, pool, server):
+    behaviour, _ = CUTS[cut]
+    first = script(read_request, send(WHOLE), behaviour)
+    address = server(first, script(read_request, close)).address
+    assert isinstance(dispatch(pool, address, fresh=False).verdict, Answered)
+    ended = dispatch(pool, address, fresh=False)
+    assert isinstance(ended.verdict, MayHaveRun)
+
+
+def test_a_broken_connection_is_not_used_again(pool, server):
+    started = server(
+        script(read_request, send(answer("r2")), freeze), script(read_request, send(WHOLE))
+    )
+    dispatch(pool, started.address)
+    assert isinstance(dispatch(pool, started.address, fresh=False).verdict, Answered)
+    assert len(started.connections) == 2
+
+
+def test_a_doubled_answer_does_not_reach_the_next_request(pool, server):
+    started = server(
+        script(read_request, send(WHOLE + answer("r1-late")), read_request, freeze),
+        script(read_request, send(WHOLE)),
+    )
+    assert isinstance(dispatch(pool, started.address, fresh=False).verdict, Answered)
+    second = dispatch(pool, started.address, fresh=False)
+    assert not isinstance(second.verdict, Answered) or second.verdict.body == b"whole"
+    assert isinstance(second.verdict, MayHaveRun)
+
+
+def test_a_silent_connection_is_noticed_within_the_patience(pool, server):
+    started = server(
+        script(read_request, send(WHOLE), read_request, freeze), script(read_request, send(WHOLE))
+    )
+    dispatch(pool, started.address, fresh=False)
+    ended = dispatch(pool, started.address, fresh=False, patience=0.1)
+    assert ended.verdict.reason is Reason.TIMEOUT
+    assert ended.may_linger
+    assert isinstance(dispatch(pool, started.address, fresh=False).verdict, Answered)
+
+
+def test_a_restarted_target_on_the_same_address_is_no_crash(pool, server):
+    started = server(
+        script(read_request, send(WHOLE), close), script(read_request, send(answer("")))
+    )
+    dispatch(pool, started.address, fresh=False)
+    ended = dispatch(pool, started.address, fresh=False)
+    assert isinstance(ended.verdict, MayHaveRun)
+    assert not ended.crashed
+
+
+def test_a_slow_drip_ends_at_the_deadline(pool, server):
+    def drip(connection):
+        read_request(connection)
+        connection.sendall(WHOLE[:-5])
+        for byte in b"whole":
+            time.sleep(0.25)
+            connection.sendall(bytes([byte]))
+
+    ended = dispatch(pool, server(drip).address)
+    assert ended.verdict.reason is Reason.TIMEOUT
+    assert ended.latency_s < 1.0
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,5 +1,8 @@
 """Steps of the scenarios in ``features``, on fleets in memory with a manual clock."""
 
+import math
+from collections import Counter
+
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
@@ -10,12 +13,13 @@
 
 USERS = {"Prairie": PRAIRIE, "Nishikawa": NISHIKAWA}
 SETTLE_S = 15.0
+LOWERED_CAP_GRACE_S = 4.0
 
 
 class World:
     """A fleet under a scenario, with invariants checked after every step."""
 
-    def __init__(self, *, user: User, cap: int) -> None:
+    def __init__(self, *, user: User, cap: int, utilisation: float = 1.0) -> None:
         regions = list(user.domains)
         self.user = user
         self.caps = {
@@ -25,7 +29,9 @@
             for end in regions
             if start != end
         }
-        self.fleet = make_fleet(user, caps=self.caps)
+        self.utilisation = utilisation
+        self.region_peak: Counter[tuple[str, str]] = Counter()
+        self.fleet = make_fleet(user, caps=self.caps, utilisation=utilisation)
         self.started = self.fleet.now
         self.orders: dict[str, str] = {}
         self.crashing = "crashing"
@@ -42,6 +48,8 @@
     def check(self) -> None:
         self._check_caps()
         self._check_slots()
+        if self.utilisation < 1:
+            self._check_regions()
         self._check_tickets()
 
     def at(self, seconds: float, call) -> None:
@@ -60,6 +68,18 @@
         for target in self.fleet.targets.values():
             assert target.busy <= target.slots
 
+    def _check_regions(self) -> None:
+        busy: Counter[tuple[str, str]] = Counter()
+        slots: Counter[tuple[str, str]] = Counter()
+        for target in self.fleet.targets.values():
+            key = (target.place.region, target.name.partition("-")[0])
+            busy[key] += target.busy
+            slots[key] += target.slots
+        for key, used in busy.items():
+            limit = math.floor(slots[key] * self.utilisation)
+            assert used <= limit, f"{used} requests run in {key}, limit {limit}"
+            self.region_peak[key] = max(used, self.region_peak[key])
+
     def _check_tickets(self) -> None:
         for vm in self.fleet.vms.values():
             if not vm.alive or self.fleet.now < vm.paused_until or not vm.host.is_ready:
@@ -80,9 +100,125 @@
     return world["world"]
 
 
-@given(parsers.parse("the places of {user} with shifts of {cap:d} out of each region"))
+@given(parsers.re(r"the places of (?P<user>\w+) with shifts of (?P<cap>\d+) out of each region"))
 def places(world, user, cap):
-    world["world"] = World(user=USERS[user], cap=cap)
+    world["world"] = World(user=USERS[user], cap=int(cap))
+
+
+@given(
+    parsers.parse(
+        "the places of {user} filled to {percent:d}% with shifts of {cap:d} out of each region"
+    )
+)
+def filled_places(world, user, percent, cap):
+    world["world"] = World(user=USERS[user], cap=cap, utilisation=percent / 100)
+
+
+@when(
+    parsers.parse(
+        "callers of {region} send {rate:g} requests a second to {service} for {seconds:g} s"
+    )
+)
+def send_skewed(world, region, rate, service, seconds):
+    fleet = of(world).fleet
+    vms = [name for name, vm in fleet.vms.items() if vm.place.region == region]
+    send_poisson(fleet, vms, service, rate=rate, seconds=seconds, deadline_s=3.0)
+
+
+@when(
+    parsers.parse(
+        "targets report no load and callers of {region} send {rate:g} a second for {seconds:g} s"
+    )
+)
+def send_misled(world, region, rate, seconds):
+    of(world).fleet.misleading = True
+    send_skewed(world, region, rate, "dispatch", seconds)
+
+
+@when(parsers.parse("{one} and {other} lose each other after {delay:g} s"))
+def regions_cut(world, one, other, delay):
+    fleet = of(world).fleet
+    domains = of(world).user.domains
+
+    def cut_all():
+        for here in domains[one]:
+            for there in domains[other]:
+                fleet.cut(here, there)
+
+    of(world).at(delay, cut_all)
+
+
+@when(parsers.parse("ticket 2 lowers the caps of dispatch to {cap:d} after {delay:g} s"))
+def lower_caps(world, cap, delay):
+    now = of(world)
+    regions = list(now.user.domains)
+
+    def lower():
+        shifts = {
+            f"dispatch-{a}-{b}": {
+                "service": "dispatch",
+                "from_region": a,
+                "to_region": b,
+                "cap": cap,
+            }
+            for a in regions
+            for b in regions
+            if a != b
+        }
+        now.fleet.submit({"number": 2, "author": "o", "reason": "caps", "shifts": shifts})
+        now.at(LOWERED_CAP_GRACE_S, lambda: now.caps.update(dict.fromkeys(dispatch, cap)))
+
+    dispatch = [key for key in now.caps if key[0] == "dispatch"]
+    now.at(delay, lower)
+
+
+@when(
+    parsers.parse(
+        "customers large and small ask {service} for {times:g} times the capacity, nine to one"
+    )
+)
+def send_unequal(world, service, times):
+    fleet = of(world).fleet
+    slots = sum(t.slots for t in fleet.targets.values() if t.name.startswith(service))
+    world["fair"] = slots * of(world).utilisation / 0.1 / 2
+    send_poisson(
+        fleet,
+        list(fleet.vms),
+        service,
+        rate=times * slots / 0.1,
+        seconds=6.0,
+        customers={"large": 0.9, "small": 0.1},
+    )
+
+
+@then(
+    parsers.parse(
+        "at least {percent:d}% of the requests of small within its fair share are answered"
+    )
+)
+def fair(world, percent):
+    settle(world)
+    small = [e for e in of(world).fleet.ended if e.info.customer == "small"]
+    answered = sum(isinstance(e.verdict, Answered) for e in small)
+    assert len(small) / 6.0 < world["fair"], "small asks for less than its fair share"
+    assert answered >= len(small) * percent / 100
+
+
+@then("the limits of regions and shifts held")
+def limits_held(world):
+    settle(world)
+    assert not of(world).fleet.faults
+
+
+@then(parsers.parse("targets of {region} were filled to their limit"))
+def filled(world, region):
+    slots = sum(
+        t.slots
+        for t in of(world).fleet.targets.values()
+        if t.place.region == region and t.name.startswith("dispatch")
+    )
+    limit = math.floor(slots * of(world).utilisation)
+    assert of(world).region_peak[(region, "dispatch")] == limit
 
 
 @when(parsers.parse("coordinators send {rate:g} requests a second to {service} for {seconds:g} s"))
