Own keys only with the word of every earlier member, and keep incidents

Cause: a property over starts, lost messages, leaves and deaths found a key with two owners: a had started first and knew nobody; b owned a key because the next-ranked c had recognized it, although a had not. The rule that the next-ranked member's word is enough assumed that all know each other.

Change: a start reads the earlier members of its cell from the table and owns nothing until each has recognized it; earlier members need no word from later ones.

Siblings kept idle connections to the process before a restart; each broke on use and spent retry budget until none was left.

Unproved: two members that start while both the table and each other are out of reach may both own a key until they meet.

--- a/src/carawaybank/cli.py
+++ b/src/carawaybank/cli.py
@@ -49,6 +49,7 @@
 from carawaybank import documents, settings
 from carawaybank.exceptions import DocumentError
 from carawaybank.operators.documents import FleetStatus, SubmissionResult
+from carawaybank.platform.incidents import IncidentDocument
 from carawaybank.steering.tickets import KINDS, AcceptedTicket, TicketDocument
 
 EXIT_FAILED = 1
@@ -234,9 +235,10 @@
 
 
 def _incidents(client: Client, _: dict[str, Any]) -> tuple[Any, str]:
-    found = client.call("GET", "/v1/dump")["incidents"]
+    found: list[IncidentDocument] = client.call("GET", "/v1/incidents")
     lines = [
-        f"{i['request_id']}  {i['service']}  {i['customer']}  {i['reason']}: may have run; "
+        f"{time.strftime('%Y-%m-%dT%H:%M:%SZ', time.gmtime(i['seen_at']))}  {i['request_id']}  "
+        f"{i['service']}  {i['customer']}  {i['reason']}: may have run; "
         f"check with the service before sending it again\n"
         for i in found
     ]
--- a/src/carawaybank/host.py
+++ b/src/carawaybank/host.py
@@ -11,7 +11,7 @@
 
 from carawaybank.settings import Settings
 from carawaybank.steering.blocks import BlockMap
-from carawaybank.steering.core import Options, Steering
+from carawaybank.steering.core import Incident, Options, Steering
 from carawaybank.steering.dissemination import TicketLog
 from carawaybank.steering.entries import EntriesView
 from carawaybank.steering.exchange import Exchange
@@ -51,7 +51,7 @@
         self._last_tick = self._started_at
         self._wake_after_s = settings.suspect_after_s
         self._joined = False
-        self._verifying = False
+        self._verifying_since: float | None = None
         rng = random.Random(seed)
         own = Member(
             settings.vm,
@@ -158,11 +158,18 @@
             self._receive(message)
             return self.group.reply(message, self._clock())
 
-    def receive(self, message: Exchange) -> None:
-        """Takes the answer to an exchange."""
+    def receive(self, message: Exchange, *, sent_at: float) -> None:
+        """Takes the answer to an exchange.
+
+        Args:
+            message: The answer.
+            sent_at: Time at which the exchange was composed. An answer to one from before a pause
+                does not end the verification after it.
+        """
         with self._lock:
             self._receive(message)
-            self._verifying = False
+            if self._verifying_since is not None and sent_at >= self._verifying_since:
+                self._verifying_since = None
 
     def accept_tickets(self, tickets: Iterable[AcceptedTicket]) -> None:
         """Takes tickets read from the store."""
@@ -181,7 +188,7 @@
         with self._lock:
             now = self._clock()
             if now - self._last_tick > self._wake_after_s and self.membership.others():
-                self._verifying = True
+                self._verifying_since = now
             self._last_tick = now
             self.steering.tick(now)
             self._advance()
@@ -191,6 +198,7 @@
         """Begins to serve with the highest state that was found."""
         with self._lock:
             self._joined = True
+            self.ownership.join()
             self._advance()
             if self.log.state.number > self.steering.state.number:
                 self.steering.update_state(self.log.state, now=self._clock())
@@ -198,7 +206,7 @@
     def stop_verifying(self) -> None:
         """Serves on after a pause although no sibling answered."""
         with self._lock:
-            self._verifying = False
+            self._verifying_since = None
 
     def observe_holder(self, vm: str, incarnation: int) -> None:
         """Records a member of the cell that the table names."""
@@ -222,6 +230,18 @@
                 if standing is not None:
                     standing.set_draining(True, now=now)
 
+    def take_incidents(self) -> list[Incident]:
+        """Returns the incidents not yet stored, which are then no longer queued."""
+        with self._lock:
+            taken = list(self.steering.unstored)
+            self.steering.unstored.clear()
+            return taken
+
+    def put_back_incidents(self, incidents: list[Incident]) -> None:
+        """Queues incidents again that could not be stored."""
+        with self._lock:
+            self.steering.unstored.extendleft(reversed(incidents))
+
     def owned_targets(self) -> list[PoolTarget]:
         """Returns the targets that this entry VM owns."""
         with self._lock:
@@ -254,4 +274,4 @@
 
     def _must_verify(self) -> bool:
         woke = self._clock() - self._last_tick > self._wake_after_s
-        return (woke and bool(self.membership.others())) or self._verifying
+        return (woke and bool(self.membership.others())) or self._verifying_since is not None
--- a/src/carawaybank/operators/app.py
+++ b/src/carawaybank/operators/app.py
@@ -10,7 +10,7 @@
 from carawaybank.operators.readback import STATUS_PATH, ReadBack
 from carawaybank.platform.tasks import PlatformTask
 from carawaybank.platform.tickets import Accepted, Submission, TicketStore
-from carawaybank.steering.tickets import TicketDocument
+from carawaybank.steering.tickets import AcceptedTicket, TicketDocument
 from carawaybank.web import (
     BadRequestError,
     Router,
@@ -24,8 +24,10 @@
 FLEET_PATH = "/v1/fleet"
 DUMP_PATH = "/v1/dump"
 DRAIN_PATH = "/v1/drain"
+INCIDENTS_PATH = "/v1/incidents"
 METRICS_PATH = "/metrics"
 STATE_PATH = "/v1/state"
+_HISTORY_LENGTH = 50
 
 
 class OperatorsApp:
@@ -61,6 +63,7 @@
         router.mount(EFFECT_PATH, self.show_effect, methods=("POST",))
         router.mount(STATUS_PATH, self.show_status)
         router.mount(FLEET_PATH, self.show_fleet)
+        router.mount(INCIDENTS_PATH, self.show_incidents)
         router.mount(DUMP_PATH, self.show_dump)
         router.mount(STATE_PATH, self.show_state)
         router.mount(DRAIN_PATH, self.drain, methods=("POST",))
@@ -70,7 +73,7 @@
     def submit_or_list(self, request: WebRequest) -> WebResponse:
         """Accepts a ticket, or lists those kept in memory."""
         if request.method == "GET":
-            return json_response(self._host.log.history())
+            return json_response(self._history())
         submission = self._tickets.submit(_read_ticket(request), accepted_at=self._host.wall_time)
         if isinstance(submission, Accepted):
             self._bring_in()
@@ -122,6 +125,19 @@
         self._stop()
         return json_response({"draining": self._host.membership.own.vm}, status=202)
 
+    def show_incidents(self, _: WebRequest) -> WebResponse:
+        """Answers with requests of unknown outcome, of all entry VMs."""
+        try:
+            return json_response(self._platform.incidents.read())
+        except PlatformError as error:
+            raise BadRequestError(detail=str(error), status=503) from None
+
+    def _history(self) -> list[AcceptedTicket]:
+        try:
+            return self._tickets.read_after(max(0, self._tickets.head() - _HISTORY_LENGTH))
+        except PlatformError:
+            return self._host.log.history()
+
     def _bring_in(self) -> None:
         try:
             self._host.accept_tickets(self._tickets.read_after(self._host.log.held))
--- a/src/carawaybank/platform/tasks.py
+++ b/src/carawaybank/platform/tasks.py
@@ -12,6 +12,8 @@
 from carawaybank import logs
 from carawaybank.exceptions import PlatformError, SnapshotError
 from carawaybank.host import Host
+from carawaybank.platform.incidents import IncidentDocument, IncidentLog
+from carawaybank.platform.leases import TableLease
 from carawaybank.platform.models import ListedVm, ObjectStore, Table, VmList, Write
 from carawaybank.platform.tickets import SNAPSHOT_INTERVAL, TicketStore
 from carawaybank.steering import hashing
@@ -24,6 +26,9 @@
 _MISSING_READS_BEFORE_PROOF = 3
 _MEMBER_PREFIX = "members/"
 _MAX_REPLAYED = 200
+_SNAPSHOT_DUTY_KEY = "duties/snapshots"
+_DUTY_S = 10.0
+_DUTY_GUARD_S = 1.0
 
 
 class Holding(NamedTuple):
@@ -75,6 +80,15 @@
         self._rows_checked_at = -1
         self._blocks_digest = ""
         self._snapshot_number = 0
+        own = host.membership.own
+        self._snapshot_duty = TableLease(
+            table=table,
+            key=_SNAPSHOT_DUTY_KEY,
+            holder=f"{own.vm}.{own.incarnation}",
+            duration_s=_DUTY_S,
+            guard_s=_DUTY_GUARD_S,
+        )
+        self.incidents = IncidentLog(objects=objects, vm=own.vm, incarnation=own.incarnation)
         self._log = logs.part("platform")
         self.first_read_done = False
         self.reached_at: float | None = None
@@ -109,6 +123,7 @@
     def _read(self) -> None:
         if not self._registered:
             self._register()
+        self._store_incidents()
         self._check_rows()
         if not self.is_reader():
             self._load_blocks()
@@ -186,6 +201,26 @@
         if self._host.prove_dead(holding.vm, holding.incarnation, DeathProof.VM_REMOVED):
             self._log.warning("{} is gone: the platform removed it", holding.vm)
 
+    def _store_incidents(self) -> None:
+        taken = self._host.take_incidents()
+        own = self._host.membership.own
+        documents = [
+            IncidentDocument(
+                request_id=incident.request_id,
+                service=incident.service,
+                customer=incident.customer,
+                reason=str(incident.reason),
+                entry_vm=own.vm,
+                seen_at=self._host.wall_time - (self._host.now - incident.at),
+            )
+            for incident in taken
+        ]
+        try:
+            self.incidents.store(documents, at=self._host.wall_time)
+        except PlatformError:
+            self._host.put_back_incidents(taken)
+            raise
+
     def _check_rows(self) -> None:
         """Compares the cell's rows with what is known, when ownership changed since."""
         version = self._host.ownership.version
@@ -234,6 +269,8 @@
         due = state.number // SNAPSHOT_INTERVAL * SNAPSHOT_INTERVAL
         if due <= self._snapshot_number:
             return
+        if not self._snapshot_duty.try_hold(clock=lambda: self._host.now):
+            return
         self._tickets.write_snapshot(state)
         self._snapshot_number = due
 
--- a/src/carawaybank/platform/tickets.py
+++ b/src/carawaybank/platform/tickets.py
@@ -114,7 +114,10 @@
             state = self.load_state()
             head = self._table.get(_HEAD_KEY)
         except PlatformError as error:
-            return NotRun(Reason.PLATFORM_UNREACHABLE, 5.0, str(error))
+            detail = f"nothing was written now ({error}); an earlier try may still be accepted"
+            return NotRun(Reason.PLATFORM_UNREACHABLE, 5.0, detail)
+        if state.number >= ticket["number"]:
+            return self._explain_conflict(ticket["number"], mark)
         faults = find_faults(state, ticket)
         if faults:
             return NotRun(Reason.TICKET_REFUSED, 0.0, "; ".join(faults))
--- a/src/carawaybank/siblings/tasks.py
+++ b/src/carawaybank/siblings/tasks.py
@@ -102,12 +102,13 @@
             thread.join(max(0.0, deadline - time.monotonic()))
 
     def _announce_to(self, member: Member) -> None:
+        sent_at = self._host.now
         message = self._host.compose(member.vm, with_crashes=True)
         answer = self._client.exchange(
             member.control_address, message, timeout_s=_EXCHANGE_TIMEOUT_S
         )
         if not isinstance(answer, NotRun):
-            self._host.receive(answer)
+            self._host.receive(answer, sent_at=sent_at)
 
     def _run_once(self) -> None:
         for member in self._host.tick():
@@ -157,6 +158,7 @@
                 self._pending.discard(address)
 
     def _exchange(self, member: Member | None, address: str) -> None:
+        sent_at = self._host.now
         message = self._host.compose(member.vm if member else None)
         answer = self._client.exchange(address, message, timeout_s=_EXCHANGE_TIMEOUT_S)
         contact = self._contacts.get(address)
@@ -168,7 +170,7 @@
             return
         if member is not None and answer["vm"] != member.vm:
             self._prove_dead(member)
-        self._host.receive(answer)
+        self._host.receive(answer, sent_at=sent_at)
         if answer.get("behind"):
             self._fetch_snapshot(address)
 
--- a/src/carawaybank/steering/core.py
+++ b/src/carawaybank/steering/core.py
@@ -146,6 +146,8 @@
             limit=options.crash_limit, expiry_s=options.crash_memory_s, capacity=10_000
         )
         self.incidents: deque[Incident] = deque(maxlen=_MAX_INCIDENTS)
+        self.unstored: deque[Incident] = deque(maxlen=_MAX_INCIDENTS)
+        self._weights: dict[str, float] = {}
         self._requests: dict[int, RequestProgress] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._pressures: dict[tuple[str, str], Pressure] = {}
@@ -169,6 +171,7 @@
         """Puts a new state in force."""
         self.holdings.update(state, now=now)
         self.shifts.update(state, now=now)
+        self._weights = {name: document["weight"] for name, document in state.customers.items()}
 
     def tick(self, now: float) -> None:
         """Returns what lingering requests held."""
@@ -277,9 +280,12 @@
         if not pool.capacity:
             return None
         shares = self._fair_shares(request.service)
-        weights = {name: doc["weight"] for name, doc in self.state.customers.items()}
         if not shares.admits(
-            request.customer, weights=weights, capacity=pool.capacity, in_use=pool.in_use, now=now
+            request.customer,
+            weights=self._weights,
+            capacity=pool.capacity,
+            in_use=pool.in_use,
+            now=now,
         ):
             full = pool.in_use >= pool.capacity
             progress.reason = Reason.NO_CAPACITY if full else Reason.OVER_FAIR_SHARE
@@ -444,6 +450,7 @@
             request.request_id, request.service, request.customer, verdict.reason, now
         )
         self.incidents.append(incident)
+        self.unstored.append(incident)
 
     def _budget(self, service: str) -> RetryBudget:
         return _get(
--- a/src/carawaybank/steering/ownership.py
+++ b/src/carawaybank/steering/ownership.py
@@ -4,11 +4,12 @@
 are lost, because the three rules below need no message to arrive for a limit to hold:
 
 * Members rank alike by rendezvous hash; a member never owns a key that a holder it knows outranks.
-* A new member owns a key only once the next-ranked holder has recognized its incarnation.
+* A new member finds the earlier ones in the platform's table, and owns a key only once each of
+  them has recognized its incarnation. The earlier ones need no word from the later.
 * A holder is removed only on proof that its process ended, never because it is silent.
 
 A silent holder that is alive therefore keeps its keys, and one whose death is unproven strands
-them until proof arrives.
+them until proof arrives, and keeps later members from owning any.
 
 Usage::
 
@@ -43,10 +44,12 @@
 
     Attributes:
         incarnation: Its process start.
+        earlier: Whether it may have owned keys before this member did.
         recognized: Whether it has confirmed that it knows our incarnation.
     """
 
     incarnation: int
+    earlier: bool = True
     recognized: bool = False
 
 
@@ -77,6 +80,8 @@
         self._holders: dict[str, Holder] = {}
         self._ended: dict[str, Ended] = {}
         self._released = False
+        self._joined = False
+        self._unrecognized = False
         self._members: tuple[str, ...] = (vm,)
         self.version = 0
 
@@ -95,6 +100,10 @@
         """Members whose process is known to have ended."""
         return dict(self._ended)
 
+    def join(self) -> None:
+        """Ends the search for earlier members; those found from now on are later ones."""
+        self._joined = True
+
     def observe_member(self, vm: str, *, incarnation: int) -> bool:
         """Records that a member exists; returns whether it may now own keys."""
         if vm == self._vm or incarnation <= self._ended_incarnation(vm):
@@ -102,7 +111,8 @@
         holder = self._holders.get(vm)
         if holder is not None and holder.incarnation >= incarnation:
             return holder.incarnation == incarnation
-        self._holders[vm] = Holder(incarnation)
+        earlier = not self._joined or incarnation < self._incarnation
+        self._holders[vm] = Holder(incarnation, earlier)
         self._update_members()
         return True
 
@@ -112,7 +122,7 @@
         if holder is None or holder.incarnation != incarnation or holder.recognized:
             return
         self._holders[vm] = holder._replace(recognized=True)
-        self.version += 1
+        self._update_members()
 
     def prove_dead(self, vm: str, *, incarnation: int, proof: DeathProof) -> bool:
         """Removes a member whose process ended; returns whether anything changed.
@@ -149,15 +159,15 @@
 
     def owns(self, key: str) -> bool:
         """Returns whether this member owns the key and may act on it."""
-        if self._released:
+        if self._released or self._unrecognized:
             return False
-        if not self._holders:
-            return True
-        order = _ranked(key, self._members)
-        return order[0] == self._vm and self._holders[order[1]].recognized
+        return _ranked(key, self._members)[0] == self._vm
 
     def _update_members(self) -> None:
         self._members = tuple(sorted((self._vm, *self._holders)))
+        self._unrecognized = any(
+            holder.earlier and not holder.recognized for holder in self._holders.values()
+        )
         self.version += 1
 
     def _ended_incarnation(self, vm: str) -> int:
--- a/src/carawaybank/transport.py
+++ b/src/carawaybank/transport.py
@@ -1,7 +1,8 @@
 """One HTTP exchange with a verdict for every place at which it can be cut.
 
 A :class:`ConnectionPool` carries one exchange at a time on a connection. A connection that timed
-out, broke or brought a wrong answer is closed and never used again.
+out, broke or brought a wrong answer is closed and never used again, and neither is an idle one that
+the peer closed or sent more bytes on.
 
 Usage::
 
@@ -197,7 +198,7 @@
             entries = self._idle.get(address, [])
             while entries:
                 entry = entries.pop()
-                if entry.since >= oldest:
+                if entry.since >= oldest and entry.connection.is_connected:
                     return entry.connection
                 entry.connection.close()
         return None
--- a/src/carawaybank/web.py
+++ b/src/carawaybank/web.py
@@ -146,7 +146,10 @@
                 raise BadRequestError(detail="the body is shorter than its Content-Length")
             return body
         if "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower():
-            body = stream.read(self._max_body_bytes + 1)
+            try:
+                body = stream.read(self._max_body_bytes + 1)
+            except (ValueError, OSError) as error:
+                raise BadRequestError(detail=f"the chunked body is malformed: {error}") from None
             if len(body) > self._max_body_bytes:
                 raise BadRequestError(detail="the body is too large", status=413)
             return body
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -15,6 +15,7 @@
 from carawaybank.host import Host
 from carawaybank.settings import Settings
 from carawaybank.steering.deduplication import RequestId
+from carawaybank.steering.exchange import Exchange
 from carawaybank.steering.messages import (
     Action,
     AnnounceCrash,
@@ -156,7 +157,11 @@
         vm = FleetVm(name=name, place=Place(region, domain), host=host)
         self.vms[name] = vm
         for other in self.vms.values():
-            if other is not vm and other.alive and self._reaches(vm.place, other.place):
+            if other is vm or not other.alive:
+                continue
+            if self.store_up and other.place == vm.place:
+                host.observe_holder(other.name, other.host.membership.own.incarnation)
+            if self._reaches(vm.place, other.place):
                 self._exchange(vm, other, first=True)
         self.after(0.2, host.join)
         self.after(self.rng.random() * _TICK_S, lambda: self._tick(vm))
@@ -290,6 +295,7 @@
         message = vm.host.compose(None if first else other.name)
         incarnation = other.host.membership.own.incarnation
         self.messages += 1
+        sent_at = self.now
         delay = self._delay(vm.place, other.place)
 
         def arrive() -> None:
@@ -303,7 +309,10 @@
         def answer() -> None:
             reply = other.host.answer(message)
             if self._vm_reaches(vm, other):
-                self.after(delay, lambda: self._when_awake(vm, lambda: vm.host.receive(reply)))
+                self.after(delay, lambda: self._when_awake(vm, lambda: take(reply)))
+
+        def take(reply: Exchange) -> None:
+            vm.host.receive(reply, sent_at=sent_at)
 
         self.after(delay, arrive)
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,8 +3,9 @@
 Usage: python -m standins.platform ADDRESS
 
 ``POST /faults`` takes ``{"mode": MODE, "delay_s": SECONDS}`` with MODE one of ``none``,
-``refuse`` (503 before any effect), ``drop`` (no answer after the effect), ``delay`` and ``damage``
-(object reads return altered bytes).
+``refuse`` (503 before any effect), ``drop`` (no answer after the effect), ``late`` (writes take
+effect after the delay), ``delay`` (everything does) and ``damage`` (object reads return altered
+bytes).
 """
 
 import sys
@@ -131,7 +132,8 @@
             faults = self._platform.faults
             if faults["mode"] == "refuse":
                 return json_response({}, status=503)
-            if faults["mode"] == "delay":
+            late = faults["mode"] == "late" and request.method != "GET"
+            if late or faults["mode"] == "delay":
                 time.sleep(faults["delay_s"])
             response: WebResponse = handler(request)
             if faults["mode"] == "drop" and request.method != "GET":
--- /dev/null
+++ b/tests/steering/test_ownership.py
@@ -0,0 +1,122 @@
+"""A key has at most one owner, whatever messages are lost and whoever dies, leaves or returns."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from carawaybank.steering.ownership import DeathProof, Ownership
+
+NAMES = ("a", "b", "c", "d")
+KEYS = [f"target-{number}" for number in range(12)]
+names = st.sampled_from(NAMES)
+
+
+class Cell(RuleBasedStateMachine):
+    """Members that start, exchange with losses, leave and die; the table names who started."""
+
+    def __init__(self):
+        super().__init__()
+        self.alive: dict[str, Ownership] = {}
+        self.incarnations: dict[str, int] = {}
+        self.registered: dict[str, int] = {}
+        self.starts = 0
+        self.ended: set[tuple[str, int]] = set()
+
+    @rule(name=names)
+    def start(self, name):
+        if name in self.alive:
+            return
+        self.starts += 1
+        incarnation = self.starts
+        self.incarnations[name] = incarnation
+        self.registered[name] = incarnation
+        member = Ownership(vm=name, incarnation=incarnation)
+        for other, started in self.registered.items():
+            member.observe_member(other, incarnation=started)
+        member.join()
+        self.alive[name] = member
+
+    @precondition(lambda self: len(self.alive) > 1)
+    @rule(one=names, other=names, request_arrives=st.booleans(), answer_arrives=st.booleans())
+    def exchange(self, one, other, request_arrives, answer_arrives):
+        if one == other or one not in self.alive or other not in self.alive or not request_arrives:
+            return
+        self.hear(other, one)
+        if answer_arrives:
+            self.hear(one, other)
+
+    def hear(self, listener, speaker):
+        """The listener takes what the speaker says of itself and of the listener."""
+        hearing, speaking = self.alive[listener], self.alive[speaker]
+        incarnation = self.incarnations[speaker]
+        if speaking.is_released:
+            hearing.prove_dead(speaker, incarnation=incarnation, proof=DeathProof.GOODBYE)
+            return
+        hearing.observe_member(speaker, incarnation=incarnation)
+        holder = speaking.holders.get(listener)
+        if holder is not None and holder.incarnation == self.incarnations[listener]:
+            hearing.confirm_recognition(speaker, incarnation=incarnation)
+
+    @rule(name=names)
+    def leave(self, name):
+        if name in self.alive:
+            self.alive[name].release()
+
+    @rule(name=names)
+    def die(self, name):
+        if self.alive.pop(name, None) is not None:
+            self.ended.add((name, self.incarnations[name]))
+
+    @precondition(lambda self: self.ended)
+    @rule(witness=names, index=st.integers(0, 100))
+    def prove(self, witness, index):
+        if witness not in self.alive:
+            return
+        name, incarnation = sorted(self.ended)[index % len(self.ended)]
+        self.alive[witness].prove_dead(
+            name, incarnation=incarnation, proof=DeathProof.CONNECTION_REFUSED
+        )
+        if self.registered.get(name) == incarnation:
+            del self.registered[name]
+
+    @invariant()
+    def one_owner(self):
+        for key in KEYS:
+            owners = [name for name, member in self.alive.items() if member.owns(key)]
+            assert len(owners) <= 1, f"{key} is owned by {owners}"
+
+
+TestCell = Cell.TestCase
+TestCell.settings = settings(max_examples=300, stateful_step_count=40, derandomize=True)
+
+
+def test_a_lone_member_owns_all():
+    member = Ownership(vm="a", incarnation=1)
+    assert all(member.owns(key) for key in KEYS)
+
+
+def test_two_members_that_recognize_each_other_share_all():
+    one, other = Ownership(vm="a", incarnation=1), Ownership(vm="b", incarnation=1)
+    one.observe_member("b", incarnation=1)
+    other.observe_member("a", incarnation=1)
+    one.confirm_recognition("b", incarnation=1)
+    other.confirm_recognition("a", incarnation=1)
+    owned = [one.owns(key) + other.owns(key) for key in KEYS]
+    assert owned == [1] * len(KEYS)
+
+
+def test_a_silent_member_keeps_its_keys():
+    one = Ownership(vm="a", incarnation=1)
+    one.observe_member("b", incarnation=1)
+    one.confirm_recognition("b", incarnation=1)
+    kept = [key for key in KEYS if not one.owns(key)]
+    assert kept
+    one.prove_dead("b", incarnation=1, proof=DeathProof.VM_REMOVED)
+    assert all(one.owns(key) for key in kept)
+
+
+def test_a_proof_of_an_earlier_start_does_not_remove_the_present_one():
+    one = Ownership(vm="a", incarnation=1)
+    one.observe_member("b", incarnation=2)
+    one.prove_dead("b", incarnation=1, proof=DeathProof.CONNECTION_REFUSED)
+    assert "b" in one.holders
--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -231,3 +231,14 @@
     ended = dispatch(pool, server(drip).address)
     assert ended.verdict.reason is Reason.TIMEOUT
     assert ended.latency_s < 1.0
+
+
+def test_an_idle_connection_that_the_peer_closed_is_not_used(pool, server):
+    started = server(
+        script(read_request, send(WHOLE), close), script(read_request, send(answer(ID)))
+    )
+    dispatch(pool, started.address, fresh=False)
+    deadline = time.monotonic() + 1.0
+    while started.connections[0].fileno() != -1 and time.monotonic() < deadline:
+        time.sleep(0.01)
+    assert isinstance(dispatch(pool, started.address, fresh=False).verdict, Answered)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -482,6 +482,46 @@
     assert not of(world).fleet.faults
 
 
+def named_by(world, vm):
+    host = of(world).fleet.vms[vm].host
+    domain = of(world).fleet.vms[vm].place.failure_domain
+    built = host.entries_view.build(host.state, domain, 0, of(world).fleet.now)
+    serving = {member.vm for member in host.membership.serving()}
+    assert {entry["vm"] for entry in built["entries"]} <= serving
+    return serving
+
+
+def awake(world):
+    fleet = of(world).fleet
+    return [n for n, vm in fleet.vms.items() if vm.alive and fleet.now >= vm.paused_until]
+
+
+@then(parsers.parse("no entry VM names {vm}"))
+def nobody_names(world, vm):
+    assert not [other for other in awake(world) if vm in named_by(world, other)]
+
+
+@then(parsers.parse("every entry VM names {vm}"))
+def all_name(world, vm):
+    assert all(vm in named_by(world, other) for other in awake(world))
+
+
+@then(parsers.re(r"(?P<vm>\S+) names (?P<other>\S+)"))
+def names(world, vm, other):
+    assert other in named_by(world, vm)
+
+
+@then(parsers.parse("{vm} is not ready"))
+def not_ready(world, vm):
+    assert not of(world).fleet.vms[vm].host.is_ready
+
+
+@then(parsers.parse("{vm} is ready {seconds:g} s later"))
+def ready(world, vm, seconds):
+    of(world).run(seconds)
+    assert of(world).fleet.vms[vm].host.is_ready
+
+
 def settle(world) -> None:
     if not world.get("settled"):
         of(world).run(SETTLE_S + longest_delay(world))
