--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 
 from carawaybank.verdicts import Answered, NotRun, Reason
-from standins.fleet import Fleet, FleetTarget
+from standins.fleet import Fleet
+from standins.fleet_models import FleetTarget
 from standins.places import Service, User
 
 _REPORT_S = 0.5
--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,190 @@
+"""Slopes for docs/CAPACITY.md: memory by tracemalloc, processor time by clock and by /proc.
+
+Usage: python -m benchmarks.capacity [memory|control|idle]...
+"""
+
+import os
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from carawaybank import documents
+from carawaybank.host import Host
+from carawaybank.steering.deduplication import RequestId, RequestMemory
+from carawaybank.steering.exchange import Exchange
+from carawaybank.steering.membership import Member, Status
+from carawaybank.steering.quarantine import CrashReport, Quarantine
+from carawaybank.steering.tickets import AcceptedTicket, TicketDocument
+from carawaybank.verdicts import Answered
+from standins.cluster import running_cluster
+from standins.fleet_models import make_settings
+
+DAEMONS = 3_700
+TARGETS = 1_100
+CELLS = 24
+IDLE_S = 20.0
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def make_host() -> Host:
+    """Returns a host that has joined, alone."""
+    settings = make_settings("vm-0", "r0", "d0")._replace(cell="d0-0")
+    host = Host(settings=settings, incarnation=1, seed=1)
+    host.join()
+    return host
+
+
+def add_members(host: Host, count: int) -> None:
+    """Adds members spread over the failure domains and cells of two years on."""
+    for number in range(1, count):
+        domain = number % 45
+        record = Member(
+            f"vm-{number}",
+            1_796_344_583_478 + number,
+            0,
+            Status.ALIVE,
+            f"d{domain}",
+            f"r{domain % 19}",
+            f"d{domain}-{number // 45 % CELLS}",
+            f"10.0.{number // 250}.{number % 250}:8100",
+            f"10.0.{number // 250}.{number % 250}:8200",
+        )
+        host.membership.merge(record)
+
+
+def make_ticket(targets: int) -> TicketDocument:
+    """Returns a ticket with places and targets of two years on."""
+    return {
+        "number": 1,
+        "author": "operator",
+        "reason": "size",
+        "regions": {f"r{n}": {"utilisation": 0.9} for n in range(19)},
+        "failure_domains": {
+            f"d{n}": {"region": f"r{n % 19}", "cells": [f"d{n}-{c}" for c in range(CELLS)]}
+            for n in range(45)
+        },
+        "services": {"s": {}},
+        "targets": {
+            f"t{n}": {
+                "service": "s",
+                "failure_domain": f"d{n % 45}",
+                "address": f"10.9.{n // 250}.{n % 250}:80",
+                "slots": 6,
+            }
+            for n in range(targets)
+        },
+    }
+
+
+def measure_memory() -> None:
+    """Prints the memory of each kind of state."""
+    host = make_host()
+    print(f"member: {_grown(lambda: add_members(host, DAEMONS)) / DAEMONS:.0f} bytes each")
+    accepted = AcceptedTicket(ticket=make_ticket(TARGETS), nonce="n", accepted_at=0.0)
+    grown = _grown(lambda: host.accept_tickets([accepted]))
+    print(f"target: {grown / TARGETS:.0f} bytes each, beside its ticket")
+    memory = RequestMemory(retention_epochs=10, capacity=100_000)
+
+    def remember() -> None:
+        for number in range(10_000):
+            request_id = RequestId("vm-0", 1, 0, f"order-{number}")
+            memory.start(request_id, epoch=0)
+            memory.finish(request_id, Answered(200, body=bytes(500)))
+
+    print(f"remembered request with 500 bytes of answer: {_grown(remember) / 10_000:.0f} bytes")
+    quarantine = Quarantine(limit=2, expiry_s=600, capacity=20_000)
+
+    def crash() -> None:
+        for number in range(10_000):
+            quarantine.report(CrashReport(f"{number:032x}", "t1", "vm-1"), now=0.0)
+
+    print(f"crash report: {_grown(crash) / 10_000:.0f} bytes")
+
+
+def measure_control() -> None:
+    """Prints the processor time of control work by the number of members."""
+    for count in (11, 370, DAEMONS):
+        host, other = make_host(), make_host()
+        for each in (host, other):
+            add_members(each, count)
+        ticket = AcceptedTicket(ticket=make_ticket(TARGETS), nonce="n", accepted_at=0.0)
+        applied = _timed(lambda host=host, ticket=ticket: host.accept_tickets([ticket]), 1)
+        other.accept_tickets([ticket])
+        other.receive(host.compose("vm-1"), sent_at=other.now)
+        message = other.compose("vm-0")
+        exchange = _timed(lambda host=host, message=message: _exchange(host, message), 500)
+        tick = _timed(host.tick, 200)
+        entries = _timed(
+            lambda host=host: host.entries_view.build(host.state, "d1", 0, time.time()), 20
+        )
+        print(
+            f"{count:5} members: exchange {exchange * 1e6:6.0f} us, tick {tick * 1e6:6.0f} us, "
+            f"look-up variant {entries * 1e3:6.2f} ms, ticket of {TARGETS} targets "
+            f"{applied * 1e3:6.1f} ms"
+        )
+
+
+def measure_idle() -> None:
+    """Prints the processor share and memory of idle daemons as processes."""
+    for count in (4, 8):
+        with running_cluster() as cluster:
+            cluster.start_platform()
+            for number in range(count):
+                cluster.start_vm(f"vm-{number}", "r", f"d{number % 2}")
+            vm = cluster.vms["vm-0"]
+            cluster.wait_for(
+                lambda a=vm.control_address: cluster.call("GET", a, "/v1/status")[0] == 200
+            )
+            cluster.submit("vm-0", {**make_ticket(0), "number": 1})
+            time.sleep(3.0)
+            pids = [cluster.processes[name].pid for name in cluster.vms]
+            before = [_cpu_seconds(pid) for pid in pids]
+            time.sleep(IDLE_S)
+            shares = [(_cpu_seconds(pid) - b) / IDLE_S for pid, b in zip(pids, before, strict=True)]
+            resident = max(_resident_mb(pid) for pid in pids)
+            reads = cluster.call("GET", cluster.platform_address, "/counts")[1]["reads"]
+            print(
+                f"{count} idle daemons: {100 * sum(shares) / count:.2f}% of a core each, "
+                f"{resident:.0f} MB at most, {reads} store reads since the start"
+            )
+
+
+def _exchange(host: Host, message: Exchange) -> None:
+    sent = documents.encode_json(message)
+    received = documents.decode_json(sent, Exchange, source="vm")
+    documents.encode_json(host.answer(received))
+
+
+def _grown(work: Callable[[], object]) -> int:
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    work()
+    grown = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return grown
+
+
+def _timed(work: Callable[[], object], count: int) -> float:
+    began = time.perf_counter()
+    for _ in range(count):
+        work()
+    return (time.perf_counter() - began) / count
+
+
+def _cpu_seconds(pid: int) -> float:
+    with open(f"/proc/{pid}/stat") as stat:
+        fields = stat.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def _resident_mb(pid: int) -> float:
+    with open(f"/proc/{pid}/status") as status:
+        return next(int(line.split()[1]) for line in status if line.startswith("VmRSS")) / 1024
+
+
+MEASUREMENTS = {"memory": measure_memory, "control": measure_control, "idle": measure_idle}
+
+if __name__ == "__main__":
+    for chosen in sys.argv[1:] or list(MEASUREMENTS):
+        MEASUREMENTS[chosen]()
--- a/benchmarks/models.py
+++ b/benchmarks/models.py
@@ -16,7 +16,8 @@
 from carawaybank import documents
 from carawaybank.steering.exchange import Exchange
 from carawaybank.verdicts import Answered, NotRun
-from standins.fleet import Ended, Fleet, FleetVm
+from standins.fleet import Fleet
+from standins.fleet_models import Ended, FleetVm
 from standins.places import (
     NISHIKAWA,
     PRAIRIE,
@@ -29,6 +30,7 @@
 
 USERS = {"nishikawa": NISHIKAWA, "prairie": PRAIRIE}
 WORK_S = 0.1
+LOAD_S = 30.0
 USE = 0.75
 
 
@@ -39,7 +41,7 @@
     goodput: float
     p50_ms: float
     p99_ms: float
-    region_peak_use: float
+    time_above_90: float
 
 
 def erlang_loss(slots: int, load: float) -> float:
@@ -108,14 +110,14 @@
 
 def measure_steering() -> None:
     """Prints latency and headroom against the baselines, with one target in eight slow."""
-    print("steering, demand skewed to one region: refused, p50, p99 (ms), busiest region's use")
+    print("steering, demand skewed: refused, p50, p99 (ms), share of time a region is above 90%")
     for name, user in USERS.items():
         service = user.services[0]
         for label, run in {"carawaybank": _run_steered, **_baseline_runs()}.items():
             result = run(user, service)
             print(
                 f"{name:10} {label:14} {100 * result.refused:6.2f}%  {result.p50_ms:7.1f}  "
-                f"{result.p99_ms:7.1f}  {result.region_peak_use:.2f}"
+                f"{result.p99_ms:7.1f}  {result.time_above_90:.2f}"
             )
 
 
@@ -191,23 +193,27 @@
     home = next(iter(user.domains))
     vms = list(fleet.vms)
     near = [name for name in vms if fleet.vms[name].place.region == home]
-    send_poisson(fleet, near, service.name, rate=rate * 0.6, seconds=30.0)
-    send_poisson(fleet, vms, service.name, rate=rate * 0.4, seconds=30.0)
+    send_poisson(fleet, near, service.name, rate=rate * 0.6, seconds=LOAD_S)
+    send_poisson(fleet, vms, service.name, rate=rate * 0.4, seconds=LOAD_S)
     return rate
 
 
 def _watch_regions(fleet: Fleet, user: User, service: Service, *, seconds: float) -> float:
-    peak = 0.0
-    for _ in range(int(seconds / 0.05)):
+    crowded = 0
+    for _ in range(int(LOAD_S / 0.05)):
         fleet.run(0.05)
-        for region in user.domains:
-            here = [
-                t
-                for t in fleet.targets.values()
-                if t.place.region == region and t.name.startswith(service.name)
-            ]
-            peak = max(peak, sum(t.busy for t in here) / sum(t.slots for t in here))
-    return peak
+        crowded += any(_use(fleet, region, service) > 0.9 for region in user.domains)
+    fleet.run(seconds - LOAD_S)
+    return crowded / int(LOAD_S / 0.05)
+
+
+def _use(fleet: Fleet, region: str, service: Service) -> float:
+    here = [
+        t
+        for t in fleet.targets.values()
+        if t.place.region == region and t.name.startswith(service.name)
+    ]
+    return sum(t.busy for t in here) / sum(t.slots for t in here)
 
 
 def _summarize(ended: list[Ended], rate: float, peak: float) -> Result:
@@ -217,7 +223,7 @@
         histogram.record_value(int(end.latency_s * 1e6))
     return Result(
         refused_share(ended),
-        len(answered) / 30.0 / rate,
+        len(answered) / LOAD_S / rate,
         histogram.get_value_at_percentile(50) / 1000,
         histogram.get_value_at_percentile(99) / 1000,
         peak,
--- a/src/carawaybank/__init__.py
+++ b/src/carawaybank/__init__.py
@@ -20,15 +20,17 @@
 )
 from carawaybank.steering.allowances import Allowance, split
 from carawaybank.steering.blocks import BlockMap
-from carawaybank.steering.core import Options, Steering
+from carawaybank.steering.core import Steering
 from carawaybank.steering.deduplication import Admission, RequestId, RequestMemory
 from carawaybank.steering.dissemination import TicketLog
-from carawaybank.steering.group import Group, GroupOptions
+from carawaybank.steering.group import Group
 from carawaybank.steering.leases import Lease, LeaseObserver
 from carawaybank.steering.membership import Member, Membership, Status
+from carawaybank.steering.options import Options
 from carawaybank.steering.ownership import DeathProof, Ownership
 from carawaybank.steering.quarantine import CrashReport, Quarantine
 from carawaybank.steering.retries import RetryBudget
+from carawaybank.steering.watching import GroupOptions
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
 
 __version__ = "0.1.0"
--- a/src/carawaybank/callers/app.py
+++ b/src/carawaybank/callers/app.py
@@ -131,6 +131,7 @@
             fingerprint=hashing.fingerprint(
                 request.method.encode(), service.encode(), path.encode("latin-1"), request.body
             ),
+            size=len(request.body),
         )
         return info, _forwarded(request, path, info)
 
@@ -187,7 +188,4 @@
     kept = {name: value for name, value in request.headers.items() if name not in _DROPPED}
     kept[headers.REQUEST_ID] = info.request_id
     kept[headers.CUSTOMER] = info.customer
-    kept[headers.REPEATABLE] = "true" if info.repeatable else "false"
-    if info.first_send:
-        kept[headers.FIRST_SEND] = "true"
     return HttpRequest(request.method, path, kept, request.body, info.request_id)
--- a/src/carawaybank/callers/forwarding.py
+++ b/src/carawaybank/callers/forwarding.py
@@ -3,7 +3,7 @@
 import itertools
 import threading
 import time
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from carawaybank.host import Host
 from carawaybank.metrics import Metrics
@@ -32,18 +32,16 @@
         """Tells all reachable siblings, within a short time."""
 
 
-class Ended:
-    """A request that has its verdict, and the targets that it was at."""
+class Ended(NamedTuple):
+    """A request that has its verdict.
 
-    def __init__(self, *, verdict: Verdict, tried: tuple[str, ...]) -> None:
-        """Records the end.
+    Attributes:
+        verdict: The verdict.
+        tried: Targets that it was at here.
+    """
 
-        Args:
-            verdict: The verdict.
-            tried: Targets that it was at here.
-        """
-        self.verdict = verdict
-        self.tried = tried
+    verdict: Verdict
+    tried: tuple[str, ...]
 
 
 class Forwarder:
@@ -103,32 +101,32 @@
         self._count(1)
         try:
             arrived = RequestArrived(next(self._keys), info, relayed, passed_on, tried)
-            ended = self._perform(arrived, request, info.service)
+            ended = self._perform(arrived, request, info)
         finally:
             self._count(-1)
         self._metrics.count_request(info.service, ended.verdict, time.monotonic() - started)
         return ended
 
-    def _perform(self, arrived: Message, request: HttpRequest, service: str) -> Ended:
+    def _perform(self, arrived: Message, request: HttpRequest, info: RequestInfo) -> Ended:
         tried: list[str] = []
         message = arrived
         while True:
             (action,) = self._host.handle(message)
             if isinstance(action, Finish):
-                return Ended(verdict=action.verdict, tried=tuple(tried))
+                return Ended(action.verdict, tuple(tried))
             if isinstance(action, Dispatch):
                 tried.append(action.target)
-            message = self._perform_step(action, request, service)
+            message = self._perform_step(action, request, info)
 
-    def _perform_step(self, action: Action, request: HttpRequest, service: str) -> Message:
+    def _perform_step(self, action: Action, request: HttpRequest, info: RequestInfo) -> Message:
         match action:
             case Dispatch():
-                self._metrics.count_attempt(service)
+                self._metrics.count_attempt(info.service)
                 return self._targets.dispatch(action, request)
             case Relay():
-                return self._siblings.relay(action, request, service)
+                return self._siblings.relay(action, request, info)
             case PassOn():
-                return self._siblings.pass_on(action, request, service)
+                return self._siblings.pass_on(action, request, info)
             case AnnounceCrash():
                 self._announcer.announce_crash()
                 return CrashAnnounced(action.key)
--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -25,6 +25,7 @@
 import time
 from pathlib import Path
 
+from cheroot.wsgi import Server
 from docopt import docopt
 
 import carawaybank
@@ -36,7 +37,7 @@
 from carawaybank.metrics import Metrics
 from carawaybank.operators.app import OperatorsApp
 from carawaybank.operators.readback import ReadBack
-from carawaybank.platform import HttpObjectStore, HttpTable, HttpVmList
+from carawaybank.platform import HttpObjectStore, HttpTable, HttpVmList, Platform
 from carawaybank.platform.adapters import PlatformClient
 from carawaybank.platform.tasks import PlatformTask
 from carawaybank.platform.tickets import TicketStore
@@ -120,9 +121,7 @@
         self._tickets = TicketStore(table=table, objects=objects)
         self._platform_task = PlatformTask(
             host=self.host,
-            table=table,
-            objects=objects,
-            vm_list=HttpVmList(client=client),
+            platform=Platform(table, objects, HttpVmList(client=client)),
             add_contact=self._sibling_task.add_contact,
             poll_s=settings.platform_poll_s,
             rng=random.Random(self.host.membership.own.incarnation),
@@ -153,9 +152,9 @@
             settings.control_address, control_router, threads=_CONTROL_THREADS
         )
 
-    def _serve(self, server: "object", name: str) -> None:
-        server.prepare()  # type: ignore[attr-defined]
-        threading.Thread(target=server.serve, name=name, daemon=True).start()  # type: ignore[attr-defined]
+    def _serve(self, server: Server, name: str) -> None:
+        server.prepare()
+        threading.Thread(target=server.serve, name=name, daemon=True).start()
 
     def _join(self) -> None:
         """Waits until siblings and platform were asked, or the join limit has passed."""
--- a/src/carawaybank/documents.py
+++ b/src/carawaybank/documents.py
@@ -12,6 +12,7 @@
 """
 
 from collections.abc import Mapping
+from functools import lru_cache
 from typing import Any, TypedDict, TypeVar, get_args, get_origin, get_type_hints, is_typeddict
 
 import msgspec
@@ -94,8 +95,13 @@
     return faults
 
 
+@lru_cache(maxsize=256)
+def _hints(shape: Any) -> dict[str, Any]:
+    return get_type_hints(shape)
+
+
 def _unknown_keys_of_table(raw: Mapping[Any, Any], shape: Any, *, path: str) -> list[str]:
-    hints = get_type_hints(shape)
+    hints = _hints(shape)
     faults = []
     for key, value in raw.items():
         if key in hints:
--- a/src/carawaybank/host.py
+++ b/src/carawaybank/host.py
@@ -11,16 +11,21 @@
 
 from carawaybank.settings import Settings
 from carawaybank.steering.blocks import BlockMap
-from carawaybank.steering.core import Incident, Options, Steering
+from carawaybank.steering.core import Steering
 from carawaybank.steering.dissemination import TicketLog
 from carawaybank.steering.entries import EntriesView
 from carawaybank.steering.exchange import Exchange
-from carawaybank.steering.group import Group, GroupOptions
+from carawaybank.steering.group import Group
 from carawaybank.steering.membership import Member, Membership, Status
 from carawaybank.steering.messages import Action, CrashesHeard, Message
+from carawaybank.steering.options import Options
 from carawaybank.steering.ownership import DeathProof, Ownership
 from carawaybank.steering.pools import PoolTarget
+from carawaybank.steering.records import Incident
 from carawaybank.steering.tickets import AcceptedTicket, State
+from carawaybank.steering.watching import GroupOptions
+
+_HOLD_LIMIT_S = 1.0
 
 
 class Host:
@@ -53,20 +58,10 @@
         self._joined = False
         self._verifying_since: float | None = None
         rng = random.Random(seed)
-        own = Member(
-            settings.vm,
-            incarnation,
-            0,
-            Status.ALIVE,
-            settings.failure_domain,
-            settings.region,
-            settings.cell,
-            settings.callers_address,
-            settings.control_address,
-        )
+        own = _own_record(settings, incarnation)
         self.membership = Membership(own=own)
-        self.ownership = Ownership(vm=settings.vm, incarnation=incarnation)
-        self.log = TicketLog(hold_limit_s=1.0)
+        self.ownership = Ownership(vm=own.vm, incarnation=incarnation)
+        self.log = TicketLog(hold_limit_s=_HOLD_LIMIT_S)
         self.group = Group(
             membership=self.membership,
             ownership=self.ownership,
@@ -75,19 +70,8 @@
             rng=rng,
         )
         options = Options(retry_share=settings.retry_share, ramp_s=settings.ramp_s)
-        self.steering = Steering(
-            membership=self.membership,
-            ownership=self.ownership,
-            released=self.group.released_by_others,
-            options=options,
-            rng=rng,
-            started_at=self._started_at,
-        )
-        self.group.attach(
-            released=self.steering.released,
-            free=self.steering.free_slots,
-            crashes=self.steering.quarantine.reports,
-        )
+        self.steering = self._make_steering(options, rng)
+        self.group.attach(self.steering)
         self.entries_view = EntriesView(
             membership=self.membership, ttl_s=settings.entries_ttl_s, epoch_s=options.epoch_s
         )
@@ -226,45 +210,59 @@
             if spread:
                 self.group.note_leaving_targets(names)
             for name in names:
-                standing = self.steering.holdings.standing(name)
-                if standing is not None:
-                    standing.set_draining(True, now=now)
+                self._list_leaving(name, now)
 
     def take_incidents(self) -> list[Incident]:
         """Returns the incidents not yet stored, which are then no longer queued."""
         with self._lock:
-            taken = list(self.steering.unstored)
-            self.steering.unstored.clear()
-            return taken
+            return self.steering.incidents.take_unstored()
 
     def put_back_incidents(self, incidents: list[Incident]) -> None:
         """Queues incidents again that could not be stored."""
         with self._lock:
-            self.steering.unstored.extendleft(reversed(incidents))
+            self.steering.incidents.put_back(incidents)
 
     def owned_targets(self) -> list[PoolTarget]:
         """Returns the targets that this entry VM owns."""
         with self._lock:
             return self.steering.holdings.owned(now=self._clock())
 
+    def targets_awaiting_report(self) -> list[PoolTarget]:
+        """Returns owned targets that must be probed before they are used."""
+        with self._lock:
+            return self.steering.holdings.awaiting_report(now=self._clock())
+
     def leave(self) -> None:
         """Tells the siblings that this entry VM stops."""
         with self._lock:
             self.group.leave()
 
+    def _make_steering(self, options: Options, rng: random.Random) -> Steering:
+        return Steering(
+            membership=self.membership,
+            ownership=self.ownership,
+            released=self.group.released_by_others,
+            options=options,
+            rng=rng,
+            started_at=self._started_at,
+        )
+
     def _receive(self, message: Exchange) -> None:
         now = self._clock()
         reports = self.group.receive(message, now)
         if reports:
             self.steering.handle(CrashesHeard(reports), now)
         for service, free in message.get("free", {}).items():
-            self.steering.relays.note_free(message["vm"], service, free, now=now)
+            self.steering.spillover.relays.note_free(message["vm"], service, free, now=now)
         for name in message.get("leaving", []):
-            standing = self.steering.holdings.standing(name)
-            if standing is not None:
-                standing.set_draining(True, now=now)
+            self._list_leaving(name, now)
         self._advance()
 
+    def _list_leaving(self, name: str, now: float) -> None:
+        standing = self.steering.holdings.standing(name)
+        if standing is not None:
+            standing.list_leaving(now)
+
     def _advance(self) -> None:
         if not self._joined:
             return
@@ -275,3 +273,17 @@
     def _must_verify(self) -> bool:
         woke = self._clock() - self._last_tick > self._wake_after_s
         return (woke and bool(self.membership.others())) or self._verifying_since is not None
+
+
+def _own_record(settings: Settings, incarnation: int) -> Member:
+    return Member(
+        settings.vm,
+        incarnation,
+        0,
+        Status.ALIVE,
+        settings.failure_domain,
+        settings.region,
+        settings.cell,
+        settings.callers_address,
+        settings.control_address,
+    )
--- a/src/carawaybank/operators/readback.py
+++ b/src/carawaybank/operators/readback.py
@@ -91,10 +91,10 @@
                 members=[self._describe(m, now) for m in host.membership.all()[:_MAX_LISTED]],
                 owned=owned,
                 ownership=self._describe_ownership(),
-                shifts=steering.shifts.in_use(),
+                shifts=steering.spillover.shifts.in_use(),
                 remembered_requests=steering.memory.size,
                 crashes=list(steering.quarantine.reports()[:_MAX_LISTED]),
-                incidents=[incident._asdict() for incident in list(steering.incidents)],
+                incidents=[incident._asdict() for incident in steering.incidents.recent],
             )
 
     def effect(self, ticket: TicketDocument) -> TicketEffect:
--- a/src/carawaybank/platform/__init__.py
+++ b/src/carawaybank/platform/__init__.py
@@ -1,7 +1,7 @@
 """The platform: table service, object store and list of VMs, each behind a protocol."""
 
 from carawaybank.platform.adapters import HttpObjectStore, HttpTable, HttpVmList
-from carawaybank.platform.models import ListedVm, ObjectStore, Row, Table, VmList, Write
+from carawaybank.platform.models import ListedVm, ObjectStore, Platform, Row, Table, VmList, Write
 
 __all__ = [
     "HttpObjectStore",
@@ -9,6 +9,7 @@
     "HttpVmList",
     "ListedVm",
     "ObjectStore",
+    "Platform",
     "Row",
     "Table",
     "VmList",
--- a/src/carawaybank/platform/models.py
+++ b/src/carawaybank/platform/models.py
@@ -63,3 +63,11 @@
 
     def read(self) -> list[ListedVm]:
         """Returns the VMs that the platform knows."""
+
+
+class Platform(NamedTuple):
+    """The platform's services together."""
+
+    table: Table
+    objects: ObjectStore
+    vm_list: VmList
--- a/src/carawaybank/platform/tasks.py
+++ b/src/carawaybank/platform/tasks.py
@@ -14,11 +14,11 @@
 from carawaybank.host import Host
 from carawaybank.platform.incidents import IncidentDocument, IncidentLog
 from carawaybank.platform.leases import TableLease
-from carawaybank.platform.models import ListedVm, ObjectStore, Table, VmList, Write
+from carawaybank.platform.models import ListedVm, Platform, Table, Write
 from carawaybank.platform.tickets import SNAPSHOT_INTERVAL, TicketStore
 from carawaybank.steering import hashing
 from carawaybank.steering.blocks import BlockMap
-from carawaybank.steering.membership import Status
+from carawaybank.steering.membership import Member, Status
 from carawaybank.steering.ownership import DeathProof
 
 _READERS = 2
@@ -45,9 +45,7 @@
         self,
         *,
         host: Host,
-        table: Table,
-        objects: ObjectStore,
-        vm_list: VmList,
+        platform: Platform,
         add_contact: Callable[[str, Holding], None],
         poll_s: float,
         rng: random.Random,
@@ -56,22 +54,18 @@
 
         Args:
             host: The decision core.
-            table: The table service.
-            objects: The object store.
-            vm_list: The VM list.
+            platform: The platform's services.
             add_contact: Takes addresses of entry VMs that the table names.
             poll_s: Seconds between reads.
             rng: Source of jitter.
         """
         super().__init__(name="platform", daemon=True)
         self._host = host
-        self._table = table
-        self._objects = objects
-        self._vm_list = vm_list
+        self._table, self._objects, self._vm_list = platform
         self._add_contact = add_contact
         self._poll_s = poll_s
         self._rng = rng
-        self._tickets = TicketStore(table=table, objects=objects)
+        self._tickets = TicketStore(table=self._table, objects=self._objects)
         self._stopping = threading.Event()
         self._failures = 0
         self._missing: dict[Holding, int] = {}
@@ -81,14 +75,8 @@
         self._blocks_digest = ""
         self._snapshot_number = 0
         own = host.membership.own
-        self._snapshot_duty = TableLease(
-            table=table,
-            key=_SNAPSHOT_DUTY_KEY,
-            holder=f"{own.vm}.{own.incarnation}",
-            duration_s=_DUTY_S,
-            guard_s=_DUTY_GUARD_S,
-        )
-        self.incidents = IncidentLog(objects=objects, vm=own.vm, incarnation=own.incarnation)
+        self._snapshot_duty = _snapshot_duty(self._table, own)
+        self.incidents = IncidentLog(objects=self._objects, vm=own.vm, incarnation=own.incarnation)
         self._log = logs.part("platform")
         self.first_read_done = False
         self.reached_at: float | None = None
@@ -284,3 +272,13 @@
         if self._failures:
             base = max(base, min(_MAX_BACKOFF_S, base * 2**self._failures))
         return float(base * self._rng.uniform(0.8, 1.2))
+
+
+def _snapshot_duty(table: Table, own: Member) -> TableLease:
+    return TableLease(
+        table=table,
+        key=_SNAPSHOT_DUTY_KEY,
+        holder=f"{own.vm}.{own.incarnation}",
+        duration_s=_DUTY_S,
+        guard_s=_DUTY_GUARD_S,
+    )
--- a/src/carawaybank/siblings/client.py
+++ b/src/carawaybank/siblings/client.py
@@ -9,7 +9,7 @@
 from carawaybank.exceptions import DocumentError
 from carawaybank.metrics import Metrics
 from carawaybank.steering.exchange import Exchange
-from carawaybank.steering.messages import PassOn, Relay, RelayEnded
+from carawaybank.steering.messages import PassOn, Relay, RelayEnded, RequestInfo
 from carawaybank.steering.tickets import State
 from carawaybank.transport import ConnectionPool, HttpRequest
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
@@ -37,10 +37,10 @@
         self._pool = pool
         self._metrics = metrics
 
-    def relay(self, action: Relay, request: HttpRequest, service: str) -> RelayEnded:
+    def relay(self, action: Relay, request: HttpRequest, info: RequestInfo) -> RelayEnded:
         """Sends a request to a sibling that owns targets; returns how it ended."""
         marks = {headers.TRIED: ",".join(action.tried)}
-        sent = _forwarded(request, RELAY_PREFIX + service, marks, action.deadline)
+        sent = _forwarded(request, RELAY_PREFIX, info, marks, action.deadline)
         outcome = self._pool.send(
             action.address,
             sent,
@@ -49,9 +49,9 @@
         )
         return _end(action.key, action.vm, outcome.verdict)
 
-    def pass_on(self, action: PassOn, request: HttpRequest, service: str) -> RelayEnded:
+    def pass_on(self, action: PassOn, request: HttpRequest, info: RequestInfo) -> RelayEnded:
         """Sends a request to the entry VM that its id is bound to; returns how it ended."""
-        sent = _forwarded(request, BOUND_PREFIX + service, {}, action.deadline)
+        sent = _forwarded(request, BOUND_PREFIX, info, {}, action.deadline)
         deadline = action.deadline + _RELAY_MARGIN_S
         outcome = self._pool.send(action.address, sent, deadline=deadline, fresh=True)
         return _end(action.key, action.vm, outcome.verdict)
@@ -95,12 +95,21 @@
 
 
 def _forwarded(
-    request: HttpRequest, prefix: str, marks: Mapping[str, str], deadline: float
+    request: HttpRequest,
+    prefix: str,
+    info: RequestInfo,
+    marks: Mapping[str, str],
+    deadline: float,
 ) -> HttpRequest:
     remaining_ms = max(0, int((deadline - time.monotonic()) * 1000))
-    sent = {**request.headers, **marks, headers.DEADLINE_MS: str(remaining_ms)}
-    path = prefix + request.path
-    return request._replace(path=path, headers=sent)
+    sent = {
+        **request.headers,
+        **marks,
+        headers.DEADLINE_MS: str(remaining_ms),
+        headers.REPEATABLE: "true" if info.repeatable else "false",
+        headers.FIRST_SEND: "true" if info.first_send else "false",
+    }
+    return request._replace(path=f"{prefix}{info.service}{request.path}", headers=sent)
 
 
 def _end(key: int, vm: str, verdict: Verdict) -> RelayEnded:
@@ -110,7 +119,12 @@
     tried = tuple(filter(None, marks.get(headers.TRIED.lower(), "").split(",")))
     free = marks.get(headers.FREE.lower(), "")
     return RelayEnded(
-        key, vm, _read_verdict(verdict, marks), tried, int(free) if free.isdecimal() else None
+        key,
+        vm,
+        _read_verdict(verdict, marks),
+        tried,
+        int(free) if free.isdecimal() else None,
+        len(verdict.body),
     )
 
 
--- a/src/carawaybank/steering/core.py
+++ b/src/carawaybank/steering/core.py
@@ -5,13 +5,10 @@
 """
 
 import random
-from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple, TypeVar
 
 from carawaybank.steering.admission import admit
 from carawaybank.steering.deduplication import RequestMemory
-from carawaybank.steering.fairness import FairShares
 from carawaybank.steering.holdings import Holdings
 from carawaybank.steering.membership import Membership
 from carawaybank.steering.messages import (
@@ -25,78 +22,23 @@
     Message,
     PassOn,
     ProbeEnded,
-    Relay,
     RelayEnded,
     RequestArrived,
     RequestInfo,
 )
-from carawaybank.steering.overload import Pressure
+from carawaybank.steering.options import Options
 from carawaybank.steering.ownership import Ownership
 from carawaybank.steering.pools import PoolTarget
 from carawaybank.steering.progress import RequestProgress
 from carawaybank.steering.quarantine import CrashReport, Quarantine
-from carawaybank.steering.relays import RelayChooser
-from carawaybank.steering.retries import RetryBudget
-from carawaybank.steering.shifts import ShiftAllowances
+from carawaybank.steering.records import Incidents, ServiceRecords
+from carawaybank.steering.spillover import Spillover
 from carawaybank.steering.tickets import State
 from carawaybank.verdicts import UNREACHED, Answered, MayHaveRun, NotRun, Reason, Verdict
 
-_K = TypeVar("_K")
-_T = TypeVar("_T")
-
-_MAX_INCIDENTS = 1000
-_MAX_PRESSURES = 4096
-_MAX_RELAYS = 10
-_MAX_RELAYS_OVERLOADED = 3
-_OVERLOAD_EXCESS = 0.2
+_OVERLOAD_EXCESS = 0.5
 _REUSE_PATIENCE_S = 0.25
 _REUSE_PATIENCE_FACTOR = 8
-_FAIR_RESERVE = 0.25
-_FAIR_MEMORY_S = 10.0
-
-
-class Options(NamedTuple):
-    """Bounds of the steering of requests.
-
-    Attributes:
-        retry_share: Extra attempts for each first one.
-        retry_burst: Extra attempts that may be saved up.
-        ramp_s: Seconds in which cold targets and raised caps reach their limit.
-        epoch_s: Length of an id epoch in seconds.
-        retention_epochs: Epochs for which ids are remembered.
-        memory_capacity: Most ids remembered.
-        crash_limit: Targets that one request may cost.
-        crash_memory_s: Seconds for which crashes are remembered.
-        retry_after_s: Retry-After in seconds under light excess.
-    """
-
-    retry_share: float = 0.1
-    retry_burst: float = 10.0
-    ramp_s: float = 10.0
-    epoch_s: float = 60.0
-    retention_epochs: int = 10
-    memory_capacity: int = 50_000
-    crash_limit: int = 2
-    crash_memory_s: float = 600.0
-    retry_after_s: float = 0.5
-
-
-class Incident(NamedTuple):
-    """A request whose outcome is unknown, for the account manager.
-
-    Attributes:
-        request_id: The request.
-        service: Its service.
-        customer: Its customer.
-        reason: Why the outcome is unknown.
-        at: Time on this process's monotonic clock.
-    """
-
-    request_id: str
-    service: str
-    customer: str
-    reason: Reason
-    at: float
 
 
 class Steering:
@@ -126,7 +68,6 @@
         self._own = own
         self._membership = membership
         self._options = options
-        self._rng = rng
         self._started_at = started_at
         self.holdings = Holdings(
             cell=own.cell,
@@ -135,23 +76,20 @@
             ramp_s=options.ramp_s,
             rng=rng,
         )
-        self.shifts = ShiftAllowances(
-            region=own.region, cell=own.cell, ownership=ownership, released=released
-        )
-        self.relays = RelayChooser(membership=membership, rng=rng)
-        self.memory = RequestMemory(
-            retention_epochs=options.retention_epochs, capacity=options.memory_capacity
-        )
-        self.quarantine = Quarantine(
-            limit=options.crash_limit, expiry_s=options.crash_memory_s, capacity=10_000
+        self.spillover = Spillover(
+            membership=membership,
+            ownership=ownership,
+            released=released,
+            state=lambda: self.state,
+            ramp_s=options.ramp_s,
+            rng=rng,
         )
-        self.incidents: deque[Incident] = deque(maxlen=_MAX_INCIDENTS)
-        self.unstored: deque[Incident] = deque(maxlen=_MAX_INCIDENTS)
+        self.memory = _make_memory(options)
+        self.quarantine = _make_quarantine(options)
+        self.incidents = Incidents()
+        self._records = ServiceRecords(options=options, rng=rng)
         self._weights: dict[str, float] = {}
         self._requests: dict[int, RequestProgress] = {}
-        self._budgets: dict[str, RetryBudget] = {}
-        self._pressures: dict[tuple[str, str], Pressure] = {}
-        self._shares: dict[str, FairShares] = {}
 
     @property
     def state(self) -> State:
@@ -170,23 +108,27 @@
     def update_state(self, state: State, *, now: float) -> None:
         """Puts a new state in force."""
         self.holdings.update(state, now=now)
-        self.shifts.update(state, now=now)
+        self.spillover.shifts.update(state, now=now)
         self._weights = {name: document["weight"] for name, document in state.customers.items()}
 
     def tick(self, now: float) -> None:
         """Returns what lingering requests held."""
         self.holdings.expire(now)
-        self.shifts.expire(now)
+        self.spillover.shifts.expire(now)
 
     def released(self) -> dict[str, int]:
         """Returns units still in use of keys that others own now."""
-        return {**self.holdings.released(), **self.shifts.released()}
+        return {**self.holdings.released(), **self.spillover.shifts.released()}
 
     def free_slots(self, now: float) -> dict[str, int]:
         """Returns free owned slots by service."""
         services = self.state.services
         return {service: self.holdings.pool(service, now=now).free for service in services}
 
+    def crashes(self) -> list[CrashReport]:
+        """Returns the crash reports kept."""
+        return self.quarantine.reports()
+
     def handle(self, message: Message, now: float) -> list[Action]:
         """Takes a message and returns what to do."""
         match message:
@@ -201,7 +143,9 @@
             case ProbeEnded():
                 standing = self.holdings.standing(message.target)
                 if standing is not None:
-                    standing.probed(message.health, busy=message.busy, now=now)
+                    standing.probed(
+                        message.health, busy=message.busy, now=now, latency_s=message.latency_s
+                    )
             case CrashesHeard():
                 for report in message.reports:
                     self.quarantine.report(report, now=now)
@@ -226,7 +170,7 @@
             if isinstance(decision, str):
                 return self._pass_on(progress, decision)
             if decision is not None:
-                self._note_incident(request, decision, now)
+                self.incidents.note(request, decision, now)
                 return [Finish(message.key, decision)]
             progress.bound = True
         self._requests[message.key] = progress
@@ -234,7 +178,7 @@
             detail = "requests like this one crashed their targets"
             return self._finish(progress, MayHaveRun(Reason.QUARANTINED, 60.0, detail), now)
         if not message.relayed:
-            self._budget(request.service).earn()
+            self._records.budget(request.service).earn()
         return self._next_step(progress, now)
 
     def _precheck(self, request: RequestInfo, now: float) -> NotRun | None:
@@ -259,12 +203,18 @@
         if now >= progress.request.deadline:
             verdict = progress.last or NotRun(Reason.DEADLINE_PASSED, 0.0, "the deadline passed")
             return self._finish(progress, verdict, now)
+        pool = self.holdings.pool(progress.request.service, now=now)
+        early = self.spillover.choose_early(progress, pool, now)
+        if early is not None:
+            return [early]
         target = self._take_target(progress, now)
         if target is not None:
             return [self._dispatch(progress, target, now)]
         if progress.relayed:
             return self._give_up(progress, now)
-        relay = self._choose_relay(progress, now)
+        pressure = self._records.pressure(progress.request)
+        overloaded = pressure.excess > _OVERLOAD_EXCESS
+        relay = self.spillover.choose(progress, now, overloaded=overloaded)
         if relay is not None:
             return [relay]
         target = self._take_target(progress, now, last_resort=True)
@@ -279,7 +229,7 @@
         pool = self.holdings.pool(request.service, now=now)
         if not pool.capacity:
             return None
-        shares = self._fair_shares(request.service)
+        shares = self._records.shares(request.service)
         if not shares.admits(
             request.customer,
             weights=self._weights,
@@ -314,50 +264,15 @@
             fresh_connection=not (request.repeatable and first),
         )
 
-    def _choose_relay(self, progress: RequestProgress, now: float) -> Relay | None:
-        service = progress.request.service
-        overloaded = self._pressure(progress.request).excess > _OVERLOAD_EXCESS
-        self.relays.overloaded = overloaded
-        if len(progress.relayed_to) >= (_MAX_RELAYS_OVERLOADED if overloaded else _MAX_RELAYS):
-            return None
-        tried = progress.relayed_to
-        vm = self.relays.near(self.state, service, tried=tried, now=now)
-        if vm is None:
-            vm = self._choose_far_relay(progress, now)
-        member = self._membership.find(vm) if vm else None
-        if member is None:
-            return None
-        progress.relayed_to.add(member.vm)
-        return Relay(
-            key=progress.key,
-            vm=member.vm,
-            address=member.control_address,
-            deadline=progress.request.deadline,
-            tried=progress.tried,
-            fresh_connection=not progress.request.repeatable,
-        )
-
-    def _choose_far_relay(self, progress: RequestProgress, now: float) -> str | None:
-        service = progress.request.service
-        for shift, region in self.shifts.destinations(service):
-            vm = self.relays.far(self.state, service, region, tried=progress.relayed_to, now=now)
-            if vm is None:
-                continue
-            if self.shifts.take(shift, ramp_s=self._options.ramp_s, now=now):
-                progress.shift = shift
-                return vm
-            progress.reason = Reason.OVER_CAP
-        return None
-
     def _end_attempt(self, message: AttemptEnded, now: float) -> list[Action]:
         progress = self._requests[message.key]
         standing = progress.end_attempt()
         request = progress.request
-        self._fair_shares(request.service).give_back(request.customer)
+        self._records.shares(request.service).give_back(request.customer)
         verdict = message.verdict
         progress.note(verdict)
         if message.draining:
-            standing.set_draining(True, now=now)
+            standing.set_draining(True)
         if isinstance(verdict, Answered):
             standing.answered(message.latency_s)
             return self._finish(progress, verdict, now)
@@ -388,7 +303,7 @@
             return self._finish(progress, verdict, now)
         if isinstance(verdict, NotRun) and verdict.reason in UNREACHED:
             return self._next_step(progress, now)
-        if not self._budget(progress.request.service).try_spend():
+        if not self._records.budget(progress.request.service).try_spend():
             return self._finish(progress, verdict, now)
         return self._next_step(progress, now)
 
@@ -399,12 +314,8 @@
             return self._finish(progress, self._passed_verdict(progress, verdict), now)
         service = progress.request.service
         if message.free is not None:
-            self.relays.note_free(message.vm, service, message.free, now=now)
-        if progress.shift is not None:
-            lingers = isinstance(verdict, MayHaveRun)
-            until = progress.request.deadline if lingers else None
-            self.shifts.give_back(progress.shift, linger_until=until)
-            progress.shift = None
+            self.spillover.relays.note_free(message.vm, service, message.free, now=now)
+        self.spillover.settle(progress, message, now)
         progress.tried = (*progress.tried, *message.tried)
         progress.note(verdict)
         if isinstance(verdict, Answered):
@@ -424,7 +335,7 @@
     def _give_up(self, progress: RequestProgress, now: float) -> list[Action]:
         retry_after_s = self._options.retry_after_s
         if not progress.relayed:
-            retry_after_s = self._pressure(progress.request).refuse(now=now)
+            retry_after_s = self._records.pressure(progress.request).refuse(now=now)
         detail = "no target within the limits has room"
         return self._finish(progress, NotRun(progress.reason, retry_after_s, detail), now)
 
@@ -437,49 +348,20 @@
             self.memory.finish(request.bound_id, verdict)
         if not progress.relayed:
             if isinstance(verdict, Answered):
-                self._pressure(request).admit(now=now)
-            self._note_incident(request, verdict, now)
+                self._records.pressure(request).admit(now=now)
+            self.incidents.note(request, verdict, now)
         return [Finish(progress.key, verdict)]
 
-    def _note_incident(self, request: RequestInfo, verdict: Verdict, now: float) -> None:
-        if not isinstance(verdict, MayHaveRun) or request.repeatable:
-            return
-        if verdict.reason is Reason.STILL_RUNNING:
-            return
-        incident = Incident(
-            request.request_id, request.service, request.customer, verdict.reason, now
-        )
-        self.incidents.append(incident)
-        self.unstored.append(incident)
-
-    def _budget(self, service: str) -> RetryBudget:
-        return _get(
-            self._budgets,
-            service,
-            lambda: RetryBudget(share=self._options.retry_share, burst=self._options.retry_burst),
-        )
 
-    def _pressure(self, request: RequestInfo) -> Pressure:
-        key = (request.service, request.customer)
-        if len(self._pressures) > _MAX_PRESSURES:
-            self._pressures.clear()
-        return _get(
-            self._pressures,
-            key,
-            lambda: Pressure(
-                rng=self._rng, base_s=self._options.retry_after_s, limit_s=30.0, window_s=1.0
-            ),
-        )
-
-    def _fair_shares(self, service: str) -> FairShares:
-        return _get(
-            self._shares,
-            service,
-            lambda: FairShares(reserve=_FAIR_RESERVE, memory_s=_FAIR_MEMORY_S),
-        )
+def _make_memory(options: Options) -> RequestMemory:
+    return RequestMemory(
+        retention_epochs=options.retention_epochs, capacity=options.memory_capacity
+    )
 
 
-def _get(table: dict[_K, _T], key: _K, make: Callable[[], _T]) -> _T:
-    if key not in table:
-        table[key] = make()
-    return table[key]
+def _make_quarantine(options: Options) -> Quarantine:
+    return Quarantine(
+        limit=options.crash_limit,
+        expiry_s=options.crash_memory_s,
+        capacity=options.crash_capacity,
+    )
--- a/src/carawaybank/steering/deduplication.py
+++ b/src/carawaybank/steering/deduplication.py
@@ -56,17 +56,27 @@
 class RequestMemory:
     """Remembers the requests that this incarnation started, and how they ended."""
 
-    def __init__(self, *, retention_epochs: int, capacity: int, body_limit: int = 65_536) -> None:
+    def __init__(
+        self,
+        *,
+        retention_epochs: int,
+        capacity: int,
+        body_limit: int = 65_536,
+        body_budget: int = 33_554_432,
+    ) -> None:
         """Starts empty.
 
         Args:
             retention_epochs: How many epochs back an id may still start or be looked up.
             capacity: Most ids remembered; further requests are refused as not run.
             body_limit: Largest answer body in bytes that is kept for a repeated request.
+            body_budget: Most bytes of all bodies kept; past it, only that a request ran is known.
         """
         self._retention_epochs = retention_epochs
         self._capacity = capacity
         self._body_limit = body_limit
+        self._body_budget = body_budget
+        self._body_bytes = 0
         self._epochs: dict[int, dict[str, Verdict | None]] = {}
         self._size = 0
 
@@ -106,9 +116,10 @@
             del seen[request_id.unique]
             self._size -= 1
             return
-        if isinstance(verdict, Answered) and len(verdict.body) > self._body_limit:
-            detail = f"answered with status {verdict.status}; the answer is too large to keep"
+        if isinstance(verdict, Answered) and not self._may_keep(verdict):
+            detail = f"answered with status {verdict.status}; the answer is not kept"
             verdict = MayHaveRun(Reason.ANSWER_TOO_LARGE, detail=detail)
+        self._body_bytes += _body_size(verdict)
         seen[request_id.unique] = verdict
 
     def find(self, request_id: RequestId) -> Verdict | None:
@@ -126,6 +137,16 @@
             return MayHaveRun(Reason.STILL_RUNNING, detail="the request is still running")
         return verdict
 
+    def _may_keep(self, answer: Answered) -> bool:
+        size = len(answer.body)
+        return size <= self._body_limit and self._body_bytes + size <= self._body_budget
+
     def _expire(self, epoch: int) -> None:
         for old in [e for e in self._epochs if e < epoch - self._retention_epochs]:
-            self._size -= len(self._epochs.pop(old))
+            forgotten = self._epochs.pop(old)
+            self._size -= len(forgotten)
+            self._body_bytes -= sum(_body_size(verdict) for verdict in forgotten.values())
+
+
+def _body_size(verdict: Verdict | None) -> int:
+    return len(verdict.body) if isinstance(verdict, Answered) else 0
--- a/src/carawaybank/steering/entries.py
+++ b/src/carawaybank/steering/entries.py
@@ -5,7 +5,7 @@
 a place differently, which spreads callers.
 """
 
-from typing import TypedDict
+from typing import NamedTuple, TypedDict
 
 from carawaybank import documents
 from carawaybank.steering import hashing
@@ -15,7 +15,7 @@
 _VARIANTS = 16
 _NEAR_ENTRIES = 4
 _REGION_ENTRIES = 2
-_FAR_ENTRIES = 2
+_FAR_ENTRIES = 2  # of different regions
 
 
 class Entry(TypedDict):
@@ -48,6 +48,11 @@
     entries: list[Entry]
 
 
+class _Places(NamedTuple):
+    domains: dict[str, list[Member]]
+    regions: dict[str, list[str]]
+
+
 class EntriesView:
     """Encoded look-up answers."""
 
@@ -63,8 +68,10 @@
         self._ttl_s = ttl_s
         self._epoch_s = epoch_s
         self._version = (-1, -1, -1)
-        self._answers: dict[str, list[bytes]] = {}
+        self._answers: dict[tuple[str, int], bytes] = {}
         self._next = 0
+        self._places = _Places({}, {})
+        self._places_version = -1
 
     def find(self, state: State, failure_domain: str, *, wall_time: float) -> bytes:
         """Returns the encoded answer for a caller near a failure domain.
@@ -79,36 +86,49 @@
         if version != self._version:
             self._answers = {}
             self._version = version
-        answers = self._answers.get(failure_domain)
-        if answers is None:
-            answers = [
-                documents.encode_json(self.build(state, failure_domain, variant, wall_time))
-                for variant in range(_VARIANTS)
-            ]
-            self._answers[failure_domain] = answers
         self._next = (self._next + 1) % _VARIANTS
-        return answers[self._next]
+        key = (failure_domain, self._next)
+        answer = self._answers.get(key)
+        if answer is None:
+            built = self.build(state, failure_domain, self._next, wall_time)
+            answer = documents.encode_json(built)
+            self._answers[key] = answer
+        return answer
 
     def build(self, state: State, failure_domain: str, variant: int, wall_time: float) -> Entries:
         """Returns one variant of the answer, not yet encoded."""
+        places = self._find_places()
         region = state.region_of(failure_domain)
-        near: list[Member] = []
-        same_region: list[Member] = []
-        far: list[Member] = []
-        for member in self._membership.serving():
-            if member.failure_domain == failure_domain:
-                near.append(member)
-            elif member.region == region:
-                same_region.append(member)
-            else:
-                far.append(member)
+        near = places.domains.get(failure_domain, [])
+        same_region = [
+            member
+            for domain in places.regions.get(region, [])
+            if domain != failure_domain
+            for member in places.domains[domain]
+        ]
         key = f"{failure_domain}/{variant}"
         chosen = _first(near, key, _NEAR_ENTRIES)
         chosen += _first(same_region, key, _REGION_ENTRIES)
-        chosen += _first(far, key, _FAR_ENTRIES)
+        for other in hashing.rank(key=key, members=places.regions.keys() - {region}):
+            if len(chosen) >= _NEAR_ENTRIES + _REGION_ENTRIES + _FAR_ENTRIES:
+                break
+            domain = hashing.rank(key=key, members=places.regions[other])[0]
+            chosen += _first(places.domains[domain], key, 1)
         entries = [self._entry(member, wall_time) for member in chosen]
         return Entries(ticket=state.number, ttl_s=self._ttl_s, entries=entries)
 
+    def _find_places(self) -> "_Places":
+        if self._places_version != self._membership.version:
+            domains: dict[str, list[Member]] = {}
+            regions: dict[str, set[str]] = {}
+            for member in self._membership.serving():
+                domains.setdefault(member.failure_domain, []).append(member)
+                regions.setdefault(member.region, set()).add(member.failure_domain)
+            ordered = {region: sorted(names) for region, names in regions.items()}
+            self._places = _Places(domains, ordered)
+            self._places_version = self._membership.version
+        return self._places
+
     def _entry(self, member: Member, wall_time: float) -> Entry:
         age_s = max(0.0, wall_time - member.incarnation / 1000)
         return Entry(
--- a/src/carawaybank/steering/group.py
+++ b/src/carawaybank/steering/group.py
@@ -2,67 +2,44 @@
 
 Each entry VM watches the members of its cell, and a few more where the cell is small. Of each
 watching pair one side sends at the heartbeat interval and the other answers; the answer is a
-heartbeat too. Once a second an exchange goes to a random member, and news goes to a few members at
+heartbeat too. Now and then an exchange goes to a random member, and news goes to a few members at
 once, who pass it on.
 """
 
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from collections.abc import Iterable
+from typing import Protocol
 
-from carawaybank.steering import hashing
 from carawaybank.steering.dissemination import TicketLog
 from carawaybank.steering.exchange import Exchange
 from carawaybank.steering.membership import Member, Membership, Status
 from carawaybank.steering.ownership import DeathProof, Ownership
 from carawaybank.steering.quarantine import CrashReport
 from carawaybank.steering.tickets import AcceptedTicket
+from carawaybank.steering.watching import GroupOptions, Peer, Watch
 
-_MIN_WATCHED = 3
+_NEWS_FANOUT = 3
 _RUMOUR_FANOUT = 4
 _RUMOUR_TRANSMISSIONS = 8
 _MAX_TICKETS = 8
 _MAX_MEMBERS = 12
+_MAX_CRASHES = 100
 _FORGET_AFTER_S = 3600.0
-_DOUBT_SHARE = 0.7
 _FRESH_NEWS_S = 2.0
 
 
-class GroupOptions(NamedTuple):
-    """Intervals of the group, in seconds.
+class RequestState(Protocol):
+    """What exchanges tell of the steering of requests."""
 
-    Attributes:
-        heartbeat_s: Time between exchanges of a watching pair.
-        suspect_after_s: Silence after which a member is suspected.
-        gossip_s: Time between exchanges with a random member.
-        hold_limit_s: Longest time that a ticket waits for silent members of the cell.
-    """
+    def released(self) -> dict[str, int]:
+        """Returns units still in use of keys that others own."""
 
-    heartbeat_s: float = 0.7
-    suspect_after_s: float = 1.6
-    gossip_s: float = 3.0
-    hold_limit_s: float = 1.0
+    def free_slots(self, now: float) -> dict[str, int]:
+        """Returns free owned slots by service."""
 
-
-class Peer:
-    """What is known of an entry VM from exchanges with it."""
-
-    def __init__(self, *, now: float) -> None:
-        """Starts as just heard of.
-
-        Args:
-            now: The time.
-        """
-        self.heard_at = now
-        self.sent_at = -1e9
-        self.held = 0
-        self.released: dict[str, int] = {}
-        self.buckets_wanted: list[str] = []
-        self.indirect_at = -1e9
-        self.free_sent: dict[str, int] = {}
-        self.doubted = False
-        self.is_behind = False
+    def crashes(self) -> list[CrashReport]:
+        """Returns the crash reports kept."""
 
 
 class Group:
@@ -91,7 +68,8 @@
         self._log = log
         self._options = options
         self._rng = rng
-        self._peers: dict[str, Peer] = {}
+        self._watch = Watch(membership=membership, options=options)
+        self._peers = self._watch.peers
         self._news: dict[str, int] = {}
         self._due: set[str] = set()
         self._gossiped_at = -1e9
@@ -99,27 +77,11 @@
         self._dead_since: dict[str, float] = {}
         self._released_totals: Counter[str] = Counter()
         self._leaving: list[str] = []
-        self._release_source: Callable[[], dict[str, int]] = dict
-        self._free_source: Callable[[float], dict[str, int]] = lambda _: {}
-        self._crash_source: Callable[[], list[CrashReport]] = list
+        self._requests: RequestState | None = None
 
-    def attach(
-        self,
-        *,
-        released: Callable[[], dict[str, int]],
-        free: Callable[[float], dict[str, int]],
-        crashes: Callable[[], list[CrashReport]],
-    ) -> None:
-        """Sets where exchanges take what the steering of requests knows.
-
-        Args:
-            released: Units still in use of keys that others own.
-            free: Free slots by service.
-            crashes: Crash reports kept.
-        """
-        self._release_source = released
-        self._free_source = free
-        self._crash_source = crashes
+    def attach(self, requests: RequestState) -> None:
+        """Sets where exchanges take what the steering of requests knows."""
+        self._requests = requests
 
     @property
     def peers(self) -> dict[str, Peer]:
@@ -149,7 +111,7 @@
             message["bucket_digests"] = self._membership.bucket_digests()
             peer.buckets_wanted = []
         if with_crashes:
-            message["crashes"] = self._crash_source()
+            message["crashes"] = self._crashes()
         if vm:
             self._peers.setdefault(vm, Peer(now=now)).sent_at = now
             self._due.discard(vm)
@@ -185,8 +147,8 @@
         theirs = message.get("bucket_digests")
         if theirs:
             answer["members"] = self._membership.differing(theirs)
-        if message.get("crashes"):
-            answer["crashes"] = self._crash_source()
+        if message.get("crashes") or message.get("members"):
+            answer["crashes"] = self._crashes()
         return answer
 
     def accept_tickets(self, tickets: Iterable[AcceptedTicket], now: float) -> bool:
@@ -199,40 +161,31 @@
 
     def spread_rumour(self) -> None:
         """Makes exchanges with the watched and a few random members due at once."""
-        others = [member.vm for member in self._membership.others()]
-        self._due.update(self.watched())
-        self._due.update(self._rng.sample(others, min(_RUMOUR_FANOUT, len(others))))
+        others = self._membership.others()
+        self._due.update(self._watch.members())
+        chosen = self._rng.sample(others, min(_RUMOUR_FANOUT, len(others)))
+        self._due.update(member.vm for member in chosen)
 
     def due(self, now: float) -> list[Member]:
         """Returns the members to which an exchange must be sent now."""
-        names = {vm for vm in self.watched() if self._is_heartbeat_due(vm, now)}
+        names = set(self._watch.due(now))
         names |= self._due
         if now - self._gossiped_at >= self._options.gossip_s:
             self._gossiped_at = now
-            others = [m.vm for m in self._membership.others() if m.vm not in names]
+            others = self._membership.others()
             if others:
-                names.add(self._rng.choice(others))
+                names.add(self._rng.choice(others).vm)
         self._due.clear()
         found = [self._membership.find(vm) for vm in sorted(names)]
         return [m for m in found if m is not None and m.status is not Status.DEAD]
 
-    def watched(self) -> list[str]:
-        """Returns the members of the cell, and more by rank where the cell is small."""
-        own = self._membership.own
-        others = self._membership.others()
-        cell = [m.vm for m in others if m.cell == own.cell]
-        if len(cell) >= _MIN_WATCHED:
-            return cell
-        rest = [m.vm for m in others if m.cell != own.cell]
-        ranked = hashing.rank(key=own.vm, members=rest)
-        return cell + ranked[: _MIN_WATCHED - len(cell)]
-
     def tick(self, now: float) -> bool:
         """Suspects silent members and puts tickets in force; returns whether any came in force."""
-        self._ask_about_doubts(now)
-        for vm in self.watched():
-            if self._is_silent(vm, now):
-                self._suspect(vm)
+        if self._watch.note_doubts(now):
+            self._due.update(self._watch.members())
+        for vm in self._watch.silent(now):
+            if self._membership.set_status(vm, Status.SUSPECT) is not None:
+                self._mark_news(vm)
         for vm in [v for v, since in self._dead_since.items() if now - since > _FORGET_AFTER_S]:
             del self._dead_since[vm]
             self._membership.forget(vm)
@@ -253,7 +206,7 @@
         """Records the targets that the VM list calls leaving; the cell hears of changes at once."""
         if names != self._leaving:
             self._leaving = names
-            self._due.update(self.watched())
+            self._due.update(self._watch.members())
 
     def leave(self) -> None:
         """Tells all members that this one stops serving callers and owns nothing more."""
@@ -327,7 +280,7 @@
 
     def _mark_news(self, vm: str) -> None:
         self._news[vm] = _RUMOUR_TRANSMISSIONS
-        self._due.update(self.watched()[:_MIN_WATCHED])
+        self._due.update(self._watch.members()[:_NEWS_FANOUT])
 
     def _members_for(self, peer: Peer | None, *, first: bool) -> list[Member]:
         if first:
@@ -346,17 +299,11 @@
         return members
 
     def _add_state(self, message: Exchange, peer: Peer | None, now: float) -> None:
-        released = self._release_source()
-        if released:
-            message["released"] = released
-        free = self._free_source(now)
-        if free and (peer is None or free != peer.free_sent):
-            message["free"] = free
-            if peer is not None:
-                peer.free_sent = free
+        if self._requests is not None:
+            self._add_requests(message, peer, self._requests, now)
         if self._leaving:
             message["leaving"] = self._leaving
-        doubts = [vm for vm in self.watched() if self._is_doubtful(vm, now)]
+        doubts = self._watch.doubtful(now)
         if doubts:
             message["doubts"] = doubts
         if peer is not None and peer.held < self._log.held and self._may_lack(peer, now):
@@ -366,6 +313,21 @@
             else:
                 message["behind"] = True
 
+    def _add_requests(
+        self, message: Exchange, peer: Peer | None, requests: RequestState, now: float
+    ) -> None:
+        released = requests.released()
+        if released:
+            message["released"] = released
+        free = requests.free_slots(now)
+        if free and (peer is None or free != peer.free_sent):
+            message["free"] = free
+            if peer is not None:
+                peer.free_sent = free
+
+    def _crashes(self) -> list[CrashReport]:
+        return self._requests.crashes()[-_MAX_CRASHES:] if self._requests else []
+
     def _may_lack(self, peer: Peer, now: float) -> bool:
         """Returns whether the peer's number is recent enough to send what follows it."""
         return peer.is_behind or now - self._news_at < _FRESH_NEWS_S
@@ -376,54 +338,9 @@
         holder = self._ownership.holders.get(vm)
         return holder.incarnation if holder else 0
 
-    def _is_heartbeat_due(self, vm: str, now: float) -> bool:
-        peer = self._peers.get(vm)
-        if peer is None:
-            return True
-        interval = self._options.heartbeat_s
-        own = self._membership.own.vm
-        if not _initiates(own, vm):
-            interval *= 1.5
-        return now - max(peer.sent_at, min(peer.heard_at, now)) >= interval
-
-    def _is_doubtful(self, vm: str, now: float) -> bool:
-        peer = self._peers.get(vm)
-        return (
-            peer is not None and now - peer.heard_at > _DOUBT_SHARE * self._options.suspect_after_s
-        )
-
-    def _ask_about_doubts(self, now: float) -> None:
-        """Makes exchanges due at once when a watched member falls silent, to ask the others."""
-        for vm in self.watched():
-            peer = self._peers.get(vm)
-            if peer is None:
-                continue
-            doubtful = self._is_doubtful(vm, now)
-            if doubtful and not peer.doubted:
-                self._due.update(self.watched())
-            peer.doubted = doubtful
-
-    def _is_silent(self, vm: str, now: float) -> bool:
-        peer = self._peers.get(vm)
-        if peer is None:
-            return False
-        last = max(peer.heard_at, peer.indirect_at)
-        return now - last > self._options.suspect_after_s
-
-    def _suspect(self, vm: str) -> None:
-        if self._membership.set_status(vm, Status.SUSPECT) is not None:
-            self._mark_news(vm)
-
     def _held_by_cell(self) -> list[int]:
-        own = self._membership.own
         return [
-            self._peers[m.vm].held
-            for m in self._membership.all()
-            if m.cell == own.cell and m.vm != own.vm and m.is_serving and m.vm in self._peers
+            self._peers[member.vm].held
+            for member in self._membership.cell_mates()
+            if member.is_serving and member.vm in self._peers
         ]
-
-
-def _initiates(own: str, other: str) -> bool:
-    low, high = sorted((own, other))
-    even = hashing.score(key=low, member=high) % 2 == 0
-    return (own == low) == even
--- a/src/carawaybank/steering/membership.py
+++ b/src/carawaybank/steering/membership.py
@@ -67,6 +67,13 @@
         return self.status is Status.ALIVE
 
 
+class _Views(NamedTuple):
+    all: tuple[Member, ...]
+    others: tuple[Member, ...]
+    cell_mates: tuple[Member, ...]
+    serving: tuple[Member, ...]
+
+
 class Membership:
     """Records of all entry VMs, with digests kept in step."""
 
@@ -81,6 +88,8 @@
         self._buckets: list[int] = [0] * BUCKETS
         self._toggle(own)
         self.version = 0
+        self._view = _Views((), (), (), ())
+        self._view_version = -1
         self.declared_dead = False
 
     @property
@@ -92,18 +101,21 @@
         """Returns the record of an entry VM."""
         return self._members.get(vm)
 
-    def all(self) -> list[Member]:
+    def all(self) -> tuple[Member, ...]:
         """Returns all records by name."""
-        return [self._members[vm] for vm in sorted(self._members)]
+        return self._views().all
 
-    def others(self) -> list[Member]:
+    def others(self) -> tuple[Member, ...]:
         """Returns the records of entry VMs that may still run, without this one."""
-        return [m for m in self.all() if m.vm != self._own_vm and m.status is not Status.DEAD]
+        return self._views().others
 
-    def serving(self) -> list[Member]:
+    def cell_mates(self) -> tuple[Member, ...]:
+        """Returns the others of the own cell."""
+        return self._views().cell_mates
+
+    def serving(self) -> tuple[Member, ...]:
         """Returns members that callers may use, or all that may run when none seems alive."""
-        alive = [member for member in self.all() if member.is_serving]
-        return alive or [member for member in self.all() if member.status is Status.SUSPECT]
+        return self._views().serving
 
     def merge(self, member: Member) -> bool:
         """Takes a record if it is newer than the one held; returns whether it was.
@@ -148,6 +160,20 @@
         wanted = {i for i, digest in enumerate(digests) if i < BUCKETS and own[i] != digest}
         return [member for member in self.all() if _bucket(member.vm) in wanted]
 
+    def _views(self) -> "_Views":
+        if self._view_version != self.version:
+            self._view = self._make_views()
+            self._view_version = self.version
+        return self._view
+
+    def _make_views(self) -> "_Views":
+        ordered = tuple(self._members[vm] for vm in sorted(self._members))
+        others = tuple(m for m in ordered if m.vm != self._own_vm and m.status is not Status.DEAD)
+        mates = tuple(member for member in others if member.cell == self.own.cell)
+        alive = tuple(member for member in ordered if member.is_serving)
+        suspects = tuple(member for member in ordered if member.status is Status.SUSPECT)
+        return _Views(ordered, others, mates, alive or suspects)
+
     def _refute(self, rumour: Member) -> bool:
         own = self.own
         if rumour.incarnation != own.incarnation or own.status is not Status.ALIVE:
--- a/src/carawaybank/steering/messages.py
+++ b/src/carawaybank/steering/messages.py
@@ -23,6 +23,7 @@
         first_send: Whether the caller states that it never sent this id before.
         deadline: Time after which the answer is worthless.
         fingerprint: Digest of method, service, path and body.
+        size: Bytes of its body.
     """
 
     service: str
@@ -33,6 +34,7 @@
     first_send: bool
     deadline: float
     fingerprint: str
+    size: int = 0
 
 
 class RequestArrived(NamedTuple):
@@ -82,6 +84,7 @@
         verdict: What is known of the attempt.
         tried: Targets that the sibling tried.
         free: Slots that the sibling has free for the service; None when unknown.
+        size: Bytes of the answer's body.
     """
 
     key: int
@@ -89,14 +92,23 @@
     verdict: Verdict
     tried: tuple[str, ...] = ()
     free: int | None = None
+    size: int = 0
 
 
 class ProbeEnded(NamedTuple):
-    """A probe of a target ended."""
+    """A probe of a target ended.
+
+    Attributes:
+        target: The target.
+        health: What it said, or that it said nothing.
+        busy: Slots that it reports as busy; None if it does not report.
+        latency_s: Seconds that the probe took.
+    """
 
     target: str
     health: Health
     busy: int | None = None
+    latency_s: float = 0.0
 
 
 class CrashAnnounced(NamedTuple):
--- a/src/carawaybank/steering/pools.py
+++ b/src/carawaybank/steering/pools.py
@@ -1,6 +1,6 @@
 """Target choice: the targets of one service that this entry VM owns.
 
-Four targets with room are drawn and the best of them is used: the lowest sum of relative latency
+Three targets with room are drawn and the best of them is used: the lowest sum of relative latency
 and relative use, weighed as the service's ticket says. Drawing keeps the cost of a decision flat
 in the number of targets.
 """
@@ -11,7 +11,7 @@
 
 from carawaybank.steering.standing import ServiceLoad, TargetStanding
 
-_CANDIDATES = 4
+_CANDIDATES = 3
 _MIN_LATENCY_S = 1e-4
 
 
@@ -29,6 +29,12 @@
     limit: int
 
 
+class _Candidate(NamedTuple):
+    target: PoolTarget
+    standing: TargetStanding
+    limit: int
+
+
 class Weights(NamedTuple):
     """How a service weighs latency against headroom."""
 
@@ -62,7 +68,7 @@
             rng: Source of the draw.
         """
         self._targets = tuple(targets)
-        self._standings = standings
+        self._owned = [(target, standings[target.name]) for target in self._targets]
         self._load = load
         self._weights = weights
         self._ramp_s = ramp_s
@@ -107,40 +113,36 @@
         candidates = self._draw(tried, now, skip_ejected=not last_resort)
         if not candidates:
             return None
-        fastest = min(self._standings[c.name].latency_s for c in candidates)
-        best = min(candidates, key=lambda c: self._cost(c, max(fastest, _MIN_LATENCY_S), now))
-        standing = self._standings[best.name]
-        return best if standing.take(limit=self._limit(best, now), now=now) else None
+        fastest = max(_MIN_LATENCY_S, min(c.standing.latency_s for c in candidates))
+        best = min(candidates, key=lambda c: self._cost(c, fastest, now))
+        taken = best.standing.take(limit=best.limit, now=now)
+        return best.target if taken else None
 
-    def _draw(self, tried: Collection[str], now: float, *, skip_ejected: bool) -> list[PoolTarget]:
-        count = len(self._targets)
+    def _draw(self, tried: Collection[str], now: float, *, skip_ejected: bool) -> list[_Candidate]:
+        count = len(self._owned)
         start = self._rng.randrange(count) if count else 0
-        found: list[PoolTarget] = []
+        found: list[_Candidate] = []
         for offset in range(count):
-            target = self._targets[(start + offset) % count]
-            if target.name in tried or self._room(target, now) <= 0:
+            target, standing = self._owned[(start + offset) % count]
+            if standing.is_leaving(now) or target.name in tried:
                 continue
-            if skip_ejected and self._standings[target.name].is_ejected(now):
+            if skip_ejected and standing.is_ejected(now):
                 continue
-            found.append(target)
+            limit = self._limit(target, standing, now)
+            if standing.in_use >= limit:
+                continue
+            found.append(_Candidate(target, standing, limit))
             if len(found) == _CANDIDATES:
                 break
         return found
 
-    def _room(self, target: PoolTarget, now: float) -> int:
-        standing = self._standings[target.name]
-        if standing.draining:
-            return 0
+    def _limit(self, target: PoolTarget, standing: TargetStanding, now: float) -> int:
         standing.expire_lingering(now)
-        return self._limit(target, now) - standing.in_use
-
-    def _limit(self, target: PoolTarget, now: float) -> int:
-        standing = self._standings[target.name]
         limit = standing.limit(slots=target.limit, ramp_s=self._ramp_s, now=now)
         return limit - self._released(target.name)
 
-    def _cost(self, target: PoolTarget, fastest_s: float, now: float) -> float:
-        standing = self._standings[target.name]
+    def _cost(self, candidate: _Candidate, fastest_s: float, now: float) -> float:
+        target, standing, _ = candidate
         latency = standing.latency_s / fastest_s if standing.latency_s else 1.0
         busy = (standing.in_use + standing.excess_busy(now) + 1) / target.limit
         return self._weights.latency * latency + self._weights.headroom * busy
--- a/src/carawaybank/steering/progress.py
+++ b/src/carawaybank/steering/progress.py
@@ -17,6 +17,7 @@
         passed_to: Entry VM that its id is bound to, if it went there.
         bound: Whether its id is recorded in the memory of this process.
         shift: Shift of which it holds a unit.
+        far_region: Region that it was sent to, if another.
         last: Verdict of the latest attempt.
         ambiguous: Verdict of an attempt that may have run; the request can then no longer end
             as not run.
@@ -35,6 +36,7 @@
         self.passed_to: str | None = None
         self.bound = False
         self.shift: str | None = None
+        self.far_region: str | None = None
         self.last: Verdict | None = None
         self.ambiguous: MayHaveRun | None = None
         self.reason = Reason.NO_CAPACITY
--- a/src/carawaybank/steering/relays.py
+++ b/src/carawaybank/steering/relays.py
@@ -49,29 +49,61 @@
         """Records how many slots a sibling reported free."""
         self._hints[(vm, service)] = _Hint(free, now)
 
-    def near(self, state: State, service: str, *, tried: Collection[str], now: float) -> str | None:
-        """Returns a sibling of the own failure domain or region, or None."""
+    def near(
+        self,
+        state: State,
+        service: str,
+        *,
+        tried: Collection[str],
+        now: float,
+        least_free: int = 0,
+    ) -> str | None:
+        """Returns a sibling of the own failure domain or region, or None.
+
+        Args:
+            state: The state in force.
+            service: What is asked for.
+            tried: Siblings that are out of the question.
+            now: The time.
+            least_free: Slots that the sibling must lately have reported free; 0 for any.
+        """
         own = self._membership.own
         for place in (own.failure_domain, own.region):
-            found = self._best(state, service, place, tried=tried, now=now)
+            found = self._best(state, service, place, tried=tried, now=now, least_free=least_free)
             if found is not None:
                 return found
         return None
 
     def far(
-        self, state: State, service: str, region: str, *, tried: Collection[str], now: float
+        self,
+        state: State,
+        service: str,
+        region: str,
+        *,
+        tried: Collection[str],
+        now: float,
+        least_free: int = 0,
     ) -> str | None:
-        """Returns a sibling of another region, or None."""
-        return self._best(state, service, region, tried=tried, now=now)
+        """Returns a sibling of another region, or None; arguments as for :meth:`near`."""
+        return self._best(state, service, region, tried=tried, now=now, least_free=least_free)
 
     def _best(
-        self, state: State, service: str, place: str, *, tried: Collection[str], now: float
+        self,
+        state: State,
+        service: str,
+        place: str,
+        *,
+        tried: Collection[str],
+        now: float,
+        least_free: int,
     ) -> str | None:
         group = self._group(state, service, place)
         open_members = [
             member.vm
             for member in group
-            if member.vm not in tried and not self._is_full(member.vm, service, now)
+            if member.vm not in tried
+            and not self._is_full(member.vm, service, now)
+            and (not least_free or self._reported(member.vm, service, now) >= least_free)
         ]
         if len(open_members) > _SAMPLE:
             open_members = self._rng.sample(open_members, _SAMPLE)
@@ -84,6 +116,10 @@
         lifetime_s = _FULL_LIFETIME_OVERLOADED_S if self.overloaded else _FULL_LIFETIME_S
         return hint is not None and hint.free <= 0 and now - hint.at < lifetime_s
 
+    def _reported(self, vm: str, service: str, now: float) -> int:
+        hint = self._hints.get((vm, service))
+        return hint.free if hint and now - hint.at <= _HINT_LIFETIME_S else 0
+
     def _free(self, vm: str, service: str, now: float) -> float:
         hint = self._hints.get((vm, service))
         jitter = self._rng.random()
--- a/src/carawaybank/steering/shifts.py
+++ b/src/carawaybank/steering/shifts.py
@@ -9,10 +9,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from carawaybank.steering import hashing
 from carawaybank.steering.allowances import Allowance
-from carawaybank.steering.ownership import Ownership
 from carawaybank.steering.tickets import State
+from carawaybank.steering.units import UnitOwnership
 
 
 class _Ramp(NamedTuple):
@@ -29,25 +28,21 @@
     """This entry VM's units of each shift out of its region."""
 
     def __init__(
-        self, *, region: str, cell: str, ownership: Ownership, released: Callable[[str], int]
+        self, *, region: str, units: UnitOwnership, released: Callable[[str], int]
     ) -> None:
         """Starts without shifts.
 
         Args:
             region: Region of this entry VM.
-            cell: Cell of this entry VM.
-            ownership: Who owns which unit in the cell.
+            units: Units that this entry VM owns.
             released: Units of a shift that former owners still use.
         """
         self._region = region
-        self._cell = cell
-        self._ownership = ownership
+        self._owned = units
         self._released = released
         self._state: State | None = None
         self._ramps: dict[str, _Ramp] = {}
         self._uses: dict[str, Allowance] = {}
-        self._units: dict[str, list[int]] = {}
-        self._units_version = (-1, -1)
 
     def update(self, state: State, *, now: float) -> None:
         """Takes the shifts of a new state."""
@@ -117,28 +112,7 @@
         state = self._state
         if state is None or name not in state.shifts:
             return []
-        version = (state.number, self._ownership.version)
-        if version != self._units_version:
-            self._units.clear()
-            self._units_version = version
-        if name not in self._units:
-            self._units[name] = self._find_units(state, name)
-        return self._units[name]
-
-    def _find_units(self, state: State, name: str) -> list[int]:
-        cells = [
-            cell
-            for domain, place in state.failure_domains.items()
-            if place["region"] == self._region
-            for cell in state.cells_of(domain)
-        ]
-        found = []
-        for unit in range(state.shifts[name]["cap"]):
-            key = f"{_key(name)}/{unit}"
-            in_cell = hashing.rank(key=key, members=cells)[:1] == [self._cell]
-            if in_cell and self._ownership.owns(key):
-                found.append(unit)
-        return found
+        return self._owned.find(state, _key(name), count=state.shifts[name]["cap"])
 
 
 def _key(name: str) -> str:
--- /dev/null
+++ b/src/carawaybank/steering/spillover.py
@@ -0,0 +1,137 @@
+"""Relays: which sibling runs a request that is not run on an owned target."""
+
+import random
+from collections.abc import Callable
+
+from carawaybank.steering.links import Direction, LinkAllowances
+from carawaybank.steering.membership import Membership
+from carawaybank.steering.messages import Relay, RelayEnded
+from carawaybank.steering.ownership import Ownership
+from carawaybank.steering.pools import Pool
+from carawaybank.steering.progress import RequestProgress
+from carawaybank.steering.relays import RelayChooser
+from carawaybank.steering.shifts import ShiftAllowances
+from carawaybank.steering.tickets import State
+from carawaybank.steering.units import UnitOwnership
+from carawaybank.verdicts import MayHaveRun, Reason
+
+_MAX_RELAYS = 10
+_MAX_RELAYS_OVERLOADED = 3
+_SPILL_SPAN = 0.4
+_SPILL_LEAST_FREE = 2
+
+
+class Spillover:
+    """Chooses relays, and keeps the caps of shifts and links that they use."""
+
+    def __init__(
+        self,
+        *,
+        membership: Membership,
+        ownership: Ownership,
+        released: Callable[[str], int],
+        state: Callable[[], State],
+        ramp_s: float,
+        rng: random.Random,
+    ) -> None:
+        """Starts without shifts and links.
+
+        Args:
+            membership: The entry VMs.
+            ownership: Who owns which key in the cell.
+            released: Units of a key that former owners still use.
+            state: Returns the state in force.
+            ramp_s: Seconds in which a raised cap is reached.
+            rng: Source of tie breaks.
+        """
+        own = membership.own
+        units = UnitOwnership(region=own.region, cell=own.cell, ownership=ownership)
+        self._membership = membership
+        self._state = state
+        self._ramp_s = ramp_s
+        self.shifts = ShiftAllowances(region=own.region, units=units, released=released)
+        self.links = LinkAllowances(region=own.region, units=units, state=state)
+        self.relays = RelayChooser(membership=membership, rng=rng)
+
+    def choose_early(self, progress: RequestProgress, pool: Pool, now: float) -> Relay | None:
+        """Returns a relay that keeps headroom here, while a sibling has room to spare."""
+        service = progress.request.service
+        if progress.relayed or progress.relayed_to or progress.tried:
+            return None
+        if not pool.capacity or pool.in_use < pool.capacity * self._early_use(service):
+            return None
+        room = max(_SPILL_LEAST_FREE, pool.free + 1)
+        return self._choose(progress, now, least_free=room)
+
+    def choose(self, progress: RequestProgress, now: float, *, overloaded: bool) -> Relay | None:
+        """Returns a relay to the best sibling that was not asked yet, or None.
+
+        Args:
+            progress: The request.
+            now: The time.
+            overloaded: Whether many requests of the customer are refused.
+        """
+        self.relays.overloaded = overloaded
+        limit = _MAX_RELAYS_OVERLOADED if overloaded else _MAX_RELAYS
+        if len(progress.relayed_to) >= limit:
+            return None
+        return self._choose(progress, now, least_free=0)
+
+    def settle(self, progress: RequestProgress, message: RelayEnded, now: float) -> None:
+        """Gives back what a relay that ended held."""
+        if progress.shift is not None:
+            lingers = isinstance(message.verdict, MayHaveRun)
+            until = progress.request.deadline if lingers else None
+            self.shifts.give_back(progress.shift, linger_until=until)
+            progress.shift = None
+        if progress.far_region is not None:
+            self.links.spend(progress.far_region, Direction.IN, message.size, now=now)
+            progress.far_region = None
+
+    def _choose(self, progress: RequestProgress, now: float, *, least_free: int) -> Relay | None:
+        vm = self.relays.near(
+            self._state(),
+            progress.request.service,
+            tried=progress.relayed_to,
+            now=now,
+            least_free=least_free,
+        )
+        if vm is None:
+            vm = self._choose_far(progress, now, least_free=least_free)
+        member = self._membership.find(vm) if vm else None
+        if member is None:
+            return None
+        progress.relayed_to.add(member.vm)
+        return Relay(
+            key=progress.key,
+            vm=member.vm,
+            address=member.control_address,
+            deadline=progress.request.deadline,
+            tried=progress.tried,
+            fresh_connection=not progress.request.repeatable,
+        )
+
+    def _choose_far(self, progress: RequestProgress, now: float, *, least_free: int) -> str | None:
+        service = progress.request.service
+        tried = progress.relayed_to
+        for shift, region in self.shifts.destinations(service):
+            vm = self.relays.far(
+                self._state(), service, region, tried=tried, now=now, least_free=least_free
+            )
+            if vm is None:
+                continue
+            open_link = self.links.may_send(region, now=now)
+            if open_link and self.shifts.take(shift, ramp_s=self._ramp_s, now=now):
+                progress.shift = shift
+                progress.far_region = region
+                self.links.spend(region, Direction.OUT, progress.request.size, now=now)
+                return vm
+            progress.reason = Reason.OVER_CAP
+        return None
+
+    def _early_use(self, service: str) -> float:
+        """Returns the use of the own pool from which headroom is sought elsewhere."""
+        document = self._state().services[service]
+        headroom = document.get("headroom_weight", 1.0)
+        total = headroom + document.get("latency_weight", 1.0)
+        return 1.0 - _SPILL_SPAN * headroom / total if total else 1.0
--- a/src/carawaybank/steering/standing.py
+++ b/src/carawaybank/steering/standing.py
@@ -4,13 +4,14 @@
 from enum import StrEnum
 
 from carawaybank.steering.allowances import Allowance
+from carawaybank.steering.takeover import FormerUse
 
 _LATENCY_WEIGHT = 0.2
 _EJECT_AFTER_FAILURES = 3
 _FIRST_EJECTION_S = 1.0
 _LONGEST_EJECTION_S = 30.0
 _REPORT_LIFETIME_S = 3.0
-_TAKEOVER_GUARD_S = 10.0
+_LISTED_LEAVING_S = 10.0
 
 
 class Health(StrEnum):
@@ -48,9 +49,9 @@
         self._ejections = 0
         self._excess_busy = 0
         self._reported_at = -math.inf
-        self._taken_over_at = -math.inf
-        self.draining = False
-        self.draining_since: float | None = None
+        self._former_use = FormerUse()
+        self._draining = False
+        self._listed_leaving_until = -math.inf
 
     @property
     def in_use(self) -> int:
@@ -68,16 +69,20 @@
 
     def take_over(self, now: float) -> None:
         """Begins ownership: a former owner's work may still be going on at the target."""
-        self._taken_over_at = now
+        self._former_use.begin(now=now)
+
+    def awaits_report(self, now: float) -> bool:
+        """Returns whether nothing may be sent until the target reports its load."""
+        return self._former_use.bound(now) is None
 
     def limit(self, *, slots: int, ramp_s: float, now: float) -> int:
         """Returns how many slots may be used now.
 
-        A cold target begins with one. After a takeover, one slot is used until the target reports
-        its load, and then what the former owner's requests leave.
+        A cold target begins with one. After a takeover, none is used until the target reports its
+        load, and then what the former owner's requests leave.
         """
-        if now - self._taken_over_at < _TAKEOVER_GUARD_S:
-            slots = self._limit_after_takeover(slots, now)
+        former = self._former_use.bound(now)
+        slots = 0 if former is None else max(0, slots - former)
         if self._cold_since is None:
             return slots
         warm_share = (now - self._cold_since) / ramp_s
@@ -90,7 +95,9 @@
         """Takes a slot if one is free; returns whether it did."""
         self.expire_lingering(now)
         taken = self._allowance.take(limit=limit)
-        self._load.in_use += taken
+        if taken:
+            self._load.in_use += 1
+            self._former_use.note_taken(now)
         return taken
 
     def answered(self, latency_s: float) -> None:
@@ -133,13 +140,16 @@
         self._ejections += 1
         self._failures = 0
 
-    def probed(self, health: Health, *, busy: int | None, now: float) -> None:
+    def probed(
+        self, health: Health, *, busy: int | None, now: float, latency_s: float = 0.0
+    ) -> None:
         """Records the answer to a probe.
 
         Args:
             health: What the target said, or that it said nothing.
             busy: Slots that the target reports as busy; None if it does not report.
             now: The time.
+            latency_s: Seconds that the probe took.
         """
         if health is Health.UNREACHABLE:
             self._failures += 1
@@ -150,16 +160,28 @@
             self._ejected_until = now
             self._cold_since = now
         self._failures = 0
-        self.set_draining(health is Health.DRAINING, now=now)
+        self.set_draining(health is Health.DRAINING)
         if busy is not None:
             self._excess_busy = max(0, busy - self.in_use)
             self._reported_at = now
+            self._former_use.report(busy=busy, in_use=self.in_use, latency_s=latency_s, now=now)
+
+    @property
+    def draining(self) -> bool:
+        """Whether the target itself asked for no new work."""
+        return self._draining
 
-    def set_draining(self, draining: bool, *, now: float) -> None:
-        """Records whether the target asked for no new work."""
-        if draining and not self.draining:
-            self.draining_since = now
-        self.draining = draining
+    def set_draining(self, draining: bool) -> None:
+        """Records what the target says of itself."""
+        self._draining = draining
+
+    def list_leaving(self, now: float) -> None:
+        """Records that the VM list calls the target leaving; the list repeats it while it does."""
+        self._listed_leaving_until = now + _LISTED_LEAVING_S
+
+    def is_leaving(self, now: float) -> bool:
+        """Returns whether the target must get no new work, by any sign."""
+        return self._draining or now < self._listed_leaving_until
 
     def excess_busy(self, now: float) -> int:
         """Returns slots that others were using at the last report; 0 once it is old."""
@@ -171,11 +193,6 @@
         """Gives back the slots of abandoned requests whose deadline has passed."""
         self._load.in_use -= self._allowance.expire(now)
 
-    def _limit_after_takeover(self, slots: int, now: float) -> int:
-        if self._reported_at < self._taken_over_at:
-            return min(1, slots)
-        return max(0, slots - self.excess_busy(now))
-
     def _give_back(self) -> None:
         self._allowance.give_back()
         self._load.in_use -= 1
--- a/src/carawaybank/steering/tickets.py
+++ b/src/carawaybank/steering/tickets.py
@@ -65,6 +65,13 @@
     cap: int
 
 
+class LinkDocument(TypedDict):
+    """The share of the link between two regions that steering may use, in Mbit/s each way."""
+
+    regions: list[str]
+    mbits: float
+
+
 class CustomerDocument(TypedDict):
     """A customer and its weight when capacity is short."""
 
@@ -90,6 +97,7 @@
     services: NotRequired[dict[str, ServiceDocument]]
     targets: NotRequired[dict[str, TargetDocument]]
     shifts: NotRequired[dict[str, ShiftDocument]]
+    links: NotRequired[dict[str, LinkDocument]]
     customers: NotRequired[dict[str, CustomerDocument]]
     blocks: NotRequired[BlocksDocument]
     removed: NotRequired[list[str]]
@@ -117,6 +125,7 @@
     services: Mapping[str, ServiceDocument]
     targets: Mapping[str, TargetDocument]
     shifts: Mapping[str, ShiftDocument]
+    links: Mapping[str, LinkDocument]
     customers: Mapping[str, CustomerDocument]
     blocks: BlocksDocument | None
 
@@ -136,8 +145,8 @@
         return hashing.rank(key=name, members=cells)[0]
 
 
-KINDS = ("regions", "failure_domains", "services", "targets", "shifts", "customers")
-EMPTY = State(0, {}, {}, {}, {}, {}, {}, None)
+KINDS = ("regions", "failure_domains", "services", "targets", "shifts", "links", "customers")
+EMPTY = State(0, {}, {}, {}, {}, {}, {}, {}, None)
 
 
 def apply(state: State, ticket: TicketDocument) -> State:
@@ -227,6 +236,16 @@
     return faults
 
 
+def _link_faults(state: State) -> list[str]:
+    faults = []
+    for name, link in state.links.items():
+        if len(set(link["regions"])) != 2 or not set(link["regions"]) <= state.regions.keys():
+            faults.append(f"links.{name}.regions: {link['regions']} are not two known regions")
+        if not (link["mbits"] > 0 and math.isfinite(link["mbits"])):
+            faults.append(f"links.{name}.mbits: {link['mbits']} is not above 0")
+    return faults
+
+
 def _target_faults(state: State) -> list[str]:
     faults = []
     addresses: dict[str, str] = {}
@@ -310,6 +329,7 @@
 _CHECKS: tuple[Callable[[State], list[str]], ...] = (
     _name_faults,
     _place_faults,
+    _link_faults,
     _target_faults,
     _shift_faults,
 )
--- a/src/carawaybank/targets/client.py
+++ b/src/carawaybank/targets/client.py
@@ -42,14 +42,16 @@
     def probe(self, target: PoolTarget) -> ProbeEnded:
         """Asks a target how it is, on a connection opened for it."""
         request = HttpRequest("GET", _PROBE_PATH, {"Connection": "close"})
-        deadline = time.monotonic() + _PROBE_TIMEOUT_S
+        started = time.monotonic()
+        deadline = started + _PROBE_TIMEOUT_S
         verdict = self._pool.send(target.address, request, deadline=deadline, fresh=True).verdict
         if not isinstance(verdict, Answered):
             return ProbeEnded(target.name, Health.UNREACHABLE)
         busy = _find_header(verdict, headers.BUSY)
         draining = _find_header(verdict, headers.DRAINING) == "true"
         health = Health.DRAINING if draining else Health.SERVING
-        return ProbeEnded(target.name, health, int(busy) if busy.isdecimal() else None)
+        latency_s = time.monotonic() - started
+        return ProbeEnded(target.name, health, int(busy) if busy.isdecimal() else None, latency_s)
 
     def _judge(self, action: Dispatch, outcome: Outcome, latency_s: float) -> AttemptEnded:
         verdict = outcome.verdict
@@ -78,11 +80,8 @@
 
 def _with_deadline(request: HttpRequest, deadline: float) -> HttpRequest:
     remaining_s = max(0.0, deadline - time.monotonic())
-    marks = {
-        headers.DEADLINE_MS: str(int(remaining_s * 1000)),
-        headers.DEADLINE_AT: f"{time.time() + remaining_s:.3f}",
-    }
-    return request._replace(headers={**request.headers, **marks})
+    deadline_at = f"{time.time() + remaining_s:.3f}"
+    return request._replace(headers={**request.headers, headers.DEADLINE_AT: deadline_at})
 
 
 def _find_header(answer: Answered, name: str) -> str:
--- a/src/carawaybank/targets/tasks.py
+++ b/src/carawaybank/targets/tasks.py
@@ -1,4 +1,4 @@
-"""The task that probes owned targets."""
+"""The task that probes owned targets, new ones at once."""
 
 import threading
 from concurrent.futures import ThreadPoolExecutor
@@ -9,6 +9,7 @@
 from carawaybank.targets.client import TargetClient
 
 _WORKERS = 4
+_NEW_TARGET_POLL_S = 0.05
 
 
 class ProbeTask(threading.Thread):
@@ -32,10 +33,14 @@
     def run(self) -> None:
         """Runs until stopped."""
         with ThreadPoolExecutor(max_workers=_WORKERS) as workers:
-            while True:
-                list(workers.map(self._probe, self._host.owned_targets()))
-                if self._stopping.wait(self._interval_s):
-                    return
+            next_round = 0.0
+            while not self._stopping.wait(_NEW_TARGET_POLL_S):
+                targets = self._host.targets_awaiting_report()
+                if self._host.now >= next_round:
+                    next_round = self._host.now + self._interval_s
+                    targets = self._host.owned_targets()
+                if targets:
+                    list(workers.map(self._probe, targets))
 
     def stop(self) -> None:
         """Ends the task."""
--- a/src/carawaybank/transport.py
+++ b/src/carawaybank/transport.py
@@ -153,7 +153,6 @@
                 preload_content=False,
                 decode_content=False,
             )
-            _limit_time(connection, deadline)
             response = connection.getresponse()
             body = self._read_body(connection, response, request.method, deadline)
         except TimeoutError:
@@ -191,6 +190,8 @@
             if size > self._max_body_bytes:
                 raise _AnswerTooLargeError
             chunks.append(chunk)
+            if response.length_remaining == 0:
+                return b"".join(chunks)
 
     def _take_idle(self, address: str) -> HTTPConnection | None:
         oldest = time.monotonic() - _MAX_IDLE_S
--- a/src/carawaybank/web.py
+++ b/src/carawaybank/web.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable, Iterable, Mapping
+from http import HTTPStatus
 from typing import Any, NamedTuple
 
 from cheroot.wsgi import Server
@@ -13,7 +14,6 @@
 _MAX_HEADER_BYTES = 16_384
 _SOCKET_TIMEOUT_S = 5
 _QUEUE_SIZE = 512
-_STATUS_TEXT = {200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found"}
 _STATUS_OF_REASON = {
     Reason.BAD_REQUEST: 400,
     Reason.UNBOUND_REQUEST_ID: 400,
@@ -104,7 +104,7 @@
         except BadRequestError as error:
             verdict = NotRun(Reason.BAD_REQUEST, 0.0, error.detail)
             response = verdict_response(verdict)._replace(status=error.status)
-        status = f"{response.status} {_STATUS_TEXT.get(response.status, 'Status')}"
+        status = f"{response.status} {_phrase(response.status)}"
         length = ("Content-Length", str(len(response.body)))
         start_response(status, [*response.headers, length])
         return [response.body]
@@ -220,6 +220,13 @@
     return _STATUS_OF_REASON.get(verdict.reason, default)
 
 
+def _phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
 def _raw_path(environ: Environ) -> str:
     """Returns the path with its percent-encoding as sent."""
     uri: str = environ.get("REQUEST_URI") or environ["PATH_INFO"]
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,17 +5,13 @@
 paused and replaced, and what targets see is counted where it happens.
 """
 
-import heapq
 import itertools
 import random
 from collections import Counter
 from collections.abc import Callable
-from typing import NamedTuple
 
 from carawaybank.host import Host
-from carawaybank.settings import Settings
 from carawaybank.steering.deduplication import RequestId
-from carawaybank.steering.exchange import Exchange
 from carawaybank.steering.messages import (
     Action,
     AnnounceCrash,
@@ -31,10 +27,11 @@
     RequestArrived,
     RequestInfo,
 )
-from carawaybank.steering.ownership import DeathProof
 from carawaybank.steering.standing import Health
 from carawaybank.steering.tickets import AcceptedTicket, TicketDocument
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
+from standins.fleet_models import Delays, Ended, FleetTarget, FleetVm, Place, make_settings
+from standins.network import Network
 
 _TICK_S = 0.1
 _PROBE_S = 0.5
@@ -42,80 +39,7 @@
 _SHED_S = 0.0005
 
 
-class Delays(NamedTuple):
-    """One-way delays in seconds."""
-
-    within_domain: float = 0.0002
-    between_domains: float = 0.004
-    between_regions: float = 0.035
-    to_client: float = 0.001
-
-
-class Place(NamedTuple):
-    """Where something stands."""
-
-    region: str
-    failure_domain: str
-
-
-class Ended(NamedTuple):
-    """A request that ended."""
-
-    info: RequestInfo
-    verdict: Verdict
-    latency_s: float
-    at: float
-
-
-class FleetTarget:
-    """A target with slots."""
-
-    def __init__(self, *, name: str, place: Place, slots: int, work: Callable[[], float]) -> None:
-        """Starts idle.
-
-        Args:
-            name: Its name.
-            place: Where it stands.
-            slots: Requests that it runs at once.
-            work: Draws the seconds that a request takes.
-        """
-        self.name = name
-        self.place = place
-        self.slots = slots
-        self.work = work
-        self.alive = True
-        self.draining_since: float | None = None
-        self.busy = 0
-        self.peak = 0
-        self.shed = 0
-        self.lost: list[int] = []
-        self.runs: Counter[str] = Counter()
-        self.begun_at: list[float] = []
-
-
-class FleetVm:
-    """An entry VM and what is under way on it."""
-
-    def __init__(self, *, name: str, place: Place, host: Host) -> None:
-        """Starts alive.
-
-        Args:
-            name: Its name.
-            place: Where it stands.
-            host: Its decision core.
-        """
-        self.name = name
-        self.place = place
-        self.host = host
-        self.alive = True
-        self.paused_until = 0.0
-        self.requests: dict[int, Callable[[Verdict, tuple[str, ...]], None]] = {}
-        self.infos: dict[int, RequestInfo] = {}
-        self.tried: dict[int, list[str]] = {}
-        self.highest_ticket = 0
-
-
-class Fleet:
+class Fleet(Network):
     """A whole system in memory."""
 
     def __init__(self, *, seed: int = 1, delays: Delays | None = None) -> None:
@@ -125,22 +49,18 @@
             seed: Seed of all draws.
             delays: Delays between places.
         """
-        self.now = 0.0
+        super().__init__(delays=delays or Delays())
         self.rng = random.Random(seed)
-        self.delays = delays or Delays()
-        self.vms: dict[str, FleetVm] = {}
         self.targets: dict[str, FleetTarget] = {}
         self.tickets: list[AcceptedTicket] = []
         self.store_up = True
         self.ended: list[Ended] = []
-        self.cuts: set[frozenset[str]] = set()
         self.faults: list[str] = []
         self.shift_use: Counter[tuple[str, str]] = Counter()
+        self.link_bytes: Counter[tuple[str, str]] = Counter()
+        self.answer_bytes = 0
         self.crashing: set[str] = set()
-        self.messages = 0
         self.misleading = False
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
         self._keys = itertools.count(1)
 
     def add_vm(self, name: str, region: str, domain: str, *, cell: str = "") -> FleetVm:
@@ -222,54 +142,6 @@
         epoch = int((self.now - own.incarnation / 1000) / 60)
         return f"{vm}.{own.incarnation}.{max(0, epoch)}.{unique}"
 
-    def after(self, delay_s: float, call: Callable[[], None]) -> None:
-        """Calls back after a delay."""
-        heapq.heappush(self._events, (self.now + delay_s, next(self._order), call))
-
-    def run(self, seconds: float) -> None:
-        """Lets time pass."""
-        until = self.now + seconds
-        while self._events and self._events[0][0] <= until:
-            self.now, _, call = heapq.heappop(self._events)
-            call()
-        self.now = until
-
-    def kill(self, vm: str) -> None:
-        """Ends an entry VM at once."""
-        self.vms[vm].alive = False
-
-    def pause(self, vm: str, seconds: float) -> None:
-        """Freezes an entry VM."""
-        self.vms[vm].paused_until = self.now + seconds
-
-    def cut(self, one: str, other: str) -> None:
-        """Cuts the link between two failure domains, or entry VMs of one."""
-        self.cuts.add(frozenset((one, other)))
-
-    def heal(self) -> None:
-        """Mends all links."""
-        self.cuts.clear()
-
-    def _reaches(self, one: Place, other: Place) -> bool:
-        return frozenset((one.failure_domain, other.failure_domain)) not in self.cuts
-
-    def _vm_reaches(self, one: FleetVm, other: FleetVm) -> bool:
-        cut = frozenset((one.name, other.name)) in self.cuts
-        return not cut and self._reaches(one.place, other.place)
-
-    def _delay(self, one: Place, other: Place) -> float:
-        if one.region != other.region:
-            return self.delays.between_regions
-        if one.failure_domain != other.failure_domain:
-            return self.delays.between_domains
-        return self.delays.within_domain
-
-    def _when_awake(self, vm: FleetVm, call: Callable[[], None]) -> None:
-        if self.now < vm.paused_until:
-            self.after(vm.paused_until - self.now, lambda: self._when_awake(vm, call))
-        elif vm.alive:
-            call()
-
     def _tick(self, vm: FleetVm) -> None:
         self._when_awake(vm, lambda: self._tick_awake(vm))
 
@@ -282,6 +154,8 @@
             vm.host.accept_tickets(self.tickets)
         if not vm.host.is_ready and vm.host.state.number and self.now > vm.paused_until + 1:
             vm.host.stop_verifying()
+        for owned in vm.host.targets_awaiting_report():
+            self._probe_target(vm, self.targets[owned.name])
         self._check_ticket(vm)
         self.after(_TICK_S, lambda: self._tick(vm))
 
@@ -291,51 +165,23 @@
             self.faults.append(f"{vm.name} went back to ticket {number}")
         vm.highest_ticket = max(number, vm.highest_ticket)
 
-    def _exchange(self, vm: FleetVm, other: FleetVm, *, first: bool = False) -> None:
-        message = vm.host.compose(None if first else other.name)
-        incarnation = other.host.membership.own.incarnation
-        self.messages += 1
-        sent_at = self.now
-        delay = self._delay(vm.place, other.place)
-
-        def arrive() -> None:
-            if not self._vm_reaches(vm, other):
-                return
-            if not other.alive:
-                self.after(delay, lambda: self._refused(vm, other.name, incarnation))
-                return
-            self._when_awake(other, answer)
-
-        def answer() -> None:
-            reply = other.host.answer(message)
-            if self._vm_reaches(vm, other):
-                self.after(delay, lambda: self._when_awake(vm, lambda: take(reply)))
-
-        def take(reply: Exchange) -> None:
-            vm.host.receive(reply, sent_at=sent_at)
-
-        self.after(delay, arrive)
-
-    def _refused(self, vm: FleetVm, other: str, incarnation: int) -> None:
-        proof = DeathProof.CONNECTION_REFUSED
-        self._when_awake(vm, lambda: _ignore(vm.host.prove_dead(other, incarnation, proof)))
-
     def _probe(self, vm: FleetVm) -> None:
         self._when_awake(vm, lambda: self._probe_awake(vm))
 
     def _probe_awake(self, vm: FleetVm) -> None:
         for owned in vm.host.owned_targets():
-            target = self.targets[owned.name]
-            if not target.alive:
-                probe = ProbeEnded(owned.name, Health.UNREACHABLE)
-            else:
-                leaving = target.draining_since is not None
-                health = Health.DRAINING if leaving else Health.SERVING
-                busy = 0 if self.misleading else target.busy
-                probe = ProbeEnded(owned.name, health, busy)
-            vm.host.handle(probe)
+            self._probe_target(vm, self.targets[owned.name])
         self.after(_PROBE_S, lambda: self._probe(vm))
 
+    def _probe_target(self, vm: FleetVm, target: FleetTarget) -> None:
+        if not target.alive:
+            vm.host.handle(ProbeEnded(target.name, Health.UNREACHABLE))
+            return
+        leaving = target.draining_since is not None
+        health = Health.DRAINING if leaving else Health.SERVING
+        busy = 0 if self.misleading else target.busy
+        vm.host.handle(ProbeEnded(target.name, health, busy))
+
     def _arrive(
         self,
         name: str,
@@ -448,7 +294,11 @@
 
         def done(verdict: Verdict, tried: tuple[str, ...]) -> None:
             free = other.host.free(info.service) if other.alive else None
-            self._return(vm, other, RelayEnded(action.key, other.name, verdict, tried, free), shift)
+            size = self.answer_bytes if isinstance(verdict, Answered) else 0
+            if crosses:
+                self.link_bytes[shift] += size
+            relayed = RelayEnded(action.key, other.name, verdict, tried, free, size)
+            self._return(vm, other, relayed, shift)
 
         self._send(vm, other, info, action.deadline, done, relayed=True, tried=action.tried)
 
@@ -509,37 +359,3 @@
     def total_runs(self, request_id: str) -> int:
         """Returns how often a request ran at all targets."""
         return sum(target.runs[request_id] for target in self.targets.values())
-
-
-def make_settings(name: str, region: str, domain: str) -> Settings:
-    """Returns settings with defaults for an entry VM in memory."""
-    return Settings(
-        vm=name,
-        region=region,
-        failure_domain=domain,
-        cell=domain,
-        callers_address=f"{name}:1",
-        control_address=f"{name}:2",
-        platform_url="",
-        platform_timeout_s=1.0,
-        platform_poll_s=1.0,
-        seeds=(),
-        heartbeat_s=0.7,
-        suspect_after_s=1.6,
-        default_deadline_s=10.0,
-        longest_deadline_s=60.0,
-        max_body_bytes=1_048_576,
-        connect_timeout_s=0.5,
-        retry_share=0.1,
-        ramp_s=10.0,
-        entries_ttl_s=5.0,
-        threads=32,
-        probe_interval_s=0.5,
-        log_level="INFO",
-        log_json=False,
-        otlp_endpoint="",
-    )
-
-
-def _ignore(_: object) -> None:
-    """Drops a result."""
--- a/standins/places.py
+++ b/standins/places.py
@@ -6,7 +6,8 @@
 from typing import NamedTuple
 
 from carawaybank.steering.tickets import TargetDocument, TicketDocument
-from standins.fleet import Delays, Fleet
+from standins.fleet import Fleet
+from standins.fleet_models import Delays
 
 _WORK_MEDIAN_S = 0.1
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -84,6 +84,7 @@
     """Handles one connection to the target."""
 
     protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
     state: TargetState
 
     def do_GET(self) -> None:
--- a/tests/features/requests.feature
+++ b/tests/features/requests.feature
@@ -53,6 +53,12 @@
     Then at most 2 targets were lost
     And requests that crash nothing are answered
 
+  Scenario: A replaced entry VM knows which requests crash targets
+    When a request that crashes targets is sent 4 times through all entry VMs
+    And all entry VMs are replaced one after another
+    And a request that crashes targets is sent 12 times through all entry VMs
+    Then at most 2 targets were lost
+
   Scenario: Twice the capacity
     When coordinators send 2880 requests a second to dispatch for 3 s
     Then nothing that must hold was broken
--- a/tests/operators/test_faces.py
+++ b/tests/operators/test_faces.py
@@ -40,6 +40,7 @@
         }
         running.submit("regina-vm1", {**GOOD, "targets": {"t1": target}})
         running.wait_ready("regina-vm1")
+        running.wait_for(lambda: serves(running))
         yield running
 
 
--- a/tests/platform/test_tasks.py
+++ b/tests/platform/test_tasks.py
@@ -8,9 +8,10 @@
 from carawaybank.host import Host
 from carawaybank.platform.incidents import IncidentLog
 from carawaybank.platform.leases import TableLease
+from carawaybank.platform.models import Platform as PlatformServices
 from carawaybank.platform.tasks import PlatformTask
 from carawaybank.steering.membership import Member, Status
-from standins.fleet import make_settings
+from standins.fleet_models import make_settings
 from standins.platform import Platform
 from tests.fakes import FailurePlan, FakeObjects, FakeTable
 
@@ -39,9 +40,9 @@
         self.table = FakeTable(platform=self.platform)
         self.task = PlatformTask(
             host=self.host,
-            table=self.table,
-            objects=FakeObjects(platform=self.platform),
-            vm_list=self.vm_list,
+            platform=PlatformServices(
+                self.table, FakeObjects(platform=self.platform), self.vm_list
+            ),
             add_contact=lambda address, holding: self.contacts.append((address, holding)),
             poll_s=1.0,
             rng=random.Random(1),
--- a/tests/steering/test_parts.py
+++ b/tests/steering/test_parts.py
@@ -89,6 +89,18 @@
     assert isinstance(memory.find(request_id), MayHaveRun)
 
 
+def test_kept_answers_stay_within_their_budget_and_return_it():
+    memory = RequestMemory(retention_epochs=1, capacity=99, body_limit=10, body_budget=25)
+    for epoch in (0, 9):
+        kept = 0
+        for number in range(5):
+            request_id = RequestId("vm", 1, epoch, str(number))
+            memory.start(request_id, epoch=epoch)
+            memory.finish(request_id, Answered(200, body=bytes(10)))
+            kept += isinstance(memory.find(request_id), Answered)
+        assert kept == 2
+
+
 @given(delay=st.floats(0, 5), drift=st.floats(0.97, 1.03), pause=st.floats(0, 60))
 def test_a_taker_never_begins_before_a_paused_holder_has_ended(delay, drift, pause):
     lease, observer = Lease(duration_s=10), LeaseObserver(duration_s=10, guard_s=1)
