--- a/src/carawaybank/host.py
+++ b/src/carawaybank/host.py
@@ -57,6 +57,11 @@
         self._wake_after_s = settings.suspect_after_s
         self._joined = False
         self._verifying_since: float | None = None
+        self._seen_versions = (-1, -1)
+        #: Set when an exchange became due ahead of time.
+        self.exchange_due = threading.Event()
+        #: Set when owned targets may have changed.
+        self.targets_changed = threading.Event()
         rng = random.Random(seed)
         own = _own_record(settings, incarnation)
         self.membership = Membership(own=own)
@@ -186,6 +191,7 @@
             self._advance()
             if self.log.state.number > self.steering.state.number:
                 self.steering.update_state(self.log.state, now=self._clock())
+            self._signal_changes()
 
     def stop_verifying(self) -> None:
         """Serves on after a pause although no sibling answered."""
@@ -201,7 +207,9 @@
         """Removes a member whose process ended."""
         with self._lock:
             self.ownership.prove_dead(vm, incarnation=incarnation, proof=proof)
-            return self.group.prove_dead(vm, incarnation, proof, self._clock())
+            changed = self.group.prove_dead(vm, incarnation, proof, self._clock())
+            self._signal_changes()
+            return changed
 
     def note_leaving(self, names: list[str], *, spread: bool) -> None:
         """Records targets that the VM list calls leaving."""
@@ -236,6 +244,7 @@
         """Tells the siblings that this entry VM stops."""
         with self._lock:
             self.group.leave()
+            self._signal_changes()
 
     def _make_steering(self, options: Options, rng: random.Random) -> Steering:
         return Steering(
@@ -269,6 +278,15 @@
         now = self._clock()
         if self.group.tick(now):
             self.steering.update_state(self.log.state, now=now)
+        self._signal_changes()
+
+    def _signal_changes(self) -> None:
+        if self.group.has_due:
+            self.exchange_due.set()
+        versions = (self.steering.state.number, self.ownership.version)
+        if versions != self._seen_versions:
+            self._seen_versions = versions
+            self.targets_changed.set()
 
     def _must_verify(self) -> bool:
         woke = self._clock() - self._last_tick > self._wake_after_s
--- a/src/carawaybank/siblings/tasks.py
+++ b/src/carawaybank/siblings/tasks.py
@@ -13,7 +13,8 @@
 from carawaybank.steering.ownership import DeathProof
 from carawaybank.verdicts import NotRun, Reason
 
-_TICK_S = 0.1
+_TICK_S = 0.2
+_LEAST_PAUSE_S = 0.01
 _WORKERS = 6
 _EXCHANGE_TIMEOUT_S = 0.5
 _CONTACT_INTERVAL_S = 1.0
@@ -77,7 +78,9 @@
         """Runs until stopped."""
         for index in range(_WORKERS):
             threading.Thread(target=self._work_loop, name=f"exchange-{index}", daemon=True).start()
-        while not self._stopping.wait(_TICK_S):
+        while not self._stopping.wait(_LEAST_PAUSE_S):
+            self._host.exchange_due.wait(_TICK_S)
+            self._host.exchange_due.clear()
             try:
                 self._run_once()
             except Exception:
--- a/src/carawaybank/steering/group.py
+++ b/src/carawaybank/steering/group.py
@@ -88,6 +88,11 @@
         """Entry VMs that were heard from."""
         return self._peers
 
+    @property
+    def has_due(self) -> bool:
+        """Whether an exchange became due ahead of its interval."""
+        return bool(self._due)
+
     def released_by_others(self, key: str) -> int:
         """Returns units of a key that other members of the cell still use."""
         return self._released_totals.get(key, 0)
--- a/src/carawaybank/targets/tasks.py
+++ b/src/carawaybank/targets/tasks.py
@@ -9,7 +9,6 @@
 from carawaybank.targets.client import TargetClient
 
 _WORKERS = 4
-_NEW_TARGET_POLL_S = 0.05
 
 
 class ProbeTask(threading.Thread):
@@ -27,24 +26,21 @@
         self._host = host
         self._client = client
         self._interval_s = interval_s
-        self._stopping = threading.Event()
+        self._stopping = False
         self._log = logs.part("targets")
 
     def run(self) -> None:
         """Runs until stopped."""
         with ThreadPoolExecutor(max_workers=_WORKERS) as workers:
-            next_round = 0.0
-            while not self._stopping.wait(_NEW_TARGET_POLL_S):
-                targets = self._host.targets_awaiting_report()
-                if self._host.now >= next_round:
-                    next_round = self._host.now + self._interval_s
-                    targets = self._host.owned_targets()
-                if targets:
-                    list(workers.map(self._probe, targets))
+            while not self._stopping:
+                self._host.targets_changed.wait(self._interval_s)
+                self._host.targets_changed.clear()
+                list(workers.map(self._probe, self._host.owned_targets()))
 
     def stop(self) -> None:
         """Ends the task."""
-        self._stopping.set()
+        self._stopping = True
+        self._host.targets_changed.set()
 
     def _probe(self, target: PoolTarget) -> None:
         try:
