Give answers their whole deadline and refuse at once when threads run out

Cause: a test of a daemon whose threads all wait got 504 for every slow request after half a second. The HTTP library sets the connection's own time-out, which was the one for connecting, again when it reads the answer; so no target had longer than that, whatever the deadline. Requests in the tests had been quicker.

Ruled out: the patience for reused connections, suspected first, cut off only repeatable requests; it now applies only where another target and retry budget are left.

Change: the connection carries the time that is left. A quarter of the callers' threads, and eight of the siblings', never wait for others, so that what cannot be served is refused at once and heartbeats go on. A process that siblings hold for dead gives up its keys in the answer that tells it so, and stops.

Conclusion: deadlines are the callers' again.

--- a/benchmarks/models.py
+++ b/benchmarks/models.py
@@ -1,6 +1,6 @@
 """Measurements on fleets in memory: refusals, goodput, steering against baselines, group traffic.
 
-Usage: python -m benchmarks.models [refusals|goodput|steering|group|claims]...
+Usage: python -m benchmarks.models [refusals|goodput|steering|group|drains|claims]...
 
 All runs use a manual clock and fixed seeds, so each prints the same figures every time.
 """
@@ -144,6 +144,35 @@
         print(f"{count:4}: {rate:5.2f}  {rates[0]:7.0f}  {took:5.2f}")
 
 
+def measure_drains() -> None:
+    """Prints how long a leaving target still gets work, and until it is idle, under load."""
+    print("drain of a target at 50% use: last work begun, idle (s after its sign), worst of 10")
+    for name, user in USERS.items():
+        for service in user.services:
+            fleet = make_fleet(user, caps=wide_caps(user, service))
+            fleet.run(10.0)
+            rate = 0.5 * service.targets * service.slots / WORK_S
+            send_poisson(fleet, list(fleet.vms), service.name, rate=rate, seconds=25.0)
+            begun, idle = zip(
+                *(_drain(fleet, f"{service.name}-{index}") for index in range(10)), strict=True
+            )
+            print(f"{name:10} {service.name:14} {max(begun):.2f}  {max(idle):.2f}")
+
+
+def _drain(fleet: Fleet, name: str) -> tuple[float, float]:
+    target = fleet.targets[name]
+    fleet.run(1.0)
+    sign = fleet.now
+    target.draining_since = sign
+    fleet.run(0.7)
+    while target.busy:
+        fleet.run(0.01)
+    idle = fleet.now - sign
+    begun = max([at - sign for at in target.begun_at if at >= sign], default=0.0)
+    target.draining_since = None
+    return begun, idle
+
+
 def measure_claims() -> None:
     """Prints what a claim in the table costs before a booking starts, against bound ids."""
     print("at most once: median added ms with a claim in the table, with bound ids; writes/s")
@@ -266,6 +295,7 @@
     "goodput": measure_goodput,
     "steering": measure_steering,
     "group": measure_group,
+    "drains": measure_drains,
     "claims": measure_claims,
 }
 
--- a/src/carawaybank/callers/app.py
+++ b/src/carawaybank/callers/app.py
@@ -1,5 +1,6 @@
 """What callers see: look-ups, forwarding and outcomes of earlier requests."""
 
+import random
 import uuid
 from collections.abc import Mapping
 from urllib.parse import parse_qs
@@ -16,6 +17,7 @@
 from carawaybank.verdicts import NotRun, Reason, Verdict
 from carawaybank.web import (
     BadRequestError,
+    ConcurrencyLimit,
     Router,
     WebRequest,
     WebResponse,
@@ -61,6 +63,7 @@
         self._forwarder = forwarder
         self._metrics = metrics
         self._settings = settings
+        self._limit = ConcurrencyLimit(most=settings.threads - settings.threads // 4)
         self.stopping = False
 
     def mount(self, router: Router) -> None:
@@ -83,7 +86,12 @@
         info, forwarded = self.read_request(request, service, path)
         if not self._host.is_ready:
             return self._respond(not_ready(), info.request_id)
-        ended = self._forwarder.run(info, forwarded)
+        if not self._limit.enter():
+            return self._respond(too_many(), info.request_id)
+        try:
+            ended = self._forwarder.run(info, forwarded)
+        finally:
+            self._limit.leave()
         return self._respond(ended.verdict, info.request_id)
 
     def find_request(self, request: WebRequest) -> WebResponse:
@@ -164,6 +172,12 @@
     return NotRun(Reason.NO_TICKET, 0.5, "this entry VM does not know what is in force yet")
 
 
+def too_many() -> NotRun:
+    """Returns the verdict while most threads wait for targets or siblings."""
+    detail = "too many requests are under way at this entry VM"
+    return NotRun(Reason.NO_CAPACITY, random.uniform(0.5, 1.0), detail)
+
+
 def split_service(request: WebRequest, prefix: str) -> tuple[str, str]:
     """Returns the service named in a path and the path that its target sees.
 
--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -50,7 +50,8 @@
 from carawaybank.transport import ConnectionPool
 from carawaybank.web import Router, make_server
 
-_CONTROL_THREADS = 32
+_CONTROL_THREADS = 48
+_THREADS_FOR_CONTROL = 8
 _JOIN_LIMIT_S = 1.2
 _JOIN_POLL_S = 0.02
 _DRAIN_MARGIN_S = 1.0
@@ -135,7 +136,12 @@
             host=self.host, forwarder=self._forwarder, metrics=self._metrics, settings=settings
         )
         self._callers.mount(callers_router)
-        siblings = SiblingsApp(host=self.host, forwarder=self._forwarder, callers=self._callers)
+        siblings = SiblingsApp(
+            host=self.host,
+            forwarder=self._forwarder,
+            callers=self._callers,
+            most_relays=_CONTROL_THREADS - _THREADS_FOR_CONTROL,
+        )
         siblings.mount(control_router)
         operators = OperatorsApp(
             host=self.host,
--- a/src/carawaybank/host.py
+++ b/src/carawaybank/host.py
@@ -259,6 +259,8 @@
     def _receive(self, message: Exchange) -> None:
         now = self._clock()
         reports = self.group.receive(message, now)
+        if self.membership.declared_dead and not self.ownership.is_released:
+            self.ownership.release()
         if reports:
             self.steering.handle(CrashesHeard(reports), now)
         for service, free in message.get("free", {}).items():
--- a/src/carawaybank/settings.py
+++ b/src/carawaybank/settings.py
@@ -146,7 +146,7 @@
         retry_share=requests.get("retry_share", 0.1),
         ramp_s=requests.get("ramp_s", 10.0),
         entries_ttl_s=requests.get("entries_ttl_s", 5.0),
-        threads=requests.get("threads", 32),
+        threads=requests.get("threads", 48),
         probe_interval_s=requests.get("probe_interval_s", 0.5),
         log_level=logs.get("level", "INFO"),
         log_json=logs.get("json", False),
--- a/src/carawaybank/siblings/app.py
+++ b/src/carawaybank/siblings/app.py
@@ -1,7 +1,7 @@
 """What siblings see: exchanges, snapshots, relayed requests and requests bound here."""
 
 from carawaybank import documents, headers
-from carawaybank.callers.app import CallersApp, not_ready, split_service
+from carawaybank.callers.app import CallersApp, not_ready, split_service, too_many
 from carawaybank.callers.forwarding import Forwarder
 from carawaybank.exceptions import DocumentError
 from carawaybank.host import Host
@@ -14,6 +14,7 @@
 from carawaybank.steering.exchange import Exchange
 from carawaybank.web import (
     BadRequestError,
+    ConcurrencyLimit,
     Router,
     WebRequest,
     WebResponse,
@@ -25,14 +26,18 @@
 class SiblingsApp:
     """Handlers for other entry VMs."""
 
-    def __init__(self, *, host: Host, forwarder: Forwarder, callers: CallersApp) -> None:
+    def __init__(
+        self, *, host: Host, forwarder: Forwarder, callers: CallersApp, most_relays: int
+    ) -> None:
         """Takes what exchanges and relays are answered with.
 
         Args:
             host: The decision core.
             forwarder: Runs requests.
             callers: Reads requests as callers send them.
+            most_relays: Relayed and bound requests under way at once.
         """
+        self._limit = ConcurrencyLimit(most=most_relays)
         self._host = host
         self._forwarder = forwarder
         self._callers = callers
@@ -62,8 +67,13 @@
         info, forwarded = self._callers.read_request(request, service, path)
         if not self._host.is_ready:
             return verdict_response(not_ready(), request_id=info.request_id)
+        if not self._limit.enter():
+            return verdict_response(too_many(), request_id=info.request_id)
         tried = tuple(filter(None, request.headers.get(headers.TRIED.lower(), "").split(",")))
-        ended = self._forwarder.run(info, forwarded, relayed=True, tried=tried)
+        try:
+            ended = self._forwarder.run(info, forwarded, relayed=True, tried=tried)
+        finally:
+            self._limit.leave()
         response = verdict_response(ended.verdict, request_id=info.request_id)
         marks = (
             (headers.TRIED, ",".join(ended.tried)),
@@ -77,5 +87,10 @@
         info, forwarded = self._callers.read_request(request, service, path)
         if not self._host.is_ready:
             return verdict_response(not_ready(), request_id=info.request_id)
-        ended = self._forwarder.run(info, forwarded, passed_on=True)
+        if not self._limit.enter():
+            return verdict_response(too_many(), request_id=info.request_id)
+        try:
+            ended = self._forwarder.run(info, forwarded, passed_on=True)
+        finally:
+            self._limit.leave()
         return verdict_response(ended.verdict, request_id=info.request_id)
--- a/src/carawaybank/steering/core.py
+++ b/src/carawaybank/steering/core.py
@@ -37,7 +37,7 @@
 from carawaybank.verdicts import UNREACHED, Answered, MayHaveRun, NotRun, Reason, Verdict
 
 _OVERLOAD_EXCESS = 0.5
-_REUSE_PATIENCE_S = 0.25
+_REUSE_PATIENCE_S = 0.5
 _REUSE_PATIENCE_FACTOR = 8
 
 
@@ -252,7 +252,7 @@
         standing = self.holdings.standing(target.name)
         if standing is None:
             raise LookupError(target.name)
-        first = not progress.tried
+        may_reuse = request.repeatable and not progress.tried and self._may_retry(request, now)
         progress.begin_attempt(target.name, standing)
         patience = max(_REUSE_PATIENCE_S, _REUSE_PATIENCE_FACTOR * standing.latency_s)
         return Dispatch(
@@ -261,9 +261,15 @@
             address=target.address,
             deadline=request.deadline,
             reuse_deadline=min(request.deadline, now + patience),
-            fresh_connection=not (request.repeatable and first),
+            fresh_connection=not may_reuse,
         )
 
+    def _may_retry(self, request: RequestInfo, now: float) -> bool:
+        """Returns whether a silent connection would leave another target to turn to."""
+        pool = self.holdings.pool(request.service, now=now)
+        elsewhere = len(pool.targets) > 1 or bool(self._membership.others())
+        return elsewhere and self._records.budget(request.service).tokens >= 1
+
     def _end_attempt(self, message: AttemptEnded, now: float) -> list[Action]:
         progress = self._requests[message.key]
         standing = progress.end_attempt()
--- a/src/carawaybank/steering/group.py
+++ b/src/carawaybank/steering/group.py
@@ -140,6 +140,9 @@
         if message.get("members"):
             own = self._membership.own
             answer["members"] = [*answer.get("members", []), own]
+        sender = self._membership.find(message["vm"])
+        if sender is not None and sender.status is Status.DEAD:
+            answer["members"] = [*answer.get("members", []), sender]
         heard = {
             vm: round(now - self._peers[vm].heard_at, 2)
             for vm in message.get("doubts", [])
@@ -225,6 +228,8 @@
         member = self._membership.find(vm)
         if member is None or member.incarnation > message["incarnation"]:
             return
+        if member.status is Status.DEAD:
+            return
         peer = self._peers.setdefault(vm, Peer(now=now))
         peer.heard_at = now
         peer.held = message["held"]
--- a/src/carawaybank/transport.py
+++ b/src/carawaybank/transport.py
@@ -225,6 +225,7 @@
     remaining_s = deadline - time.monotonic()
     if remaining_s <= 0:
         raise TimeoutError
+    connection.timeout = remaining_s  # the library sets it again when it reads the answer
     if connection.sock is not None:
         connection.sock.settimeout(remaining_s)
 
--- a/src/carawaybank/web.py
+++ b/src/carawaybank/web.py
@@ -1,6 +1,7 @@
 """HTTP serving: typed requests and responses over cheroot, with a route for each path."""
 
 import math
+import threading
 from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 from typing import Any, NamedTuple
@@ -76,6 +77,40 @@
 Handler = Callable[[WebRequest], WebResponse]
 
 
+class ConcurrencyLimit:
+    """Bounds the requests that wait for others, so that some threads are always free to refuse.
+
+    Usage::
+
+        >>> limit = ConcurrencyLimit(most=1)
+        >>> limit.enter(), limit.enter()
+        (True, False)
+    """
+
+    def __init__(self, *, most: int) -> None:
+        """Starts with none under way.
+
+        Args:
+            most: Requests under way at once.
+        """
+        self._most = most
+        self._count = 0
+        self._lock = threading.Lock()
+
+    def enter(self) -> bool:
+        """Counts a request in; returns whether it may go on."""
+        with self._lock:
+            if self._count >= self._most:
+                return False
+            self._count += 1
+            return True
+
+    def leave(self) -> None:
+        """Counts a request out."""
+        with self._lock:
+            self._count -= 1
+
+
 class Router:
     """Finds the handler of a request by method and path prefix."""
 
--- a/standins/fleet_models.py
+++ b/standins/fleet_models.py
@@ -105,7 +105,7 @@
         retry_share=0.1,
         ramp_s=10.0,
         entries_ttl_s=5.0,
-        threads=32,
+        threads=48,
         probe_interval_s=0.5,
         log_level="INFO",
         log_json=False,
--- a/tests/steering/test_core.py
+++ b/tests/steering/test_core.py
@@ -125,6 +125,14 @@
     assert not driver.arrive(repeatable=True).fresh_connection
 
 
+def test_a_connection_is_reused_only_where_a_retry_is_possible():
+    driver = Driver(retry_burst=1.0, retry_share=0.0)
+    first = driver.arrive()
+    assert not first.fresh_connection
+    driver.end(first, LOST)
+    assert driver.arrive().fresh_connection
+
+
 def test_work_whose_deadline_has_passed_is_not_begun(driver):
     refused = driver.arrive(deadline=0.0)
     assert refused.verdict.reason is Reason.DEADLINE_PASSED
--- a/tests/steering/test_parts.py
+++ b/tests/steering/test_parts.py
@@ -11,12 +11,14 @@
 from carawaybank.steering.allowances import Allowance, split
 from carawaybank.steering.blocks import BlockMap
 from carawaybank.steering.deduplication import Admission, RequestId, RequestMemory
+from carawaybank.steering.dissemination import TicketLog
 from carawaybank.steering.hashing import fingerprint
 from carawaybank.steering.leases import Lease, LeaseObserver
 from carawaybank.steering.membership import Member, Membership, Status
 from carawaybank.steering.overload import Pressure
 from carawaybank.steering.quarantine import CrashReport, Quarantine
 from carawaybank.steering.retries import RetryBudget
+from carawaybank.steering.tickets import EMPTY
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason
 
 sizes = st.dictionaries(st.text(min_size=1, max_size=3), st.integers(1, 40), max_size=30)
@@ -135,6 +137,36 @@
     assert pressure.refuse(now=60.0) < 1.6
 
 
+def accepted(number):
+    return {
+        "ticket": {"number": number, "author": "o", "reason": "r"},
+        "nonce": str(number),
+        "accepted_at": 0.0,
+    }
+
+
+@given(
+    steps=st.lists(
+        st.tuples(st.sampled_from(["offer", "install", "advance"]), st.integers(1, 12)),
+        max_size=40,
+    )
+)
+def test_a_log_never_reverts_and_never_skips(steps):
+    log, seen = TicketLog(hold_limit_s=1.0), 0
+    for now, (step, number) in enumerate(steps):
+        if step == "offer":
+            log.offer([accepted(number)], now=now)
+        elif step == "install":
+            log.install(EMPTY._replace(number=number))
+        else:
+            log.advance(held_by_cell=[number], now=now)
+        assert seen <= log.state.number <= log.held
+        seen = log.state.number
+        assert [t["ticket"]["number"] for t in log.after(seen, limit=50)] == list(
+            range(seen + 1, log.held + 1)
+        )
+
+
 def member(vm, incarnation=1, version=0, status=Status.ALIVE):
     return Member(vm, incarnation, version, status, "fd", "r", "fd", "a", "b")
 
--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -135,6 +135,12 @@
     assert ended.verdict.body == b"whole"
 
 
+def test_an_answer_may_take_longer_than_a_connection(server):
+    quick = ConnectionPool(connect_timeout_s=0.1, max_body_bytes=1000)
+    slow = script(read_request, lambda _: time.sleep(0.3), send(WHOLE))
+    assert isinstance(dispatch(quick, server(slow).address).verdict, Answered)
+
+
 def test_a_refused_connection_did_not_run(pool):
     with socket.create_server(("127.0.0.1", 0)) as listener:
         address = f"127.0.0.1:{listener.getsockname()[1]}"
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,6 +1,7 @@
 """What only separate processes can show: kills, pauses, stops and lost answers."""
 
 import concurrent.futures
+import signal
 import threading
 import time
 
@@ -158,6 +159,22 @@
     cluster.wait_for(lambda: owned(cluster) == set(cluster.targets), what="owners")
 
 
+def test_a_silent_entry_vm_that_the_platform_removed_is_replaced_and_stops_when_it_wakes(cluster):
+    rest = [name for name in cluster.vms if name != "regina-vm1"]
+    cluster.pause("regina-vm1")
+    listed = msgspec.json.encode([{"name": name, "state": "live"} for name in rest])
+    cluster.call("PUT", cluster.platform_address, "/vms", listed)
+    paused = cluster.processes.pop("regina-vm1")
+    cluster.wait_for(lambda: owned(cluster) == set(cluster.targets), what="takeover")
+    request_id = "regina-vm1.1.0.early"
+    paused.send_signal(signal.SIGCONT)
+    cluster.processes["regina-vm1"] = paused
+    status, _, _ = send(cluster, "regina-vm1", request_id, **{headers.REPEATABLE: "true"})
+    assert status in (0, 200, 503)
+    assert paused.wait(20.0) == 0
+    assert "hold this process for dead" in (cluster.directory / "regina-vm1.log").read_text()
+
+
 def test_a_request_that_crashes_targets_costs_two_at_most(cluster):
     body = b"poison"
     for _ in range(3):
@@ -299,3 +316,32 @@
     reads = cluster.call("GET", cluster.platform_address, "/counts")[1]["reads"] - before
     readers = 2 * len({vm.failure_domain for vm in cluster.vms.values()})
     assert reads <= readers * 2 * 3.0 / 0.8 + readers
+
+
+def test_with_all_threads_waiting_the_rest_is_refused_at_once():
+    with running_cluster() as small:
+        small.start_platform()
+        small.start_target("regina-1", slots=64)
+        small.start_vm("regina-vm1", "sask", "regina", requests="threads = 8")
+        control = small.vms["regina-vm1"].control_address
+        small.wait_for(lambda: small.call("GET", control, "/v1/status")[0] == 200)
+        document = first_ticket(small)
+        document["targets"]["regina-1"]["slots"] = 64
+        small.submit("regina-vm1", document)
+        small.wait_ready("regina-vm1")
+        caller = Caller(cluster=small, name="first")
+        small.wait_for(lambda: caller.send(repeatable=True).status == 200)
+
+        def send_slow(_):
+            began = time.monotonic()
+            marks = {headers.REPEATABLE: "true", "X-Work-Ms": "3000"}
+            status, document, _ = send(small, "regina-vm1", "r", deadline_ms=8000, **marks)
+            return status, document, time.monotonic() - began
+
+        with concurrent.futures.ThreadPoolExecutor(20) as pool:
+            ended = list(pool.map(send_slow, range(20)))
+    refused = [end for end in ended if end[0] == 503]
+    assert len(refused) == 14
+    assert sum(end[0] == 200 for end in ended) == 6
+    assert max(took for _, _, took in refused) < 2.0
+    assert all(document["retry_after_s"] > 0 for _, document, _ in refused)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -39,7 +39,7 @@
         ("retry_share = 0.1", "retry_share = 0.5", "requests.retry_share: 0.5"),
         ('level = "INFO"', 'level = "LOUD"', "Invalid enum value 'LOUD'"),
         ("[logs]", "[logz]", "unknown key logz"),
-        ("threads = 32", "threads = [", "not TOML"),
+        ("threads = 48", "threads = [", "not TOML"),
     ],
 )
 def test_a_fault_is_named_with_file_and_key(tmp_path, old, new, fault):
