Say not run to a second send only where it would be remembered

Cause: reading the refusals as a caller that asks again: an order that had run was refused as not run when it came again with its deadline passed, to an overloaded entry VM, or to one that had just woken, since those checks came before the memory of ids. A caller told so books anew.

Change: a refusal before admission goes through one function: the bound incarnation answers from its memory, any other says not run on a first send only, and else that it may have run.

Also, each with its test: records of ended members went round for good, because a view that had forgotten one got it back from one that had not; they no longer count in digests and are not taken by those who never knew them. A stop removed the table row of a later start of the same name. Crash reports went to all siblings by a thread each; now to the 48 nearest, who pass them on.

Conclusion: not run is said where it is known.

--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,8 @@
 	$(PYTHON) -m standins.demo
 
 test: install
-	$(VENV)/bin/ruff format --check src standins tests benchmarks
-	$(VENV)/bin/ruff check src standins tests benchmarks
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
 	$(VENV)/bin/mypy
 	$(PYTHON) -m pytest
 
--- a/src/carawaybank/callers/app.py
+++ b/src/carawaybank/callers/app.py
@@ -85,14 +85,10 @@
         service, path = split_service(request, FORWARD_PREFIX)
         info, forwarded = self.read_request(request, service, path)
         if not self._host.is_ready:
-            return self._respond(not_ready(), info.request_id)
-        if not self._limit.enter():
-            return self._respond(too_many(), info.request_id)
-        try:
-            ended = self._forwarder.run(info, forwarded)
-        finally:
-            self._limit.leave()
-        return self._respond(ended.verdict, info.request_id)
+            return self._respond(self._host.refuse(info, not_ready()), info.request_id)
+        ended = self._limit.run(lambda: self._forwarder.run(info, forwarded))
+        verdict = ended.verdict if ended else self._host.refuse(info, too_many())
+        return self._respond(verdict, info.request_id)
 
     def find_request(self, request: WebRequest) -> WebResponse:
         """Answers how an earlier request ended, if its id is bound here."""
--- a/src/carawaybank/host.py
+++ b/src/carawaybank/host.py
@@ -17,13 +17,14 @@
 from carawaybank.steering.exchange import Exchange
 from carawaybank.steering.group import Group
 from carawaybank.steering.membership import Member, Membership, Status
-from carawaybank.steering.messages import Action, CrashesHeard, Message
+from carawaybank.steering.messages import Action, Message, RequestInfo
 from carawaybank.steering.options import Options
 from carawaybank.steering.ownership import DeathProof, Ownership
 from carawaybank.steering.pools import PoolTarget
 from carawaybank.steering.records import Incident
 from carawaybank.steering.tickets import AcceptedTicket, State
 from carawaybank.steering.watching import GroupOptions
+from carawaybank.verdicts import NotRun, Verdict
 
 _HOLD_LIMIT_S = 1.0
 
@@ -117,6 +118,11 @@
         with self._lock:
             return self.steering.handle(message, self._clock())
 
+    def refuse(self, request: RequestInfo, refusal: NotRun) -> Verdict:
+        """Returns the verdict for a request that is not admitted now."""
+        with self._lock:
+            return self.steering.refuse(request, refusal, self._clock())
+
     def free(self, service: str) -> int:
         """Returns the free owned slots of a service."""
         with self._lock:
@@ -235,11 +241,6 @@
         with self._lock:
             return self.steering.holdings.owned(now=self._clock())
 
-    def targets_awaiting_report(self) -> list[PoolTarget]:
-        """Returns owned targets that must be probed before they are used."""
-        with self._lock:
-            return self.steering.holdings.awaiting_report(now=self._clock())
-
     def leave(self) -> None:
         """Tells the siblings that this entry VM stops."""
         with self._lock:
@@ -261,8 +262,8 @@
         reports = self.group.receive(message, now)
         if self.membership.declared_dead and not self.ownership.is_released:
             self.ownership.release()
-        if reports:
-            self.steering.handle(CrashesHeard(reports), now)
+        if self.steering.note_crashes(reports, now):
+            self.group.spread_crashes(now)
         for service, free in message.get("free", {}).items():
             self.steering.spillover.relays.note_free(message["vm"], service, free, now=now)
         for name in message.get("leaving", []):
--- a/src/carawaybank/platform/tasks.py
+++ b/src/carawaybank/platform/tasks.py
@@ -104,7 +104,9 @@
         """Removes this entry VM from the table, if the table answers."""
         own = self._host.membership.own
         try:
-            self._table.commit([Write(self._prefix + own.vm, None)])
+            row = self._table.get(self._prefix + own.vm)
+            if row is not None and row["value"]["incarnation"] == own.incarnation:
+                self._table.commit([Write(row["key"], None, if_version=row["version"])])
         except PlatformError as error:
             self._log.warning("Could not unregister: {}", error)
 
--- a/src/carawaybank/siblings/app.py
+++ b/src/carawaybank/siblings/app.py
@@ -67,13 +67,12 @@
         info, forwarded = self._callers.read_request(request, service, path)
         if not self._host.is_ready:
             return verdict_response(not_ready(), request_id=info.request_id)
-        if not self._limit.enter():
-            return verdict_response(too_many(), request_id=info.request_id)
         tried = tuple(filter(None, request.headers.get(headers.TRIED.lower(), "").split(",")))
-        try:
-            ended = self._forwarder.run(info, forwarded, relayed=True, tried=tried)
-        finally:
-            self._limit.leave()
+        ended = self._limit.run(
+            lambda: self._forwarder.run(info, forwarded, relayed=True, tried=tried)
+        )
+        if ended is None:
+            return verdict_response(too_many(), request_id=info.request_id)
         response = verdict_response(ended.verdict, request_id=info.request_id)
         marks = (
             (headers.TRIED, ",".join(ended.tried)),
@@ -86,11 +85,8 @@
         service, path = split_service(request, BOUND_PREFIX)
         info, forwarded = self._callers.read_request(request, service, path)
         if not self._host.is_ready:
-            return verdict_response(not_ready(), request_id=info.request_id)
-        if not self._limit.enter():
-            return verdict_response(too_many(), request_id=info.request_id)
-        try:
-            ended = self._forwarder.run(info, forwarded, passed_on=True)
-        finally:
-            self._limit.leave()
-        return verdict_response(ended.verdict, request_id=info.request_id)
+            verdict = self._host.refuse(info, not_ready())
+            return verdict_response(verdict, request_id=info.request_id)
+        ended = self._limit.run(lambda: self._forwarder.run(info, forwarded, passed_on=True))
+        verdict = ended.verdict if ended else self._host.refuse(info, too_many())
+        return verdict_response(verdict, request_id=info.request_id)
--- a/src/carawaybank/siblings/tasks.py
+++ b/src/carawaybank/siblings/tasks.py
@@ -20,6 +20,7 @@
 _CONTACT_INTERVAL_S = 1.0
 _VERIFY_LIMIT_S = 1.0
 _ANNOUNCE_LIMIT_S = 0.1
+_ANNOUNCE_FANOUT = 48
 
 
 class Contact:
@@ -60,6 +61,8 @@
         }
         self._work: queue.Queue[tuple[Member | None, str]] = queue.Queue()
         self._pending: set[str] = set()
+        self._known: set[str] = set()
+        self._known_version = -1
         self._stopping = threading.Event()
         self._verifying_since: float | None = None
         self._log = logs.part("siblings")
@@ -91,12 +94,13 @@
         self._stopping.set()
 
     def announce_crash(self) -> None:
-        """Tells all reachable siblings of the crash reports, within a short time."""
-        with self._host.lock:
-            others = [m for m in self._host.membership.others() if m.status is not Status.SUSPECT]
+        """Tells the nearest siblings of the crash reports, within a short time.
+
+        They pass the reports on as they do tickets.
+        """
         threads = [
             threading.Thread(target=self._announce_to, args=(member,), daemon=True)
-            for member in others
+            for member in self._nearest(_ANNOUNCE_FANOUT)
         ]
         for thread in threads:
             thread.start()
@@ -104,6 +108,13 @@
         for thread in threads:
             thread.join(max(0.0, deadline - time.monotonic()))
 
+    def _nearest(self, count: int) -> list[Member]:
+        with self._host.lock:
+            own = self._host.membership.own
+            others = [m for m in self._host.membership.others() if m.status is not Status.SUSPECT]
+        others.sort(key=lambda m: (m.failure_domain != own.failure_domain, m.region != own.region))
+        return others[:count]
+
     def _announce_to(self, member: Member) -> None:
         sent_at = self._host.now
         message = self._host.compose(member.vm, with_crashes=True)
@@ -121,19 +132,23 @@
 
     def _contact_unknown(self) -> None:
         now = time.monotonic()
-        with self._host.lock:
-            known = {
-                m.control_address
-                for m in self._host.membership.all()
-                if m.status is not Status.DEAD
-            }
+        self._refresh_known()
         for contact in list(self._contacts.values()):
-            if contact.address in known:
+            if contact.address in self._known:
                 contact.tried = True
             elif now >= contact.next_at:
                 contact.next_at = now + _CONTACT_INTERVAL_S
                 self._enqueue(None, contact.address)
 
+    def _refresh_known(self) -> None:
+        with self._host.lock:
+            version = self._host.membership.version
+            if version == self._known_version:
+                return
+            self._known_version = version
+            others = self._host.membership.others()
+        self._known = {member.control_address for member in others}
+
     def _limit_verification(self) -> None:
         if self._host.is_ready:
             self._verifying_since = None
@@ -183,6 +198,7 @@
         elif contact is not None and contact.holding is not None:
             vm, incarnation = contact.holding
             self._host.prove_dead(vm, incarnation, DeathProof.CONNECTION_REFUSED)
+            self._contacts.pop(contact.address, None)
 
     def _fetch_snapshot(self, address: str) -> None:
         state = self._client.fetch_snapshot(address, timeout_s=_EXCHANGE_TIMEOUT_S)
--- a/src/carawaybank/steering/admission.py
+++ b/src/carawaybank/steering/admission.py
@@ -42,6 +42,26 @@
     return _gone(request)
 
 
+def refuse(
+    request: RequestInfo, refusal: NotRun, *, memory: RequestMemory, membership: Membership
+) -> Verdict:
+    """Returns the verdict for a request that is refused before it is admitted.
+
+    A request that was sent before may have run then, so it is refused as not run only by the one
+    that would remember it, or where the caller states that this is the first send.
+    """
+    bound = request.bound_id
+    if request.repeatable or bound is None:
+        return refusal
+    own = membership.own
+    if (bound.vm, bound.incarnation) == (own.vm, own.incarnation):
+        return memory.find(bound) or refusal
+    if request.first_send:
+        return refusal
+    detail = f"not run now, but an earlier send may have: {refusal.detail}"
+    return MayHaveRun(refusal.reason, refusal.retry_after_s, detail)
+
+
 def _start(bound: RequestId, *, memory: RequestMemory, epoch: int) -> Verdict | None:
     match memory.start(bound, epoch=epoch):
         case Admission.STARTED:
--- a/src/carawaybank/steering/core.py
+++ b/src/carawaybank/steering/core.py
@@ -5,9 +5,9 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-from carawaybank.steering.admission import admit
+from carawaybank.steering.admission import admit, refuse
 from carawaybank.steering.deduplication import RequestMemory
 from carawaybank.steering.holdings import Holdings
 from carawaybank.steering.membership import Membership
@@ -16,7 +16,6 @@
     AnnounceCrash,
     AttemptEnded,
     CrashAnnounced,
-    CrashesHeard,
     Dispatch,
     Finish,
     Message,
@@ -129,6 +128,17 @@
         """Returns the crash reports kept."""
         return self.quarantine.reports()
 
+    def note_crashes(self, reports: Iterable[CrashReport], now: float) -> bool:
+        """Takes crash reports from a sibling; returns whether any was news."""
+        news = [report for report in reports if self.quarantine.report(report, now=now)]
+        return bool(news)
+
+    def refuse(self, request: RequestInfo, refusal: NotRun, now: float) -> Verdict:
+        """Returns the verdict for a request that the host or this core will not admit."""
+        verdict = refuse(request, refusal, memory=self.memory, membership=self._membership)
+        self.incidents.note(request, verdict, now)
+        return verdict
+
     def handle(self, message: Message, now: float) -> list[Action]:
         """Takes a message and returns what to do."""
         match message:
@@ -146,16 +156,14 @@
                     standing.probed(
                         message.health, busy=message.busy, now=now, latency_s=message.latency_s
                     )
-            case CrashesHeard():
-                for report in message.reports:
-                    self.quarantine.report(report, now=now)
         return []
 
     def _arrive(self, message: RequestArrived, now: float) -> list[Action]:
         request = message.request
         refusal = self._precheck(request, now)
         if refusal is not None:
-            return [Finish(message.key, refusal)]
+            verdict = refusal if message.relayed else self.refuse(request, refusal, now)
+            return [Finish(message.key, verdict)]
         progress = RequestProgress(
             key=message.key, request=request, relayed=message.relayed, tried=message.tried
         )
--- a/src/carawaybank/steering/group.py
+++ b/src/carawaybank/steering/group.py
@@ -25,7 +25,7 @@
 _MAX_TICKETS = 8
 _MAX_MEMBERS = 12
 _MAX_CRASHES = 100
-_FORGET_AFTER_S = 3600.0
+_FORGET_AFTER_S = 14_400.0
 _FRESH_NEWS_S = 2.0
 
 
@@ -74,6 +74,7 @@
         self._due: set[str] = set()
         self._gossiped_at = -1e9
         self._news_at = -1e9
+        self._crashes_at = -1e9
         self._dead_since: dict[str, float] = {}
         self._released_totals: Counter[str] = Counter()
         self._leaving: list[str] = []
@@ -115,11 +116,11 @@
         if peer is not None and peer.buckets_wanted:
             message["bucket_digests"] = self._membership.bucket_digests()
             peer.buckets_wanted = []
-        if with_crashes:
+        if with_crashes or now - self._crashes_at < _FRESH_NEWS_S:
             message["crashes"] = self._crashes()
-        if vm:
-            self._peers.setdefault(vm, Peer(now=now)).sent_at = now
-            self._due.discard(vm)
+        if peer is not None:
+            peer.sent_at = now
+        self._due.discard(vm or "")
         return message
 
     def receive(self, message: Exchange, now: float) -> tuple[CrashReport, ...]:
@@ -137,12 +138,9 @@
     def reply(self, message: Exchange, now: float) -> Exchange:
         """Returns the answer to an exchange, after :meth:`receive`."""
         answer = self.compose(message["vm"], now)
-        if message.get("members"):
-            own = self._membership.own
-            answer["members"] = [*answer.get("members", []), own]
-        sender = self._membership.find(message["vm"])
-        if sender is not None and sender.status is Status.DEAD:
-            answer["members"] = [*answer.get("members", []), sender]
+        members = self._reply_members(message, answer.get("members", []))
+        if members:
+            answer["members"] = members
         heard = {
             vm: round(now - self._peers[vm].heard_at, 2)
             for vm in message.get("doubts", [])
@@ -152,9 +150,6 @@
             answer["heard"] = heard
         if message["digest"] != answer["digest"]:
             answer["bucket_digests"] = self._membership.bucket_digests()
-        theirs = message.get("bucket_digests")
-        if theirs:
-            answer["members"] = self._membership.differing(theirs)
         if message.get("crashes") or message.get("members"):
             answer["crashes"] = self._crashes()
         return answer
@@ -174,6 +169,11 @@
         chosen = self._rng.sample(others, min(_RUMOUR_FANOUT, len(others)))
         self._due.update(member.vm for member in chosen)
 
+    def spread_crashes(self, now: float) -> None:
+        """Makes exchanges due at once that carry crash reports."""
+        self._crashes_at = now
+        self.spread_rumour()
+
     def due(self, now: float) -> list[Member]:
         """Returns the members to which an exchange must be sent now."""
         names = set(self._watch.due(now))
@@ -249,6 +249,11 @@
 
     def _merge(self, record: Member, now: float) -> None:
         before = self._membership.find(record.vm)
+        if before is None and record.status is Status.DEAD:
+            self._ownership.prove_dead(
+                record.vm, incarnation=record.incarnation, proof=DeathProof.GOODBYE
+            )
+            return
         if not self._membership.merge(record):
             return
         self._after_change(record.vm, now)
@@ -308,6 +313,19 @@
             members.extend(member for member in differing if member.vm not in known)
         return members
 
+    def _reply_members(self, message: Exchange, news: list[Member]) -> list[Member]:
+        """Returns news, differing records, ourselves to newcomers, and their death to the dead."""
+        found = {member.vm: member for member in news}
+        differing = self._membership.differing(message.get("bucket_digests", []))
+        found.update((member.vm, member) for member in differing)
+        own = self._membership.own
+        if message.get("members"):
+            found[own.vm] = own
+        sender = self._membership.find(message["vm"])
+        if sender is not None and sender.status is Status.DEAD:
+            found[sender.vm] = sender
+        return list(found.values())
+
     def _add_state(self, message: Exchange, peer: Peer | None, now: float) -> None:
         if self._requests is not None:
             self._add_requests(message, peer, self._requests, now)
--- a/src/carawaybank/steering/holdings.py
+++ b/src/carawaybank/steering/holdings.py
@@ -88,14 +88,6 @@
         """Returns all owned targets."""
         return [t for service in self._state.services for t in self.pool(service, now=now).targets]
 
-    def awaiting_report(self, *, now: float) -> list[PoolTarget]:
-        """Returns owned targets that must report their load before they are used."""
-        return [
-            target
-            for target in self.owned(now=now)
-            if self._known[target.name].standing.awaits_report(now)
-        ]
-
     def released(self) -> dict[str, int]:
         """Returns slots still in use at targets that others own now."""
         return {
--- a/src/carawaybank/steering/membership.py
+++ b/src/carawaybank/steering/membership.py
@@ -193,6 +193,9 @@
         self.version += 1
 
     def _toggle(self, member: Member) -> None:
+        """Adds a record to the digests or takes it out; ended members do not count."""
+        if member.status is Status.DEAD:
+            return
         text = f"{member.vm}/{member.incarnation}/{member.version}/{int(member.status)}"
         self._buckets[_bucket(member.vm)] ^= hashing.score(key="member", member=text)
 
--- a/src/carawaybank/steering/messages.py
+++ b/src/carawaybank/steering/messages.py
@@ -117,13 +117,7 @@
     key: int
 
 
-class CrashesHeard(NamedTuple):
-    """Siblings reported crashes."""
-
-    reports: tuple[CrashReport, ...]
-
-
-Message = RequestArrived | AttemptEnded | RelayEnded | ProbeEnded | CrashAnnounced | CrashesHeard
+Message = RequestArrived | AttemptEnded | RelayEnded | ProbeEnded | CrashAnnounced
 
 
 class Dispatch(NamedTuple):
--- a/src/carawaybank/steering/relays.py
+++ b/src/carawaybank/steering/relays.py
@@ -14,6 +14,7 @@
 from carawaybank.steering.tickets import State
 
 _HINT_LIFETIME_S = 2.0
+_MAX_HINTS = 4096
 _FULL_LIFETIME_S = 0.01
 _FULL_LIFETIME_OVERLOADED_S = 0.1
 _SAMPLE = 8
@@ -47,6 +48,10 @@
 
     def note_free(self, vm: str, service: str, free: int, *, now: float) -> None:
         """Records how many slots a sibling reported free."""
+        if len(self._hints) >= _MAX_HINTS:
+            self._hints = {
+                key: hint for key, hint in self._hints.items() if now - hint.at < _HINT_LIFETIME_S
+            }
         self._hints[(vm, service)] = _Hint(free, now)
 
     def near(
--- a/src/carawaybank/steering/standing.py
+++ b/src/carawaybank/steering/standing.py
@@ -71,10 +71,6 @@
         """Begins ownership: a former owner's work may still be going on at the target."""
         self._former_use.begin(now=now)
 
-    def awaits_report(self, now: float) -> bool:
-        """Returns whether nothing may be sent until the target reports its load."""
-        return self._former_use.bound(now) is None
-
     def limit(self, *, slots: int, ramp_s: float, now: float) -> int:
         """Returns how many slots may be used now.
 
--- a/src/carawaybank/web.py
+++ b/src/carawaybank/web.py
@@ -4,7 +4,7 @@
 import threading
 from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from cheroot.wsgi import Server
 
@@ -12,6 +12,8 @@
 from carawaybank.metrics import verdict_name
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
 
+_T = TypeVar("_T")
+
 _MAX_HEADER_BYTES = 16_384
 _SOCKET_TIMEOUT_S = 5
 _QUEUE_SIZE = 512
@@ -82,9 +84,10 @@
 
     Usage::
 
-        >>> limit = ConcurrencyLimit(most=1)
-        >>> limit.enter(), limit.enter()
-        (True, False)
+        >>> ConcurrencyLimit(most=1).run(lambda: "done")
+        'done'
+        >>> ConcurrencyLimit(most=0).run(lambda: "done") is None
+        True
     """
 
     def __init__(self, *, most: int) -> None:
@@ -97,18 +100,17 @@
         self._count = 0
         self._lock = threading.Lock()
 
-    def enter(self) -> bool:
-        """Counts a request in; returns whether it may go on."""
+    def run(self, work: Callable[[], _T]) -> _T | None:
+        """Returns the result of the work, or None at once when too much is under way."""
         with self._lock:
             if self._count >= self._most:
-                return False
+                return None
             self._count += 1
-            return True
-
-    def leave(self) -> None:
-        """Counts a request out."""
-        with self._lock:
-            self._count -= 1
+        try:
+            return work()
+        finally:
+            with self._lock:
+                self._count -= 1
 
 
 class Router:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -154,8 +154,9 @@
             vm.host.accept_tickets(self.tickets)
         if not vm.host.is_ready and vm.host.state.number and self.now > vm.paused_until + 1:
             vm.host.stop_verifying()
-        for owned in vm.host.targets_awaiting_report():
-            self._probe_target(vm, self.targets[owned.name])
+        if vm.host.targets_changed.is_set():
+            vm.host.targets_changed.clear()
+            self._probe_owned(vm)
         self._check_ticket(vm)
         self.after(_TICK_S, lambda: self._tick(vm))
 
@@ -169,9 +170,12 @@
         self._when_awake(vm, lambda: self._probe_awake(vm))
 
     def _probe_awake(self, vm: FleetVm) -> None:
+        self._probe_owned(vm)
+        self.after(_PROBE_S, lambda: self._probe(vm))
+
+    def _probe_owned(self, vm: FleetVm) -> None:
         for owned in vm.host.owned_targets():
             self._probe_target(vm, self.targets[owned.name])
-        self.after(_PROBE_S, lambda: self._probe(vm))
 
     def _probe_target(self, vm: FleetVm, target: FleetTarget) -> None:
         if not target.alive:
@@ -201,7 +205,8 @@
 
         def start() -> None:
             if not vm.host.is_ready:
-                done(NotRun(Reason.NO_TICKET, 0.5), ())
+                refusal = NotRun(Reason.NO_TICKET, 0.5)
+                done(refusal if relayed else vm.host.refuse(info, refusal), ())
                 return
             vm.requests[key] = done
             vm.infos[key] = info
--- a/tests/features/at_most_once.feature
+++ b/tests/features/at_most_once.feature
@@ -57,3 +57,11 @@
     And order o1 bound to regina-1 is sent again through regina-1 after 0.1 s
     And order o1 bound to regina-1 is sent again through regina-1 after 3 s
     Then order o1 ran once
+
+  Scenario: An order that ran is sent again to an entry VM that just woke
+    When order o1 bound to regina-1 is sent through regina-1
+    And 1 s pass
+    And entry VM saskatoon-1 is paused after 0 s for 5 s
+    And order o1 bound to regina-1 is sent again through saskatoon-1 after 0.1 s
+    Then order o1 ran once
+    And no answer for order o1 says that it did not run
--- a/tests/features/recovery.feature
+++ b/tests/features/recovery.feature
@@ -36,3 +36,13 @@
     Then ticket 2 is in force on every live entry VM within 1 s
     And nothing that must hold was broken
     And every entry VM names regina-1
+
+  Scenario: Ended members are forgotten everywhere
+    When entry VM regina-1 is killed after 0 s
+    And 3 s pass
+    Then every entry VM knows that regina-1 ended
+    When members that ended are forgotten after 2 s
+    And entry VM calgary-1 is killed after 1 s
+    And entry VM calgary-1 is started again after 2 s
+    And 12 s pass
+    Then no entry VM knows of regina-1
--- a/tests/platform/test_tasks.py
+++ b/tests/platform/test_tasks.py
@@ -140,6 +140,17 @@
     assert setup.holders() == set()
 
 
+def test_a_stop_leaves_the_row_of_a_later_start_alone(setup):
+    setup.task._read()
+    row = setup.platform.rows["members/fd/a"]
+    row["value"] = {**row["value"], "incarnation": 9}
+    setup.task.unregister()
+    assert "members/fd/a" in setup.platform.rows
+    row["value"] = {**row["value"], "incarnation": 5}
+    setup.task.unregister()
+    assert "members/fd/a" not in setup.platform.rows
+
+
 def test_pauses_grow_and_differ_while_the_store_is_down(setup):
     setup.task._note_failure(PlatformError(message="down", may_have_run=False))
     first = setup.task._pause_s()
--- a/tests/steering/test_core.py
+++ b/tests/steering/test_core.py
@@ -68,16 +68,16 @@
         for name in self.core.state.targets:
             self.core.handle(ProbeEnded(name, Health.SERVING, busy), self.now)
 
-    def arrive(self, *, repeatable=True, deadline=10.0, unique=None, fingerprint=""):
+    def arrive(self, *, repeatable=True, deadline=10.0, unique=None, fingerprint="", **marks):
         self.key += 1
-        bound = RequestId("vm", 1, 0, unique or f"u{self.key}")
+        bound = RequestId(marks.get("vm", "vm"), 1, 0, unique or f"u{self.key}")
         info = RequestInfo(
-            "s",
+            marks.get("service", "s"),
             "c",
             f"id{self.key}",
             bound,
             repeatable,
-            False,
+            marks.get("first_send", False),
             self.now + deadline,
             fingerprint or str(self.key),
         )
@@ -141,6 +141,35 @@
     assert isinstance(driver.end(action, SHED), Finish)
 
 
+REFUSED_EARLY = [{"deadline": 0.0}, {"service": "unknown"}]
+
+
+@pytest.mark.parametrize("fault", REFUSED_EARLY)
+def test_an_order_that_ran_is_never_refused_as_not_run_when_sent_again(driver, fault):
+    driver.end(driver.arrive(repeatable=False, unique="order"), Answered(200, body=b"done"))
+    again = driver.arrive(repeatable=False, unique="order", **fault)
+    assert isinstance(again.verdict, Answered)
+
+
+@pytest.mark.parametrize("fault", REFUSED_EARLY)
+def test_an_order_bound_elsewhere_is_refused_as_not_run_only_on_its_first_send(driver, fault):
+    again = driver.arrive(repeatable=False, vm="other", **fault)
+    assert isinstance(again.verdict, MayHaveRun)
+    first = driver.arrive(repeatable=False, vm="other", first_send=True, **fault)
+    assert isinstance(first.verdict, NotRun)
+
+
+def test_a_host_that_may_not_start_work_tells_of_earlier_sends(driver):
+    refusal = NotRun(Reason.NO_CAPACITY, 0.5)
+    action = driver.arrive(repeatable=False, unique="order")
+    info = driver.core._requests[action.key].request
+    running = driver.core.refuse(info, refusal, driver.now)
+    assert running.reason is Reason.STILL_RUNNING
+    driver.end(action, SHED)
+    new = info._replace(bound_id=RequestId("vm", 1, 0, "new"))
+    assert driver.core.refuse(new, refusal, driver.now) == refusal
+
+
 def test_extra_attempts_stay_within_a_tenth():
     driver = Driver(retry_burst=1.0)
     attempts = 0
--- a/tests/steering/test_parts.py
+++ b/tests/steering/test_parts.py
@@ -195,6 +195,16 @@
     assert views[0].differing(views[1].bucket_digests()) == []
 
 
+def test_an_ended_member_that_one_view_forgot_makes_no_difference():
+    views = [Membership(own=member("own")) for _ in range(2)]
+    for view in views:
+        view.merge(member("a"))
+        view.merge(member("b"))
+        view.merge(member("b", status=Status.DEAD))
+    views[0].forget("b")
+    assert views[0].digest() == views[1].digest()
+
+
 def test_a_suspected_member_clears_itself():
     view = Membership(own=member("own"))
     assert view.merge(member("own", status=Status.SUSPECT))
--- a/tests/steps/faults.py
+++ b/tests/steps/faults.py
@@ -2,6 +2,7 @@
 
 from pytest_bdd import parsers, when
 
+from carawaybank.steering import group
 from tests.steps.world import of
 
 LOWERED_CAP_GRACE_S = 4.0
@@ -208,3 +209,8 @@
 @when("all links are mended")
 def mend(world):
     of(world).fleet.heal()
+
+
+@when(parsers.parse("members that ended are forgotten after {seconds:g} s"))
+def forget_soon(world, seconds, monkeypatch):
+    monkeypatch.setattr(group, "_FORGET_AFTER_S", seconds)
--- a/tests/steps/outcomes.py
+++ b/tests/steps/outcomes.py
@@ -4,6 +4,7 @@
 
 from pytest_bdd import parsers, then
 
+from carawaybank.steering.membership import Status
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun
 from tests.steps.world import of, settle
 
@@ -213,3 +214,22 @@
         for target in of(world).fleet.vms[vm].host.owned_targets()
     ]
     assert sorted(owned) == sorted(of(world).fleet.targets)
+
+
+@then(parsers.parse("every entry VM knows that {vm} ended"))
+def all_know_ended(world, vm):
+    views = [of(world).fleet.vms[name].host.membership for name in awake(world)]
+    assert {view.find(vm).status for view in views} == {Status.DEAD}
+
+
+@then(parsers.parse("no entry VM knows of {vm}"))
+def nobody_knows(world, vm):
+    views = [of(world).fleet.vms[name].host.membership for name in awake(world)]
+    assert [view.find(vm) for view in views if view.find(vm)] == []
+
+
+@then(parsers.parse("no answer for order {order} says that it did not run"))
+def never_refused(world, order):
+    answers = of(world).answers(of(world).orders[order])
+    assert len(answers) > 1
+    assert not [answer for answer in answers if isinstance(answer, NotRun)]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -2,11 +2,4 @@
 
 from pytest_bdd import scenarios
 
-pytest_plugins = [
-    "tests.steps.world",
-    "tests.steps.traffic",
-    "tests.steps.faults",
-    "tests.steps.outcomes",
-]
-
 scenarios("features")
