Make the end of an incarnation final

Ruled out: a lost answer or a slow machine; the two new unit tests fail without any process.

Change: of records of one incarnation, the end ranks above any version. Two constructors were shortened.

Conclusion: a member held for dead cannot come back without a new incarnation.

--- a/src/carawaybank/host.py
+++ b/src/carawaybank/host.py
@@ -64,17 +64,10 @@
         #: Set when owned targets may have changed.
         self.targets_changed = threading.Event()
         rng = random.Random(seed)
-        own = _own_record(settings, incarnation)
-        self.membership = Membership(own=own)
-        self.ownership = Ownership(vm=own.vm, incarnation=incarnation)
+        self.membership = Membership(own=_own_record(settings, incarnation))
+        self.ownership = Ownership(vm=settings.vm, incarnation=incarnation)
         self.log = TicketLog(hold_limit_s=_HOLD_LIMIT_S)
-        self.group = Group(
-            membership=self.membership,
-            ownership=self.ownership,
-            log=self.log,
-            options=GroupOptions(settings.heartbeat_s, settings.suspect_after_s),
-            rng=rng,
-        )
+        self.group = self._make_group(settings, rng)
         options = Options(retry_share=settings.retry_share, ramp_s=settings.ramp_s)
         self.steering = self._make_steering(options, rng)
         self.group.attach(self.steering)
@@ -247,6 +240,15 @@
             self.group.leave()
             self._signal_changes()
 
+    def _make_group(self, settings: Settings, rng: random.Random) -> Group:
+        return Group(
+            membership=self.membership,
+            ownership=self.ownership,
+            log=self.log,
+            options=GroupOptions(settings.heartbeat_s, settings.suspect_after_s),
+            rng=rng,
+        )
+
     def _make_steering(self, options: Options, rng: random.Random) -> Steering:
         return Steering(
             membership=self.membership,
--- a/src/carawaybank/steering/core.py
+++ b/src/carawaybank/steering/core.py
@@ -63,13 +63,12 @@
             rng: Source of draws and jitter.
             started_at: Time of the start, from which id epochs count.
         """
-        own = membership.own
-        self._own = own
+        self._own = membership.own
         self._membership = membership
         self._options = options
         self._started_at = started_at
         self.holdings = Holdings(
-            cell=own.cell,
+            cell=self._own.cell,
             ownership=ownership,
             released=released,
             ramp_s=options.ramp_s,
--- a/src/carawaybank/steering/membership.py
+++ b/src/carawaybank/steering/membership.py
@@ -1,7 +1,8 @@
 """Membership: which entry VMs exist, and which are believed to serve.
 
 Each entry VM's record is ordered by incarnation, version and status, so records merge alike
-everywhere, in any order. A member suspected by others clears itself with a higher version. Digests
+everywhere, in any order. A member suspected by others clears itself with a higher version; one
+that is held for dead cannot. Digests
 by bucket find differences between two views without sending either whole.
 
 Usage::
@@ -57,9 +58,10 @@
     control_address: str
 
     @property
-    def rank(self) -> tuple[int, int, int]:
-        """Order of records of the same entry VM."""
-        return (self.incarnation, self.version, int(self.status))
+    def rank(self) -> tuple[int, bool, int, int]:
+        """Order of records of the same entry VM; the end of an incarnation is final."""
+        ended = self.status is Status.DEAD
+        return (self.incarnation, ended, self.version, int(self.status))
 
     @property
     def is_serving(self) -> bool:
--- a/tests/steering/test_parts.py
+++ b/tests/steering/test_parts.py
@@ -205,6 +205,21 @@
     assert views[0].digest() == views[1].digest()
 
 
+def test_an_end_is_final_whatever_version_it_was_seen_at():
+    view = Membership(own=member("own"))
+    view.merge(member("a"))
+    view.merge(member("a", status=Status.DEAD))
+    assert not view.merge(member("a", version=3))
+    assert view.merge(member("a", incarnation=2))
+
+
+def test_a_member_that_cleared_itself_still_hears_of_its_end():
+    view = Membership(own=member("own"))
+    view.merge(member("own", status=Status.SUSPECT))
+    view.merge(member("own", status=Status.DEAD))
+    assert view.declared_dead
+
+
 def test_a_suspected_member_clears_itself():
     view = Membership(own=member("own"))
     assert view.merge(member("own", status=Status.SUSPECT))
