--- a/benchmarks/test_ratios.py
+++ b/benchmarks/test_ratios.py
@@ -15,7 +15,8 @@
 
 from carawaybank.steering.blocks import BlockMap
 from carawaybank.steering.hashing import fingerprint
-from carawaybank.steering.messages import AttemptEnded, RequestArrived, RequestInfo
+from carawaybank.steering.messages import AttemptEnded, ProbeEnded, RequestArrived, RequestInfo
+from carawaybank.steering.standing import Health
 from carawaybank.verdicts import Answered
 from standins.cluster import Cluster, free_address, running_cluster
 from standins.fleet import Fleet
@@ -59,8 +60,10 @@
             },
         }
     )
-    fleet.now += 30.0
-    fleet.vms["vm"].host.tick()
+    host = fleet.vms["vm"].host
+    host.tick()
+    for target in host.owned_targets():
+        host.handle(ProbeEnded(target.name, Health.SERVING, 0))
     return fleet
 
 
