Do not refuse a forgotten order as not run

Cause: reading admission as a newcomer: an early refusal (deadline passed, service gone, overload) of an id bound here asked the memory and said not run where it found nothing. An id older than what is remembered may have run and been forgotten; a caller told not run would book anew.

Change: not run is said of an own id only while its epoch is still remembered, or on a first send.

Conclusion: a refusal says not run only where a start would be remembered.

--- a/src/carawaybank/steering/admission.py
+++ b/src/carawaybank/steering/admission.py
@@ -43,7 +43,12 @@
 
 
 def refuse(
-    request: RequestInfo, refusal: NotRun, *, memory: RequestMemory, membership: Membership
+    request: RequestInfo,
+    refusal: NotRun,
+    *,
+    memory: RequestMemory,
+    membership: Membership,
+    epoch: int,
 ) -> Verdict:
     """Returns the verdict for a request that is refused before it is admitted.
 
@@ -54,9 +59,11 @@
     if request.repeatable or bound is None:
         return refusal
     own = membership.own
-    if (bound.vm, bound.incarnation) == (own.vm, own.incarnation):
-        return memory.find(bound) or refusal
-    if request.first_send:
+    is_own = (bound.vm, bound.incarnation) == (own.vm, own.incarnation)
+    found = memory.find(bound) if is_own else None
+    if found is not None:
+        return found
+    if request.first_send or (is_own and memory.covers(bound, epoch=epoch)):
         return refusal
     detail = f"not run now, but an earlier send may have: {refusal.detail}"
     return MayHaveRun(refusal.reason, refusal.retry_after_s, detail)
--- a/src/carawaybank/steering/core.py
+++ b/src/carawaybank/steering/core.py
@@ -134,7 +134,13 @@
 
     def refuse(self, request: RequestInfo, refusal: NotRun, now: float) -> Verdict:
         """Returns the verdict for a request that the host or this core will not admit."""
-        verdict = refuse(request, refusal, memory=self.memory, membership=self._membership)
+        verdict = refuse(
+            request,
+            refusal,
+            memory=self.memory,
+            membership=self._membership,
+            epoch=self.epoch(now),
+        )
         self.incidents.note(request, verdict, now)
         return verdict
 
--- a/src/carawaybank/steering/deduplication.py
+++ b/src/carawaybank/steering/deduplication.py
@@ -85,6 +85,10 @@
         """Number of ids remembered."""
         return self._size
 
+    def covers(self, request_id: RequestId, *, epoch: int) -> bool:
+        """Returns whether the id is recent enough that its start would be remembered."""
+        return epoch - self._retention_epochs <= request_id.epoch <= epoch + 1
+
     def start(self, request_id: RequestId, *, epoch: int) -> Admission:
         """Records the start of a request; only ``STARTED`` permits running it.
 
@@ -93,7 +97,7 @@
             epoch: The present epoch.
         """
         self._expire(epoch)
-        if request_id.epoch < epoch - self._retention_epochs or request_id.epoch > epoch + 1:
+        if not self.covers(request_id, epoch=epoch):
             return Admission.EXPIRED
         seen = self._epochs.setdefault(request_id.epoch, {})
         if request_id.unique in seen:
--- a/tests/steering/test_core.py
+++ b/tests/steering/test_core.py
@@ -151,6 +151,15 @@
     assert isinstance(again.verdict, Answered)
 
 
+@pytest.mark.parametrize("fault", REFUSED_EARLY)
+def test_an_order_that_was_forgotten_is_not_refused_as_not_run(driver, fault):
+    driver.end(driver.arrive(repeatable=False, unique="order"), Answered(200, body=b"done"))
+    driver.now = 5000.0
+    driver.arrive(repeatable=False, unique="makes the memory forget")
+    again = driver.arrive(repeatable=False, unique="order", **fault)
+    assert isinstance(again.verdict, MayHaveRun)
+
+
 @pytest.mark.parametrize("fault", REFUSED_EARLY)
 def test_an_order_bound_elsewhere_is_refused_as_not_run_only_on_its_first_send(driver, fault):
     again = driver.arrive(repeatable=False, vm="other", **fault)
