--- a/src/carawaybank/cli.py
+++ b/src/carawaybank/cli.py
@@ -49,8 +49,8 @@
 from carawaybank import documents, settings
 from carawaybank.exceptions import DocumentError
 from carawaybank.operators.documents import FleetStatus, SubmissionResult
-from carawaybank.platform.incidents import IncidentDocument
 from carawaybank.steering.tickets import KINDS, AcceptedTicket, TicketDocument
+from carawaybank.storage.incidents import IncidentDocument
 
 EXIT_FAILED = 1
 EXIT_WRONG_INPUT = 2
--- /dev/null
+++ b/src/carawaybank/client.py
@@ -0,0 +1,352 @@
+"""Client connections over HTTP/1.1, for targets, siblings and the store.
+
+A connection carries one exchange at a time. Answers to earlier exchanges are told apart by an id
+that the peer echoes; a connection on which anything unexpected was seen is not used again.
+"""
+
+import asyncio
+import socket
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import h11
+
+from carawaybank.exceptions import CarawaybankError
+from carawaybank.verdicts import Reason
+
+#: Longest time in milliseconds that sent bytes may stay unacknowledged before the kernel gives up.
+_USER_TIMEOUT_MS = 5_000
+#: Answers to earlier exchanges that are passed over on one connection.
+_MOST_STRAY_ANSWERS = 2
+_MAX_HEAD_BYTES = 65_536
+
+Headers = list[tuple[str, str]]
+
+
+class HttpCall(NamedTuple):
+    """A request to a peer.
+
+    Attributes:
+        method: HTTP method.
+        path: Path with query.
+        headers: All headers, the host's included.
+        body: The whole body.
+        echo: Header and value that the answer must carry; empty for none.
+    """
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes = b""
+    echo: tuple[str, str] = ("", "")
+
+
+class HttpReply(NamedTuple):
+    """A whole answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers with names in lower case.
+        body: The whole body.
+        closes: Whether the peer closes the connection after it.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    closes: bool = False
+
+    def header(self, name: str) -> str | None:
+        """Returns the value of a header, or None."""
+        wanted = name.lower()
+        return next((value for key, value in self.headers if key == wanted), None)
+
+
+class ExchangeError(CarawaybankError):
+    """An exchange ended without a whole answer.
+
+    Attributes:
+        reason: Why.
+        sent: Whether any byte of the request may have reached the peer.
+        heard: Whether any byte of an answer arrived.
+    """
+
+    def __init__(self, *, reason: Reason, message: str, sent: bool, heard: bool = False) -> None:
+        """Describes the failure."""
+        super().__init__(message)
+        self.reason = reason
+        self.sent = sent
+        self.heard = heard
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a peer."""
+
+    def __init__(self) -> None:
+        """Starts unconnected."""
+        self._transport: asyncio.Transport | None = None
+        self._parser: h11.Connection | None = None
+        self._call: HttpCall | None = None
+        self._waiter: asyncio.Future[HttpReply] | None = None
+        self._reply: HttpReply | None = None
+        self._body: list[bytes] = []
+        self._strays = 0
+        self._heard = False
+        self.is_reusable = True
+        self.exchanges = 0
+        self.idle_since = 0.0
+        self.idle_limit_s = 60.0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether it can carry another exchange."""
+        transport = self._transport
+        return self.is_reusable and transport is not None and not transport.is_closing()
+
+    @classmethod
+    async def open(cls, address: str, *, timeout_s: float) -> "ClientConnection":
+        """Opens a connection.
+
+        Args:
+            address: ``IP:PORT`` of the peer.
+            timeout_s: Longest time in seconds.
+
+        Raises:
+            ExchangeError: If the peer refuses or does not answer in time.
+        """
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, connection = await loop.create_connection(cls, host, int(port))
+        except ConnectionRefusedError:
+            message = f"{address} refused the connection"
+            raise ExchangeError(
+                reason=Reason.CONNECTION_REFUSED, message=message, sent=False
+            ) from None
+        except (OSError, ValueError) as error:
+            message = f"no connection to {address}: {type(error).__name__}"
+            raise ExchangeError(reason=Reason.CONNECT_FAILED, message=message, sent=False) from None
+        return connection
+
+    async def exchange(self, call: HttpCall, *, timeout_s: float) -> HttpReply:
+        """Sends a request and returns the whole answer.
+
+        Raises:
+            ExchangeError: If there is no whole answer in time. The connection is then closed.
+        """
+        if not self.is_open or self._transport is None:
+            message = "the connection was closed while idle"
+            raise ExchangeError(reason=Reason.CONNECTION_LOST, message=message, sent=False)
+        self._begin(call)
+        self._transport.write(_encode(call))
+        assert self._waiter is not None
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._waiter
+        except TimeoutError:
+            message = f"no whole answer within {timeout_s:.3f} s"
+            raise ExchangeError(
+                reason=Reason.TIMEOUT, message=message, sent=True, heard=self._heard
+            ) from None
+        finally:
+            self._end()
+
+    def close(self) -> None:
+        """Closes the connection at once, so that the peer drops what it does for it."""
+        self.is_reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of an answer; bytes that nobody waits for end the connection."""
+        if self._waiter is None or self._waiter.done() or self._parser is None:
+            self.close()
+            return
+        self._heard = True
+        self._parser.receive_data(data)
+        self._read_events()
+
+    def eof_received(self) -> bool:
+        """Takes the peer's end of the connection, which may be the end of an answer."""
+        self.is_reusable = False
+        if self._waiter is not None and not self._waiter.done() and self._parser is not None:
+            self._parser.receive_data(b"")
+            self._read_events()
+            self._fail(Reason.CONNECTION_LOST, "the peer closed the connection")
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends a pending exchange."""
+        self.is_reusable = False
+        self._fail(Reason.CONNECTION_LOST, f"the connection broke: {type(exc).__name__}")
+
+    def _begin(self, call: HttpCall) -> None:
+        self._call = call
+        self._parser = _new_parser(call)
+        self._waiter = asyncio.get_running_loop().create_future()
+        self._reply, self._body = None, []
+        self._strays = 0
+        self._heard = False
+        self.exchanges += 1
+
+    def _end(self) -> None:
+        waiter, self._waiter = self._waiter, None
+        finished = waiter is not None and waiter.done() and not waiter.cancelled()
+        transport = self._transport
+        unsent = transport is not None and transport.get_write_buffer_size() > 0
+        if not finished or unsent or not self.is_reusable:
+            self.close()
+        self.idle_since = asyncio.get_running_loop().time()
+
+    def _read_events(self) -> None:
+        try:
+            while self._waiter is not None and not self._waiter.done():
+                assert self._parser is not None
+                event = self._parser.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                self._take_event(event)
+        except h11.RemoteProtocolError as error:
+            reason = Reason.ANSWER_TRUNCATED if self._reply else Reason.CONNECTION_LOST
+            self._fail(reason, f"the answer is damaged: {error}")
+
+    def _take_event(self, event: object) -> None:
+        if isinstance(event, h11.Response):
+            headers = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers]
+            self._reply = HttpReply(event.status_code, headers, b"")
+        elif isinstance(event, h11.Data):
+            self._body.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._finish()
+        elif isinstance(event, h11.ConnectionClosed):
+            self._fail(Reason.CONNECTION_LOST, "the peer closed the connection")
+
+    def _finish(self) -> None:
+        assert self._parser and self._reply and self._call and self._waiter
+        trailing, _ = self._parser.trailing_data
+        name, value = self._call.echo
+        found = self._reply.header(name) if name else None
+        if name and found is not None and found != value:
+            self._skip(trailing)
+            return
+        closes = self._parser.their_state is not h11.DONE
+        if trailing or closes or self._strays:
+            self.is_reusable = False
+        self._note_keep_alive(self._reply)
+        self._waiter.set_result(self._reply._replace(body=b"".join(self._body), closes=closes))
+
+    def _skip(self, trailing: bytes) -> None:
+        """Passes over an answer to an earlier exchange."""
+        self._strays += 1
+        assert self._call is not None and self._parser is not None
+        ended = self._parser.their_state is not h11.DONE
+        if self._strays > _MOST_STRAY_ANSWERS or ended:
+            self._fail(Reason.ANSWER_CROSSED, "the answer carries another request's id")
+            return
+        self._reply, self._body = None, []
+        self._parser = _new_parser(self._call)
+        if trailing:
+            self._parser.receive_data(trailing)
+
+    def _note_keep_alive(self, reply: HttpReply) -> None:
+        for item in (reply.header("keep-alive") or "").split(","):
+            name, _, value = item.strip().partition("=")
+            if name == "timeout" and value.isdigit():
+                self.idle_limit_s = float(value)
+
+    def _fail(self, reason: Reason, message: str) -> None:
+        self.is_reusable = False
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(
+                ExchangeError(reason=reason, message=message, sent=True, heard=self._heard)
+            )
+
+
+class ClientPool:
+    """Idle connections by peer."""
+
+    #: Part of the peer's idle limit after which a connection is not used any more.
+    IDLE_PART = 0.7
+    #: Longest idle time in seconds, below that of any target seen.
+    MAX_IDLE_S = 7.0
+    #: Idle connections kept for a peer.
+    MAX_IDLE = 16
+
+    def __init__(self) -> None:
+        """Starts without connections."""
+        self._idle: dict[str, list[ClientConnection]] = {}
+
+    def take(self, peer: str, *, max_idle_s: float = MAX_IDLE_S) -> ClientConnection | None:
+        """Returns the connection to a peer that was used last, if it is fresh enough."""
+        now = asyncio.get_running_loop().time()
+        idle = self._idle.get(peer, [])
+        while idle:
+            connection = idle.pop()
+            age_s = now - connection.idle_since
+            limit_s = min(self.MAX_IDLE_S, self.IDLE_PART * connection.idle_limit_s)
+            if connection.is_open and age_s <= limit_s:
+                if age_s <= max_idle_s:
+                    return connection
+                idle.append(connection)
+                return None
+            connection.close()
+        return None
+
+    def put(self, peer: str, connection: ClientConnection) -> None:
+        """Takes back a connection after an exchange."""
+        idle = self._idle.setdefault(peer, [])
+        if connection.is_open and len(idle) < self.MAX_IDLE:
+            idle.append(connection)
+        else:
+            connection.close()
+
+    def drop(self, peer: str) -> None:
+        """Closes the idle connections to a peer."""
+        for connection in self._idle.pop(peer, []):
+            connection.close()
+
+    def close_idle(self) -> None:
+        """Closes connections that were idle for too long."""
+        now = asyncio.get_running_loop().time()
+        for peer, idle in list(self._idle.items()):
+            fresh: list[ClientConnection] = []
+            for connection in idle:
+                limit_s = min(self.MAX_IDLE_S, self.IDLE_PART * connection.idle_limit_s)
+                if connection.is_open and now - connection.idle_since <= limit_s:
+                    fresh.append(connection)
+                else:
+                    connection.close()
+            if fresh:
+                self._idle[peer] = fresh
+            else:
+                del self._idle[peer]
+
+
+def _new_parser(call: HttpCall) -> h11.Connection:
+    """Returns a parser of answers to a call, which is marked as sent."""
+    parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
+    parser.send(h11.Request(method=call.method, target="/", headers=[("host", "peer")]))
+    parser.send(h11.EndOfMessage())
+    return parser
+
+
+def _encode(call: HttpCall) -> bytes:
+    """Returns the bytes of a request."""
+    writer = h11.Connection(h11.CLIENT)
+    headers: Iterable[tuple[str, str]] = call.headers
+    if call.body or call.method not in {"GET", "HEAD", "DELETE"}:
+        headers = [*call.headers, ("Content-Length", str(len(call.body)))]
+    head = writer.send(h11.Request(method=call.method, target=call.path, headers=list(headers)))
+    assert head is not None
+    if not call.body:
+        return head
+    return head + (writer.send(h11.Data(data=call.body)) or b"")
--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -37,14 +37,14 @@
 from carawaybank.metrics import Metrics
 from carawaybank.operators.app import OperatorsApp
 from carawaybank.operators.readback import ReadBack
-from carawaybank.platform import HttpObjectStore, HttpTable, HttpVmList, Platform
-from carawaybank.platform.adapters import PlatformClient
-from carawaybank.platform.tasks import PlatformTask
-from carawaybank.platform.tickets import TicketStore
 from carawaybank.settings import Settings, load
 from carawaybank.siblings.app import SiblingsApp
 from carawaybank.siblings.client import SiblingClient
 from carawaybank.siblings.tasks import SiblingTask
+from carawaybank.storage import HttpObjectStore, HttpTable, HttpVmList, Platform
+from carawaybank.storage.adapters import PlatformClient
+from carawaybank.storage.tasks import PlatformTask
+from carawaybank.storage.tickets import TicketStore
 from carawaybank.targets.client import TargetClient
 from carawaybank.targets.tasks import ProbeTask
 from carawaybank.transport import ConnectionPool
--- /dev/null
+++ b/src/carawaybank/entry.py
@@ -0,0 +1,151 @@
+"""An entry VM: answers callers' requests with what the router decides.
+
+The router is pure; this module performs its actions over sockets. Each request is one task, which
+ends early when its caller leaves.
+"""
+
+import asyncio
+import itertools
+from typing import Protocol
+
+from carawaybank.callers.front import CallerRequest
+from carawaybank.client import Headers, HttpCall, HttpReply
+from carawaybank.journal import Journal
+from carawaybank.metrics import Metrics
+from carawaybank.routing.catalogue import Limits
+from carawaybank.routing.messages import Action, AttemptResult, Finish, Request, Send
+from carawaybank.routing.router import Router
+from carawaybank.targets.sender import TargetDialect, TargetSender
+from carawaybank.verdicts import Answered, MayHaveRun, NotRun
+
+
+class Dialect(TargetDialect, Protocol):
+    """Reads callers' requests and writes the answers that no target gave."""
+
+    def read_request(self, request: CallerRequest, *, key: int) -> Request:
+        """Returns what routing needs to know of a request."""
+
+    def forward(self, request: CallerRequest) -> HttpCall:
+        """Returns the request as it goes to any target."""
+
+    def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
+        """Returns the headers of an answer that no target gave."""
+
+
+class EntryVm:
+    """Serves callers' requests."""
+
+    def __init__(
+        self,
+        *,
+        router: Router,
+        sender: TargetSender,
+        dialect: Dialect,
+        journal: Journal,
+        metrics: Metrics,
+    ) -> None:
+        """Takes the parts.
+
+        Args:
+            router: Decides.
+            sender: Performs attempts at targets.
+            dialect: How callers speak.
+            journal: Where decisions are noted.
+            metrics: Counts requests.
+        """
+        self._router = router
+        self._sender = sender
+        self._dialect = dialect
+        self._journal = journal
+        self._keys = itertools.count(1)
+        self._metrics = metrics
+        self.is_stopping = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether requests can be served."""
+        return not self.is_stopping and self._router.configuration is not None
+
+    @property
+    def limits(self) -> Limits:
+        """Limits of callers' connections."""
+        configuration = self._router.configuration
+        return configuration.limits if configuration else Limits()
+
+    async def handle(self, request: CallerRequest) -> HttpReply:
+        """Answers a request; cancelled when its caller leaves."""
+        loop = asyncio.get_running_loop()
+        arrived = loop.time()
+        info = self._dialect.read_request(request, key=next(self._keys))
+        call = self._dialect.forward(request)
+        try:
+            finish = await self._run(info, call)
+        except asyncio.CancelledError:
+            self._router.abandon(info.key, loop.time())
+            self._metrics.count_abandoned()
+            self._journal.note("request", "caller left", id=info.request_id)
+            raise
+        self._note(info, finish, loop.time() - arrived)
+        return self._reply(info, finish)
+
+    async def _run(self, info: Request, call: HttpCall) -> Finish:
+        loop = asyncio.get_running_loop()
+        action: Action = self._router.arrive(info, loop.time())
+        while isinstance(action, Send):
+            sent = action
+            result = await self._send(info, sent, call)
+            self._learn_distances()
+            action = self._router.end_attempt(info.key, result, loop.time())
+            if not isinstance(result.verdict, Answered) or isinstance(action, Send):
+                self._note_attempt(info, sent, result)
+        return action
+
+    async def _send(self, info: Request, sent: Send, call: HttpCall) -> AttemptResult:
+        region = self._router.region_of(sent.target_id)
+        distance_s = self._router.distances.find(sent.failure_domain, region)
+        attempt = self._sender.send(sent, call, distance_s=distance_s)
+        if sent.repeatable:
+            return await attempt
+        # Work that must not be repeated is not broken off when the caller leaves.
+        return await asyncio.shield(asyncio.ensure_future(attempt))
+
+    def _learn_distances(self) -> None:
+        while self._sender.connect_times:
+            failure_domain, seconds = self._sender.connect_times.pop()
+            self._router.distances.note(failure_domain, seconds)
+
+    def _reply(self, info: Request, finish: Finish) -> HttpReply:
+        verdict = finish.verdict
+        if isinstance(verdict, Answered):
+            return HttpReply(verdict.status, list(verdict.headers), verdict.body)
+        retry_after_s = verdict.retry_after_s if finish.status == 503 else None
+        headers = self._dialect.refusal_headers(info.request_id, retry_after_s)
+        return HttpReply(finish.status, headers, f"{verdict.reason}: {verdict.detail}\n".encode())
+
+    def _note_attempt(self, info: Request, sent: Send, result: AttemptResult) -> None:
+        verdict = result.verdict
+        outcome = verdict.status if isinstance(verdict, Answered) else str(verdict.reason)
+        self._journal.note(
+            "request",
+            "attempt failed",
+            id=info.request_id,
+            target=sent.target_id,
+            outcome=outcome,
+            ms=round(result.latency_s * 1000),
+        )
+
+    def _note(self, info: Request, finish: Finish, latency_s: float) -> None:
+        verdict = finish.verdict
+        self._metrics.count_request(finish.service, verdict, latency_s)
+        fields: dict[str, object] = {"id": info.request_id, "status": finish.status}
+        if isinstance(verdict, NotRun | MayHaveRun):
+            fields["reason"] = str(verdict.reason)
+            fields["detail"] = verdict.detail
+        if isinstance(verdict, NotRun):
+            fields["retry_after_s"] = round(verdict.retry_after_s, 2)
+        else:
+            fields["target"] = finish.target_id
+        configuration = self._router.configuration
+        fields["config"] = configuration.version if configuration else None
+        fields["ms"] = round(latency_s * 1000)
+        self._journal.note("request", "answered", **fields)
--- a/src/carawaybank/metrics.py
+++ b/src/carawaybank/metrics.py
@@ -5,7 +5,6 @@
 from typing import NamedTuple
 
 from hdrh.histogram import HdrHistogram
-from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
@@ -47,10 +46,16 @@
         self._attempts: Counter[str] = Counter()
         self._latencies: dict[str, HdrHistogram] = {}
         self._lookups = 0
+        self._abandoned = 0
         self._control_bytes = 0
         self._ticket = 0
         readers: list[MetricReader] = [PrometheusMetricReader()]
         if otlp_endpoint:
+            # Imported here because it costs every other daemon start-up time and memory.
+            from opentelemetry.exporter.otlp.proto.http.metric_exporter import (  # noqa: PLC0415
+                OTLPMetricExporter,
+            )
+
             exporter = OTLPMetricExporter(endpoint=otlp_endpoint)
             readers.append(PeriodicExportingMetricReader(exporter))
         resource = Resource.create({"service.name": "carawaybankd", "service.instance.id": vm})
@@ -59,6 +64,7 @@
         counter, gauge = meter.create_observable_counter, meter.create_observable_gauge
         counter("carawaybank.requests", [self._observe_requests], description="by verdict")
         counter("carawaybank.attempts", [self._observe_attempts], description="at targets")
+        counter("carawaybank.requests.abandoned", [lambda _: [Observation(self._abandoned)]])
         counter("carawaybank.lookups", [lambda _: [Observation(self._lookups)]])
         counter("carawaybank.control.bytes", [lambda _: [Observation(self._control_bytes)]], "By")
         gauge("carawaybank.ticket", [lambda _: [Observation(self._ticket)]])
@@ -90,6 +96,10 @@
         """Records the ticket in force."""
         self._ticket = number
 
+    def count_abandoned(self) -> None:
+        """Counts a request whose caller left."""
+        self._abandoned += 1
+
     def count_lookup(self) -> None:
         """Counts a look-up of entry VMs."""
         with self._lock:
--- a/src/carawaybank/operators/app.py
+++ b/src/carawaybank/operators/app.py
@@ -8,9 +8,9 @@
 from carawaybank.host import Host
 from carawaybank.operators.documents import SubmissionResult
 from carawaybank.operators.readback import STATUS_PATH, ReadBack
-from carawaybank.platform.tasks import PlatformTask
-from carawaybank.platform.tickets import Accepted, Submission, TicketStore
 from carawaybank.steering.tickets import AcceptedTicket, TicketDocument
+from carawaybank.storage.tasks import PlatformTask
+from carawaybank.storage.tickets import Accepted, Submission, TicketStore
 from carawaybank.web import (
     BadRequestError,
     Router,
--- a/src/carawaybank/platform/__init__.py
+++ b/src/carawaybank/platform/__init__.py
@@ -1,17 +1,1 @@
-"""The platform: table service, object store and list of VMs, each behind a protocol."""
-
-from carawaybank.platform.adapters import HttpObjectStore, HttpTable, HttpVmList
-from carawaybank.platform.models import ListedVm, ObjectStore, Platform, Row, Table, VmList, Write
-
-__all__ = [
-    "HttpObjectStore",
-    "HttpTable",
-    "HttpVmList",
-    "ListedVm",
-    "ObjectStore",
-    "Platform",
-    "Row",
-    "Table",
-    "VmList",
-    "Write",
-]
+"""The adapter to the users' platform: the only package that knows its names."""
--- /dev/null
+++ b/src/carawaybank/platform/checks.py
@@ -0,0 +1,73 @@
+"""Health checks of targets that failed, until they pass."""
+
+import asyncio
+
+from carawaybank.client import ClientConnection, ExchangeError
+from carawaybank.journal import Journal
+from carawaybank.platform.dialect import PlatformDialect
+from carawaybank.routing.fleet import Target
+from carawaybank.routing.router import Router
+
+#: Seconds between looks for targets that are due.
+_LOOK_S = 0.2
+#: Longest time in seconds of a health check.
+_TIMEOUT_S = 0.8
+
+
+class HealthChecks:
+    """Checks failed targets; healthy ones are judged by their answers alone."""
+
+    def __init__(self, *, router: Router, journal: Journal) -> None:
+        """Takes the parts.
+
+        Args:
+            router: Knows the targets.
+            journal: Where changes are noted.
+        """
+        self._router = router
+        self._journal = journal
+        self._dialect = PlatformDialect()
+        self._running: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Checks until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_LOOK_S)
+            now = loop.time()
+            for target in self._router.targets.all.values():
+                if target.is_down and now >= target.next_check:
+                    target.fail(now=now)
+                    task = asyncio.create_task(self._check(target))
+                    self._running.add(task)
+                    task.add_done_callback(self._running.discard)
+
+    async def _check(self, target: Target) -> None:
+        configuration = self._router.configuration
+        service = configuration.services.get(target.entry.service) if configuration else None
+        if service is None:
+            return
+        address = target.entry.address
+        call = self._dialect.health_call(service.health_path, address=address)
+        try:
+            connection = await ClientConnection.open(address, timeout_s=_TIMEOUT_S)
+            try:
+                reply = await connection.exchange(call, timeout_s=_TIMEOUT_S)
+            finally:
+                connection.close()
+        except ExchangeError as error:
+            self._note(target, "check failed", str(error))
+            return
+        health = self._dialect.read_health(reply)
+        now = asyncio.get_running_loop().time()
+        if health.target_id and health.target_id != target.entry.target_id:
+            self._note(target, "address taken", health.target_id)
+            self._router.targets.remove(target.entry.target_id)
+        elif health.is_healthy:
+            if health.cold_left_s:
+                target.set_cold(health.cold_left_s, now=now)
+            target.recover()
+            self._note(target, "recovered", f"cold for {health.cold_left_s} s")
+
+    def _note(self, target: Target, event: str, reason: str) -> None:
+        self._journal.note("checks", event, target=target.entry.target_id, reason=reason)
--- /dev/null
+++ b/src/carawaybank/platform/node.py
@@ -0,0 +1,287 @@
+"""One entry VM on the platform: its tasks and listeners, from start to stop."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+from collections.abc import Coroutine
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from carawaybank.callers.front import CallerConnection, CallerRequest, Gate
+from carawaybank.callers.listeners import listen, serve_text
+from carawaybank.client import HttpReply
+from carawaybank.deployment import Deployment
+from carawaybank.entry import EntryVm
+from carawaybank.exceptions import DocumentError
+from carawaybank.journal import Journal
+from carawaybank.metrics import Metrics, scrape
+from carawaybank.platform import decoding
+from carawaybank.platform.checks import HealthChecks
+from carawaybank.platform.dialect import PlatformDialect
+from carawaybank.platform.registry import Registry
+from carawaybank.platform.store import StoreClient, StoreError
+from carawaybank.platform.watch import Changes, TableWatch
+from carawaybank.routing.router import Router, RouterOptions
+from carawaybank.siblings.heartbeat import HeartbeatTask
+from carawaybank.siblings.vms import VmDirectory, VmRecord
+from carawaybank.targets.sender import TargetSender
+
+_OPERATORS_TABLE = "op"
+_TARGETS_TABLE = "servers"
+_VMS_TABLE = "entry-vms"
+#: Seconds before the kill by which the process has ended.
+_STOP_MARGIN_S = 0.5
+#: Seconds after the signal for which idle connections stay open: callers look up again meanwhile.
+_LINGER_S = 2.5
+#: Seconds between checks of idle and slow connections.
+_TIDY_S = 0.5
+#: Seconds for which callers may keep the answer to a look-up.
+_LOOKUP_TTL_S = 2.0
+#: Port of the metrics, as in the deploy file.
+_METRICS_PORT = 9464
+_JSON = [("content-type", "application/json")]
+
+
+class Node:
+    """Runs an entry VM."""
+
+    def __init__(self, *, deployment: Deployment) -> None:
+        """Builds the parts.
+
+        Args:
+            deployment: The settings.
+        """
+        self._deployment = deployment
+        self._journal = Journal(vm=deployment.vm)
+        self._metrics = Metrics(vm=deployment.vm)
+        self._rng = random.Random(f"{deployment.vm}.{time.time_ns()}")
+        self._router = Router(options=_options(deployment), rng=self._rng)
+        self._store = StoreClient(address=deployment.store_address)
+        self._vms = VmDirectory(own=_own_record(deployment))
+        self._sender = TargetSender(dialect=PlatformDialect())
+        self._vm = EntryVm(
+            router=self._router,
+            sender=self._sender,
+            dialect=PlatformDialect(),
+            journal=self._journal,
+            metrics=self._metrics,
+        )
+        self._registry = Registry(
+            router=self._router,
+            regions=deployment.regions,
+            lapse_grace_s=deployment.lapse_grace_s,
+            journal=self._journal,
+        )
+        self._checks = HealthChecks(router=self._router, journal=self._journal)
+        self._evacuations: set[str] = set()
+        self._connections: set[CallerConnection] = set()
+        self._stopped = asyncio.Event()
+        self._heartbeat = HeartbeatTask(vms=self._vms, on_change=self._note_vm)
+
+    async def run(self) -> None:
+        """Serves until a signal to stop, and ends what is under way."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopped.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopped.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._journal.note("daemon", "started", **self._deployment._asdict())
+        servers = await self._listen()
+        watches = [
+            self._watch(_OPERATORS_TABLE, self._take_operators),
+            self._watch(_TARGETS_TABLE, self._registry.take),
+            self._watch(_VMS_TABLE, self._take_vms),
+        ]
+        jobs: list[Coroutine[Any, Any, None]] = [watch.run() for watch in watches]
+        jobs += [self._register(), self._heartbeat.run(), self._checks.run(), self._tidy()]
+        tasks = [asyncio.create_task(job) for job in jobs]
+        for task in tasks:
+            task.add_done_callback(self._end_on_failure)
+        await self._stopped.wait()
+        await self._stop(servers)
+        for task in tasks:
+            task.cancel()
+
+    def _end_on_failure(self, task: "asyncio.Task[None]") -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._journal.note("daemon", "task failed", reason=repr(task.exception()))
+            self._stopped.set()
+
+    async def _listen(self) -> list[asyncio.Server]:
+        deployment = self._deployment
+        loop = asyncio.get_running_loop()
+        sibling_address = (deployment.ip, deployment.sibling_port)
+        await loop.create_datagram_endpoint(lambda: self._heartbeat, local_addr=sibling_address)
+        gate = Gate(
+            handle=self._vm.handle,
+            limits=lambda: self._vm.limits,
+            is_closing=lambda: self._vm.is_stopping,
+        )
+        metrics_address = f"{deployment.ip}:{_METRICS_PORT}"
+        return [
+            await listen(
+                deployment.callers_address,
+                lambda: CallerConnection(gate=gate, connections=self._connections),
+            ),
+            await listen(deployment.ready_address, serve_text(self._answer_ready)),
+            await listen(deployment.directory_address, serve_text(self._answer_lookup)),
+            await listen(metrics_address, serve_text(self._answer_metrics)),
+        ]
+
+    def _watch(self, table: str, on_changes: Any) -> TableWatch:
+        return TableWatch(
+            store=self._store,
+            table=table,
+            on_changes=on_changes,
+            journal=self._journal,
+            rng=self._rng,
+        )
+
+    def _take_operators(self, changes: Changes) -> None:
+        if changes.whole:
+            self._evacuations = set()
+        for row in changes.rows:
+            failure_domain = decoding.read_evacuation(row.key)
+            if failure_domain is not None and row.removed:
+                self._evacuations.discard(failure_domain)
+            elif failure_domain is not None:
+                self._evacuations.add(failure_domain)
+            elif row.key == decoding.CONFIGURATION_KEY and not row.removed:
+                self._configure(row.value)
+        if frozenset(self._evacuations) != self._router.targets.evacuated:
+            self._journal.note("routing", "evacuated", failure_domains=sorted(self._evacuations))
+            self._router.targets.evacuate(frozenset(self._evacuations))
+
+    def _configure(self, value: bytes) -> None:
+        try:
+            configuration = decoding.read_configuration(value)
+        except DocumentError as error:
+            self._journal.note("config", "passed over", reason=str(error))
+            return
+        if self._router.configure(configuration):
+            self._metrics.set_ticket(configuration.version)
+            self._journal.note("config", "installed", version=configuration.version)
+
+    def _take_vms(self, changes: Changes) -> None:
+        now = asyncio.get_running_loop().time()
+        present = set()
+        for row in changes.rows:
+            if row.removed:
+                self._vms.remove(row.key, now=now)
+                continue
+            try:
+                record = msgspec.json.decode(row.value, type=VmRecord)
+            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+                self._journal.note("siblings", "row passed over", vm=row.key, reason=str(error))
+                continue
+            present.add(row.key)
+            if self._vms.update(record, now=now):
+                self._note_vm(record)
+        if changes.whole:
+            for record in self._vms.others:
+                if record.vm not in present:
+                    self._vms.remove(record.vm, now=now)
+        self._router.senders = self._vms.count(now=now)
+
+    def _note_vm(self, record: VmRecord) -> None:
+        self._journal.note("siblings", "vm changed", **record._asdict())
+        self._router.senders = self._vms.count(now=asyncio.get_running_loop().time())
+
+    async def _register(self) -> None:
+        """Writes the row of this VM, again until the store confirms it."""
+        while True:
+            value = msgspec.json.encode(self._vms.own)
+            try:
+                await self._store.put(_VMS_TABLE, self._vms.own.vm, value)
+            except StoreError as error:
+                self._journal.note("store", "registration failed", reason=str(error))
+                await asyncio.sleep(self._rng.uniform(0.3, 0.8))
+            else:
+                return
+
+    async def _tidy(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_TIDY_S)
+            self._sender.pool.close_idle()
+            for connection in list(self._connections):
+                connection.check_timeouts(loop.time())
+
+    async def _stop(self, servers: list[asyncio.Server]) -> None:
+        """Leaves the look-ups first, answers what callers still send, then ends."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        self._journal.note("daemon", "stopping", connections=len(self._connections))
+        self._vm.is_stopping = True
+        self._vms.stop()
+        self._heartbeat.send()
+        deregistration = asyncio.create_task(self._deregister())
+        end = started + self._deployment.stop_within_s - _STOP_MARGIN_S
+        while loop.time() < end:
+            await asyncio.sleep(0.1)
+            if loop.time() - started < _LINGER_S:
+                continue
+            for connection in list(self._connections):
+                if connection.is_idle:
+                    connection.close()
+            if not self._connections and self._router.is_idle:
+                break
+        deregistration.cancel()
+        for server in servers:
+            server.close()
+        self._journal.note("daemon", "stopped", after_s=round(loop.time() - started, 2))
+
+    async def _deregister(self) -> None:
+        with contextlib.suppress(StoreError):  # siblings heard it from the last heartbeat
+            await self._store.remove(_VMS_TABLE, self._vms.own.vm)
+
+    def _reload(self) -> None:
+        self._journal.note("daemon", "reload requested")
+
+    def _answer_ready(self, request: CallerRequest) -> HttpReply:
+        ready = self._vm.is_ready and self._registry.is_loaded
+        return HttpReply(200 if ready else 503, [("content-type", "text/plain")], b"")
+
+    def _answer_lookup(self, request: CallerRequest) -> HttpReply:
+        self._metrics.count_lookup()
+        query = parse_qs(urlsplit(request.path).query)
+        failure_domain = query.get("zone", [""])[0]
+        region = query.get("region", [""])[0]
+        now = asyncio.get_running_loop().time()
+        records = self._vms.find(failure_domain, region, now=now)
+        if not records:
+            return HttpReply(503, _JSON, b"{}")
+        ttl_s = min(_LOOKUP_TTL_S, self._deployment.lookup_ttl_s)
+        body = {"addrs": [record.callers_address for record in records], "ttlS": ttl_s}
+        return HttpReply(200, _JSON, msgspec.json.encode(body))
+
+    def _answer_metrics(self, request: CallerRequest) -> HttpReply:
+        return HttpReply(200, [("content-type", "text/plain; version=0.0.4")], scrape())
+
+
+def _own_record(deployment: Deployment) -> VmRecord:
+    return VmRecord(
+        vm=deployment.vm,
+        callers_address=deployment.callers_address,
+        sibling_address=f"{deployment.ip}:{deployment.sibling_port}",
+        failure_domain=deployment.failure_domain,
+        region=deployment.region,
+        incarnation=time.time_ns() // 1_000_000,
+    )
+
+
+def _options(deployment: Deployment) -> RouterOptions:
+    return RouterOptions(
+        failure_domain=deployment.failure_domain,
+        region=deployment.region,
+        vm=deployment.vm,
+        retry_share=deployment.retry_share,
+        retry_slack=deployment.retry_slack,
+        retry_window_s=deployment.retry_window_s,
+        cold_factor=deployment.cold_factor,
+        cold_slack=deployment.cold_slack,
+        shift_rate=deployment.most_shift / 3,
+    )
--- /dev/null
+++ b/src/carawaybank/platform/store.py
@@ -0,0 +1,184 @@
+"""The client of the platform's store."""
+
+import asyncio
+import base64
+from typing import NamedTuple, TypedDict
+from urllib.parse import urlencode
+
+import msgspec
+
+from carawaybank.client import ClientConnection, ClientPool, ExchangeError, HttpCall, HttpReply
+from carawaybank.exceptions import CarawaybankError
+
+#: Longest time in seconds for a call that does not wait for news.
+_CALL_TIMEOUT_S = 2.0
+_CONNECT_TIMEOUT_S = 1.0
+_PAGE = 500
+
+
+class StoreError(CarawaybankError):
+    """The store did not perform a call, or nobody knows whether it did.
+
+    Attributes:
+        status: HTTP status; 0 without an answer.
+    """
+
+    def __init__(self, *, message: str, status: int = 0) -> None:
+        """Describes the failure."""
+        super().__init__(message)
+        self.status = status
+
+
+class HistoryGoneError(StoreError):
+    """The store no longer knows the changes since the version asked for."""
+
+
+class Row(NamedTuple):
+    """A row of a table.
+
+    Attributes:
+        key: Its key.
+        value: Its bytes; empty if it was removed.
+        version: Its version.
+        removed: Whether it was removed.
+    """
+
+    key: str
+    value: bytes
+    version: int
+    removed: bool
+
+
+class Rows(NamedTuple):
+    """Rows of a table as of a version of the store."""
+
+    rows: list[Row]
+    version: int
+
+
+class _WireRow(TypedDict, total=False):
+    key: str
+    #: Base64.
+    value: str
+    ver: int
+    deleted: bool
+
+
+class _WireRows(TypedDict, total=False):
+    rows: list[_WireRow]
+    hasMore: bool
+    #: The newest version of the whole store, not that of a row.
+    ver: int
+
+
+class StoreClient:
+    """Reads, watches and writes rows."""
+
+    def __init__(self, *, address: str) -> None:
+        """Takes the store's address.
+
+        Args:
+            address: ``IP:PORT``.
+        """
+        self._address = address
+        self._pool = ClientPool()
+        #: Calls by path, for metrics.
+        self.calls: dict[str, int] = {}
+
+    async def read(self, table: str) -> Rows:
+        """Returns all rows of a table.
+
+        Raises:
+            StoreError: If the store does not answer.
+        """
+        rows: list[Row] = []
+        query = {"table": table, "part": "", "limit": str(_PAGE)}
+        first_version = 0
+        while True:
+            reply = await self._call("GET", f"/rows-get?{urlencode(query)}")
+            page = _decode(reply)
+            rows.extend(_row(raw) for raw in page.get("rows", []))
+            first_version = first_version or page.get("ver", 0)
+            if not page.get("hasMore") or not rows:
+                return Rows(rows, first_version)
+            query["from"] = rows[-1].key + "\x00"
+
+    async def watch(self, table: str, *, after: int, wait_s: float) -> Rows:
+        """Returns the rows that changed after a version, once there are any.
+
+        Raises:
+            HistoryGoneError: If the changes since then are not known any more.
+            StoreError: If the store does not answer.
+        """
+        query = {"table": table, "after": str(after), "waitMs": str(int(wait_s * 1000))}
+        timeout_s = wait_s + _CALL_TIMEOUT_S
+        reply = await self._call("GET", f"/rows-feed?{urlencode(query)}", timeout_s=timeout_s)
+        page = _decode(reply)
+        return Rows([_row(raw) for raw in page.get("rows", [])], page.get("ver", after))
+
+    async def put(self, table: str, key: str, value: bytes) -> None:
+        """Writes a row.
+
+        Raises:
+            StoreError: If the store did not confirm it.
+        """
+        row = {"table": table, "part": "", "key": key, "value": base64.b64encode(value).decode()}
+        await self._change(puts=[row], remove=[])
+
+    async def remove(self, table: str, key: str) -> None:
+        """Removes a row.
+
+        Raises:
+            StoreError: If the store did not confirm it.
+        """
+        await self._change(puts=[], remove=[{"table": table, "part": "", "key": key}])
+
+    async def _change(self, *, puts: list[dict[str, str]], remove: list[dict[str, str]]) -> None:
+        body = msgspec.json.encode({"expect": [], "puts": puts, "remove": remove})
+        await self._call("POST", "/rows-tx", body=body)
+
+    async def _call(
+        self, method: str, path: str, *, body: bytes = b"", timeout_s: float = _CALL_TIMEOUT_S
+    ) -> HttpReply:
+        name = path.partition("?")[0]
+        self.calls[name] = self.calls.get(name, 0) + 1
+        headers = [("Host", self._address)]
+        if body:
+            headers.append(("Content-Type", "application/json"))
+        call = HttpCall(method, path, headers, body)
+        try:
+            reply = await self._exchange(call, timeout_s)
+        except ExchangeError as error:
+            raise StoreError(message=f"{name}: {error}") from None
+        if reply.status == 410:
+            raise HistoryGoneError(message=f"{name}: history is gone", status=410)
+        if reply.status != 200:
+            raise StoreError(message=f"{name}: status {reply.status}", status=reply.status)
+        return reply
+
+    async def _exchange(self, call: HttpCall, timeout_s: float) -> HttpReply:
+        connection = self._pool.take(self._address)
+        if connection is None:
+            connection = await ClientConnection.open(self._address, timeout_s=_CONNECT_TIMEOUT_S)
+        try:
+            reply = await connection.exchange(call, timeout_s=timeout_s)
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        self._pool.put(self._address, connection)
+        return reply
+
+
+def _decode(reply: HttpReply) -> _WireRows:
+    try:
+        return msgspec.json.decode(reply.body, type=_WireRows)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise StoreError(message=f"an answer cannot be read: {error}") from None
+
+
+def _row(raw: _WireRow) -> Row:
+    try:
+        value = base64.b64decode(raw.get("value", "") or "")
+    except ValueError:
+        value = b""
+    return Row(raw.get("key", ""), value, raw.get("ver", 0), bool(raw.get("deleted")))
--- /dev/null
+++ b/src/carawaybank/routing/fleet.py
@@ -0,0 +1,159 @@
+"""What an entry VM knows of the targets: what they announced and how they answered."""
+
+import math
+from collections import OrderedDict
+from typing import NamedTuple
+
+#: Objects that a target is taken to remember; fewer than any site's targets keep.
+REMEMBERED_OBJECTS = 24
+#: Time in seconds in which a report of other callers' requests loses half of its weight.
+REPORT_HALF_LIFE_S = 2.0
+#: Weight of the newest sample in the moving averages of a target.
+SAMPLE_WEIGHT = 0.25
+#: Bounds of a target's measured slowness, so that one sample cannot rule it out for good.
+SLOWNESS_RANGE = (0.6, 20.0)
+#: First and longest pause in seconds before a failed target is checked again.
+CHECK_PAUSES_S = (0.4, 3.0)
+
+
+class TargetEntry(NamedTuple):
+    """What a target announces of itself.
+
+    Attributes:
+        target_id: Its id.
+        service: Service that it runs.
+        address: ``IP:PORT``.
+        failure_domain: Where it stands.
+        region: Region of the failure domain.
+        slots: Requests that it runs at a time.
+        draining: Whether it is leaving.
+        cold_left_s: Seconds for which it stays cold.
+        incarnation: Start of the process; a higher one replaces a lower one.
+        sequence: Number of the announcement within the incarnation.
+    """
+
+    target_id: str
+    service: str
+    address: str
+    failure_domain: str
+    region: str
+    slots: int
+    draining: bool = False
+    cold_left_s: float = 0.0
+    incarnation: int = 0
+    sequence: int = 0
+
+
+class LoadReport(NamedTuple):
+    """What a target said of its load in an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class Target:
+    """A target as this entry VM sees it."""
+
+    def __init__(self, *, entry: TargetEntry, now: float) -> None:
+        """Takes the first announcement.
+
+        Args:
+            entry: The announcement.
+            now: Monotonic seconds.
+        """
+        self.entry = entry
+        self.in_flight = 0
+        self.slowness = 1.0
+        self.failure_share = 0.0
+        self.cold_until = 0.0
+        self.down_since: float | None = None
+        self.next_check = 0.0
+        self._check_pause_s = CHECK_PAUSES_S[0]
+        self._others = 0.0
+        self._others_at = now
+        self._warm: OrderedDict[str, None] = OrderedDict()
+        self.update(entry, now=now)
+
+    @property
+    def is_down(self) -> bool:
+        """Whether it failed and has not passed a health check since."""
+        return self.down_since is not None
+
+    def update(self, entry: TargetEntry, *, now: float) -> bool:
+        """Takes an announcement; returns whether it was news."""
+        known = (self.entry.incarnation, self.entry.sequence)
+        if (entry.incarnation, entry.sequence) < known:
+            return False
+        if entry.incarnation > self.entry.incarnation:
+            self._forget(now)
+        elif self.entry.draining:
+            entry = entry._replace(draining=True)
+        self.entry = entry
+        if entry.cold_left_s > 0:
+            self.set_cold(entry.cold_left_s, now=now)
+        return True
+
+    def set_cold(self, left_s: float, *, now: float) -> None:
+        """Records that the target is cold, and that it has forgotten all objects."""
+        if now >= self.cold_until:
+            self._warm.clear()
+        self.cold_until = max(self.cold_until, now + left_s)
+
+    def is_cold(self, *, now: float) -> bool:
+        """Returns whether the target is cold."""
+        return now < self.cold_until
+
+    def busy(self, *, now: float) -> float:
+        """Returns the requests of all callers that it probably has, running or waiting."""
+        age_s = now - self._others_at
+        return self.in_flight + self._others * math.exp2(-age_s / REPORT_HALF_LIFE_S)
+
+    def is_warm(self, object_key: str) -> bool:
+        """Returns whether this entry VM sent it a request on the object lately."""
+        return object_key in self._warm
+
+    def note_run(self, object_key: str) -> None:
+        """Records that it ran a request on an object."""
+        self._warm[object_key] = None
+        self._warm.move_to_end(object_key)
+        if len(self._warm) > REMEMBERED_OBJECTS:
+            self._warm.popitem(last=False)
+
+    def note_load(self, report: LoadReport, *, now: float) -> None:
+        """Takes a load report that came with an answer.
+
+        The report counts the answered request no longer; neither does ``in_flight``.
+        """
+        self._others = max(0.0, report.running + report.waiting - self.in_flight)
+        self._others_at = now
+
+    def note_pace(self, ratio: float) -> None:
+        """Takes how much longer a request took than expected."""
+        low, high = SLOWNESS_RANGE
+        sample = min(high, max(low, ratio))
+        self.slowness += SAMPLE_WEIGHT * (sample - self.slowness)
+
+    def note_result(self, *, failed: bool) -> None:
+        """Takes whether a request failed at the target."""
+        self.failure_share += SAMPLE_WEIGHT * (failed - self.failure_share)
+
+    def fail(self, *, now: float) -> None:
+        """Takes the target out of use until a health check passes."""
+        if self.down_since is None:
+            self.down_since = now
+            self._check_pause_s = CHECK_PAUSES_S[0]
+        self.next_check = now + self._check_pause_s
+        self._check_pause_s = min(CHECK_PAUSES_S[1], 1.5 * self._check_pause_s)
+
+    def recover(self) -> None:
+        """Returns the target to use."""
+        self.down_since = None
+        self._check_pause_s = CHECK_PAUSES_S[0]
+
+    def _forget(self, now: float) -> None:
+        self._warm.clear()
+        self._others, self._others_at = 0.0, now
+        self.slowness, self.failure_share = 1.0, 0.0
+        self.cold_until = 0.0
+        self.recover()
--- /dev/null
+++ b/src/carawaybank/routing/messages.py
@@ -0,0 +1,89 @@
+"""Messages into the router and actions out of it; times are monotonic seconds."""
+
+from typing import NamedTuple
+
+from carawaybank.routing.fleet import LoadReport
+from carawaybank.verdicts import Verdict
+
+
+class Request(NamedTuple):
+    """What routing needs to know of a caller's request.
+
+    Attributes:
+        key: Number by which the entry VM knows the request.
+        request_id: The caller's id of this attempt.
+        host: Host that it asks for.
+        path: Path with query.
+        object_key: Object that it concerns; empty if unknown.
+        fingerprint: Digest that is the same when the caller sends the request again.
+        budget_s: Seconds that the caller waits; None if it did not say.
+    """
+
+    key: int
+    request_id: str
+    host: str
+    path: str
+    object_key: str
+    fingerprint: str
+    budget_s: float | None
+
+
+class AttemptResult(NamedTuple):
+    """How sending a request to a target ended.
+
+    Attributes:
+        verdict: What is known of it.
+        latency_s: Seconds from sending to the end.
+        load: The target's report of its load, if any.
+        draining: Whether the target announced that it closes connections.
+        other_target: Whether the address belongs to another target now.
+        lost_target: Whether the connection broke in a way that a crash would explain.
+    """
+
+    verdict: Verdict
+    latency_s: float
+    load: LoadReport | None = None
+    draining: bool = False
+    other_target: bool = False
+    lost_target: bool = False
+
+
+class Send(NamedTuple):
+    """Send the request to a target.
+
+    Attributes:
+        key: The request.
+        target_id: The target.
+        address: Its ``IP:PORT``.
+        failure_domain: Where it stands.
+        deadline: Time at which the attempt ends.
+        repeatable: Whether the request may run again.
+    """
+
+    key: int
+    target_id: str
+    address: str
+    failure_domain: str
+    deadline: float
+    repeatable: bool
+
+
+class Finish(NamedTuple):
+    """Answer the caller.
+
+    Attributes:
+        key: The request.
+        verdict: The outcome.
+        status: HTTP status.
+        service: Service that it asked for; empty if it has no route.
+        target_id: Target whose answer it is.
+    """
+
+    key: int
+    verdict: Verdict
+    status: int
+    service: str = ""
+    target_id: str = ""
+
+
+Action = Send | Finish
--- /dev/null
+++ b/src/carawaybank/routing/placement.py
@@ -0,0 +1,150 @@
+"""Choice of the target for a request, by the time after which its answer is expected.
+
+Load pattern: most of the work on an object is saved where the object was handled lately, so that
+spreading by load alone multiplies the load. The expected time of an answer counts the way, the
+requests ahead and the work, which is short at a target that knows the object. Entry VMs that have
+not met an object yet agree on its target by a hash, first within the failure domain.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from carawaybank.routing.fleet import Target
+from carawaybank.steering import hashing
+
+#: Probability that a target knows an object that others placed there by the same hash.
+HASH_WARMTH = (0.6, 0.25)
+#: Probability that a target knows an object that this entry VM sent it lately.
+RECENT_WARMTH = 0.95
+#: Work in multiples of a route's objective before anything is measured, and its part when warm.
+FIRST_WORK = 1.3
+FIRST_WARM_PART = 0.35
+#: Weight of the newest sample in the averages of a route's work.
+WORK_SAMPLE_WEIGHT = 0.05
+#: Delay in multiples of the expected work that a target costs for each share of failed requests.
+FAILURE_COST = 4.0
+
+
+class Distances:
+    """Round-trip times in seconds to failure domains, as connections to them showed."""
+
+    #: Assumed before the first connection: same domain, same region, other region.
+    FIRST_S = (0.0005, 0.008, 0.06)
+
+    def __init__(self, *, failure_domain: str, region: str) -> None:
+        """Starts with assumptions.
+
+        Args:
+            failure_domain: Failure domain of this entry VM.
+            region: Region of this entry VM.
+        """
+        self._failure_domain = failure_domain
+        self._region = region
+        self._seen_s: dict[str, float] = {}
+
+    def note(self, failure_domain: str, seconds: float) -> None:
+        """Takes the time that a connection took to open."""
+        known = self._seen_s.get(failure_domain)
+        self._seen_s[failure_domain] = seconds if known is None else min(known, seconds)
+
+    def find(self, failure_domain: str, region: str) -> float:
+        """Returns the round-trip time to a target."""
+        seen = self._seen_s.get(failure_domain)
+        if seen is not None:
+            return seen
+        if failure_domain == self._failure_domain:
+            return self.FIRST_S[0]
+        return self.FIRST_S[1] if region == self._region else self.FIRST_S[2]
+
+
+class WorkEstimate:
+    """Seconds that a target works on a request of one route."""
+
+    def __init__(self, *, objective_s: float, sticky: bool) -> None:
+        """Starts with assumptions from the route's objective."""
+        self.cold_s = FIRST_WORK * objective_s
+        self.warm_s = self.cold_s * (FIRST_WARM_PART if sticky else 1.0)
+
+    def expect(self, warmth: float) -> float:
+        """Returns the seconds of work at a probability that the object is known."""
+        return warmth * self.warm_s + (1 - warmth) * self.cold_s
+
+    def note(self, seconds: float, *, warmth: float) -> None:
+        """Takes the time of a request that did not wait, where its warmth was certain."""
+        if warmth >= RECENT_WARMTH:
+            self.warm_s += WORK_SAMPLE_WEIGHT * (min(seconds, self.cold_s) - self.warm_s)
+        elif warmth < HASH_WARMTH[1]:
+            self.cold_s += WORK_SAMPLE_WEIGHT * (min(seconds, 3 * self.cold_s) - self.cold_s)
+            self.warm_s = min(self.warm_s, self.cold_s)
+
+
+class Choice(NamedTuple):
+    """A target for a request.
+
+    Attributes:
+        target: The target.
+        expected_s: Seconds after which its answer is expected.
+        wait_s: Seconds of them that the request waits at the target.
+        warmth: Probability that the target knows the object.
+    """
+
+    target: Target
+    expected_s: float
+    wait_s: float
+    warmth: float
+
+
+class HashPool:
+    """Preferred targets of objects among the targets of a service, by rendezvous hash."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._ranks: dict[tuple[str, str], tuple[str, ...]] = {}
+        self._members: dict[str, tuple[str, ...]] = {}
+
+    def update(self, members: dict[str, tuple[str, ...]]) -> None:
+        """Takes the target ids by pool name."""
+        if members != self._members:
+            self._members = members
+            self._ranks.clear()
+
+    def warmth(self, object_key: str, target_id: str, pools: Iterable[str]) -> float:
+        """Returns the probability that a target knows an object by the hash alone."""
+        best = 0.0
+        for pool in pools:
+            for rank, name in enumerate(self._rank(pool, object_key)):
+                if name == target_id:
+                    best = max(best, HASH_WARMTH[rank])
+        return best
+
+    def _rank(self, pool: str, object_key: str) -> tuple[str, ...]:
+        key = (pool, object_key)
+        if key not in self._ranks:
+            ranked = hashing.rank(key=object_key, members=self._members.get(pool, ()))
+            self._ranks[key] = tuple(ranked[: len(HASH_WARMTH)])
+        return self._ranks[key]
+
+
+def expect(
+    target: Target,
+    *,
+    now: float,
+    warmth: float,
+    work: WorkEstimate,
+    distance_s: float,
+) -> Choice:
+    """Returns when a target's answer is expected.
+
+    Args:
+        target: The target.
+        now: Monotonic seconds.
+        warmth: Probability that it knows the object.
+        work: Estimate of the route.
+        distance_s: Round-trip time in seconds.
+    """
+    slots = max(1, target.entry.slots)
+    work_s = work.expect(warmth) * target.slowness
+    ahead = max(0.0, target.busy(now=now) + 1 - slots)
+    wait_s = ahead / slots * work.expect(0.7) * target.slowness
+    penalty_s = FAILURE_COST * target.failure_share * work.expect(0.7)
+    return Choice(target, distance_s + wait_s + work_s + penalty_s, wait_s, warmth)
--- /dev/null
+++ b/src/carawaybank/routing/router.py
@@ -0,0 +1,338 @@
+"""The router: decides where each request goes, and whether it goes anywhere.
+
+Usage: pass an arrived request to :meth:`Router.arrive`, perform the action, report how it ended to
+:meth:`Router.end_attempt`, until the action is :class:`~carawaybank.routing.messages.Finish`.
+"""
+
+import random
+from typing import NamedTuple
+
+from carawaybank.routing import admission, selection
+from carawaybank.routing.catalogue import Configuration, RouteTable, choose_part
+from carawaybank.routing.coldstart import ColdStartLimit
+from carawaybank.routing.directory import TargetDirectory
+from carawaybank.routing.messages import Action, AttemptResult, Finish, Request, Send
+from carawaybank.routing.placement import Choice, Distances, WorkEstimate
+from carawaybank.routing.progress import Progress
+from carawaybank.routing.retrylimit import RetryLimit
+from carawaybank.routing.spill import RegionShares
+from carawaybank.steering import hashing
+from carawaybank.steering.quarantine import CrashReport, Quarantine
+from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
+
+_NEXT_TARGET_REASONS = frozenset(
+    {Reason.TARGET_SHED, Reason.CONNECT_FAILED, Reason.CONNECTION_REFUSED, Reason.NOT_OWNER}
+)
+_CRASH_MEMORY_S = 600.0
+_CRASH_CAPACITY = 2_000
+#: Crashes after which a request is not sent again; the bound of the pages allows three.
+_CRASH_LIMIT = 2
+
+
+class RouterOptions(NamedTuple):
+    """Bounds that hold over all entry VMs.
+
+    Attributes:
+        failure_domain: Failure domain of this entry VM.
+        region: Region of this entry VM.
+        vm: Name of this entry VM.
+        retry_share: Repeats allowed for each request of a service.
+        retry_slack: Repeats allowed besides, by all entry VMs in a window.
+        retry_window_s: Length of the window in seconds.
+        most_vms: Entry VMs among which the sums are divided.
+        cold_factor: Factor on a cold target's rate.
+        cold_slack: Requests a second besides.
+        shift_rate: Largest change a second of the share that runs in another region.
+    """
+
+    failure_domain: str
+    region: str
+    vm: str = ""
+    retry_share: float = 0.2
+    retry_slack: float = 60.0
+    retry_window_s: float = 10.0
+    most_vms: int = 17
+    cold_factor: float = 1.5
+    cold_slack: float = 5.0
+    shift_rate: float = 0.05
+
+
+class Router:
+    """Decides on the requests of one entry VM."""
+
+    def __init__(self, *, options: RouterOptions, rng: random.Random) -> None:
+        """Starts without configuration and targets.
+
+        Args:
+            options: Bounds and place.
+            rng: Source of all draws.
+        """
+        self._options = options
+        self._rng = rng
+        self._configuration: Configuration | None = None
+        self._routes = RouteTable(routes=())
+        self._work: dict[str, WorkEstimate] = {}
+        self._ranks: dict[str, int] = {}
+        self._requests: dict[int, Progress] = {}
+        self._retries: dict[str, RetryLimit] = {}
+        self._shares: dict[str, RegionShares] = {}
+        self.cold_starts = ColdStartLimit()
+        self.targets = TargetDirectory(options=options)
+        self.distances = Distances(failure_domain=options.failure_domain, region=options.region)
+        self.quarantine = Quarantine(
+            limit=_CRASH_LIMIT, expiry_s=_CRASH_MEMORY_S, capacity=_CRASH_CAPACITY
+        )
+        #: Entry VMs that may send to targets now.
+        self.senders = 1
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force."""
+        return self._configuration
+
+    @property
+    def options(self) -> RouterOptions:
+        """Bounds and place."""
+        return self._options
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is under way."""
+        return not self._requests
+
+    def configure(self, configuration: Configuration) -> bool:
+        """Takes a configuration; returns whether it is newer than the one in force."""
+        if self._configuration and configuration.version <= self._configuration.version:
+            return False
+        self._configuration = configuration
+        self._routes = RouteTable(routes=configuration.routes)
+        self._ranks = {}
+        for route in configuration.routes:
+            for part in route.parts:
+                known = self._ranks.get(part.service, route.rank)
+                self._ranks[part.service] = max(known, route.rank)
+        return True
+
+    def arrive(self, request: Request, now: float) -> Action:
+        """Decides on a request that arrived."""
+        if self._configuration is None:
+            return self._reject(request, NotRun(Reason.NO_TICKET, 0.5, "no configuration yet"))
+        route = self._routes.find(request.host, request.path)
+        if route is None:
+            return Finish(request.key, NotRun(Reason.UNKNOWN_SERVICE, 0.0, "no such route"), 404)
+        if self.quarantine.is_refused(request.fingerprint, now=now):
+            detail = "this request crashed the targets that ran it"
+            return self._reject(request, NotRun(Reason.QUARANTINED, 5.0, detail))
+        service = choose_part(route, draw=self._rng.random())
+        progress = Progress(
+            request=request,
+            route=route,
+            service=service,
+            now=now,
+            rank_below=self._ranks.get(service, route.rank),
+        )
+        self._requests[request.key] = progress
+        self.retry_limit(service).note_request(now=now)
+        return self._place(progress, now)
+
+    def end_attempt(self, key: int, result: AttemptResult, now: float) -> Action:
+        """Decides what follows an attempt."""
+        progress = self._requests[key]
+        self._learn(progress, result, now)
+        verdict = result.verdict
+        if isinstance(verdict, Answered):
+            return self._judge_answer(progress, verdict, now)
+        if isinstance(verdict, NotRun):
+            if verdict.reason in _NEXT_TARGET_REASONS and self._may_repeat(progress, now):
+                return self._place(progress, now)
+            return self._finish(progress, self._not_run(progress, verdict))
+        progress.ambiguous = verdict
+        if progress.route.idempotent and self._may_repeat(progress, now):
+            return self._place(progress, now)
+        return self._finish(progress, verdict)
+
+    def abandon(self, key: int, now: float) -> None:
+        """Forgets a request whose caller left."""
+        progress = self._requests.pop(key, None)
+        if progress is not None:
+            self._release(progress)
+
+    def retry_limit(self, service: str) -> RetryLimit:
+        """Returns the limit of repeated sends to a service."""
+        if service not in self._retries:
+            self._retries[service] = RetryLimit(
+                share=self._options.retry_share,
+                slack=int(self._options.retry_slack / self._options.most_vms),
+                window_s=self._options.retry_window_s,
+            )
+        return self._retries[service]
+
+    def note_crash(self, report: CrashReport, now: float) -> bool:
+        """Takes a report of a request that cost a target; returns whether it is news."""
+        return self.quarantine.report(report, now=now)
+
+    def region_of(self, target_id: str) -> str:
+        """Returns the region of a target; empty if it is not known any more."""
+        target = self.targets.find(target_id)
+        return target.entry.region if target else ""
+
+    def work(self, route_name: str) -> WorkEstimate | None:
+        """Returns the estimate of a route's work, if it had requests."""
+        return self._work.get(route_name)
+
+    def shares(self, service: str) -> RegionShares:
+        """Returns the shares of a service's requests by region."""
+        if service not in self._shares:
+            self._shares[service] = RegionShares(
+                home=self._options.region, rate=self._options.shift_rate
+            )
+        return self._shares[service]
+
+    def cold_rate(self, service: str) -> float:
+        """Returns the requests a second that cold targets may get from all entry VMs; 0 if any."""
+        found = self._configuration.services.get(service) if self._configuration else None
+        if found is None or found.cold_rate <= 0:
+            return 0.0
+        return found.cold_rate * self._options.cold_factor + self._options.cold_slack
+
+    def _place(self, progress: Progress, now: float) -> Action:
+        choice = selection.choose(self, progress, now)
+        left_s = progress.deadline - now
+        if choice is None:
+            refusal = admission.refuse(progress.route.objective_s, rng=self._rng)
+            return self._give_up(progress, refusal, "no target can take it")
+        limit_s = admission.patience_s(progress.route, least_urgent=progress.rank_below)
+        judged = admission.judge(
+            expected_s=choice.expected_s,
+            elapsed_s=now - progress.arrived,
+            patience_s=limit_s,
+            left_s=left_s,
+            rng=self._rng,
+        )
+        if judged is not None:
+            return self._give_up(progress, judged, "all targets are busy")
+        return self._send(progress, choice, now)
+
+    def _send(self, progress: Progress, choice: Choice, now: float) -> Action:
+        target = choice.target
+        if target.is_cold(now=now):
+            rate = self.cold_rate(progress.service)
+            if rate and not self.cold_starts.try_send(
+                target.entry.target_id, senders=self.senders, rate=rate, now=now
+            ):
+                refusal = admission.refuse(progress.route.objective_s, rng=self._rng)
+                return self._give_up(progress, refusal, "only cold targets are left")
+        progress.choice = choice
+        progress.tried.add(target.entry.target_id)
+        progress.last_target_id = target.entry.target_id
+        target.in_flight += 1
+        return Send(
+            progress.request.key,
+            target.entry.target_id,
+            target.entry.address,
+            target.entry.failure_domain,
+            progress.deadline,
+            progress.route.idempotent,
+        )
+
+    def _may_repeat(self, progress: Progress, now: float) -> bool:
+        if len(progress.tried) >= progress.route.attempts or now >= progress.deadline:
+            return False
+        return self.retry_limit(progress.service).try_repeat(now=now)
+
+    def _judge_answer(self, progress: Progress, answer: Answered, now: float) -> Action:
+        failed = answer.status >= 500
+        if failed and progress.route.idempotent and self._may_repeat(progress, now):
+            progress.fallback = answer
+            return self._place(progress, now)
+        return self._finish(progress, answer)
+
+    def _learn(self, progress: Progress, result: AttemptResult, now: float) -> None:
+        choice = self._release(progress)
+        if choice is None:
+            return
+        target = choice.target
+        if result.load is not None:
+            target.note_load(result.load, now=now)
+        if result.other_target:
+            self.targets.remove(target.entry.target_id)
+        verdict = result.verdict
+        if isinstance(verdict, Answered) and verdict.status < 500:
+            self._learn_pace(progress, choice, result.latency_s)
+            target.note_result(failed=False)
+            target.recover()
+            return
+        if isinstance(verdict, NotRun) and verdict.reason is Reason.TARGET_SHED:
+            return
+        target.note_result(failed=True)
+        self._learn_failure(progress, choice, result, now)
+
+    def _learn_failure(
+        self, progress: Progress, choice: Choice, result: AttemptResult, now: float
+    ) -> None:
+        reason = getattr(result.verdict, "reason", None)
+        if reason in {Reason.CONNECT_FAILED, Reason.CONNECTION_REFUSED}:
+            choice.target.fail(now=now)
+        elif reason is Reason.TIMEOUT:
+            choice.target.note_pace(result.latency_s / max(choice.expected_s, 0.001))
+        if result.lost_target:
+            report = CrashReport(
+                progress.request.fingerprint, choice.target.entry.target_id, self._options.vm
+            )
+            self.note_crash(report, now)
+
+    def _learn_pace(self, progress: Progress, choice: Choice, latency_s: float) -> None:
+        entry = choice.target.entry
+        distance_s = self.distances.find(entry.failure_domain, entry.region)
+        work_s = max(0.001, latency_s - distance_s)
+        work = self.work(progress.route.name)
+        if work is not None and choice.wait_s == 0:
+            choice.target.note_pace(work_s / max(0.001, work.expect(choice.warmth)))
+            work.note(work_s / choice.target.slowness, warmth=choice.warmth)
+        if progress.object_key:
+            choice.target.note_run(progress.object_key)
+
+    def _release(self, progress: Progress) -> Choice | None:
+        choice, progress.choice = progress.choice, None
+        if choice is not None:
+            choice.target.in_flight -= 1
+        return choice
+
+    def _give_up(self, progress: Progress, refusal: admission.Refusal, detail: str) -> Action:
+        verdict = NotRun(Reason.NO_CAPACITY, refusal.retry_after_s, detail)
+        return self._finish(progress, self._not_run(progress, verdict))
+
+    def _not_run(self, progress: Progress, verdict: NotRun) -> Verdict:
+        if progress.fallback is not None:
+            return progress.fallback
+        return progress.ambiguous if progress.ambiguous is not None else verdict
+
+    def _reject(self, request: Request, verdict: NotRun) -> Finish:
+        return Finish(request.key, verdict, 503)
+
+    def _finish(self, progress: Progress, verdict: Verdict) -> Finish:
+        self._requests.pop(progress.request.key, None)
+        if isinstance(verdict, NotRun):
+            status = 503
+        elif isinstance(verdict, MayHaveRun):
+            status = 504 if verdict.reason is Reason.TIMEOUT else 502
+        else:
+            status = verdict.status
+        return Finish(
+            progress.request.key, verdict, status, progress.service, progress.last_target_id
+        )
+
+    def draw(self, object_key: str) -> float:
+        """Returns a number from 0 up to 1: the same for an object, else a random one."""
+        if not object_key:
+            return self._rng.random()
+        return hashing.score(key=object_key, member="region") / 2**64
+
+    def estimate(self, progress: Progress) -> WorkEstimate:
+        """Returns the estimate of the work on a request."""
+        route = progress.route
+        if route.name not in self._work:
+            self._work[route.name] = WorkEstimate(
+                objective_s=route.objective_s, sticky=route.sticky
+            )
+        return self._work[route.name]
--- a/src/carawaybank/siblings/tasks.py
+++ b/src/carawaybank/siblings/tasks.py
@@ -6,11 +6,11 @@
 
 from carawaybank import logs
 from carawaybank.host import Host
-from carawaybank.platform.tasks import Holding
 from carawaybank.settings import Settings
 from carawaybank.siblings.client import SiblingClient
 from carawaybank.steering.membership import Member, Status
 from carawaybank.steering.ownership import DeathProof
+from carawaybank.storage.tasks import Holding
 from carawaybank.verdicts import NotRun, Reason
 
 _TICK_S = 0.2
--- /dev/null
+++ b/src/carawaybank/storage/__init__.py
@@ -0,0 +1,17 @@
+"""The platform: table service, object store and list of VMs, each behind a protocol."""
+
+from carawaybank.storage.adapters import HttpObjectStore, HttpTable, HttpVmList
+from carawaybank.storage.models import ListedVm, ObjectStore, Platform, Row, Table, VmList, Write
+
+__all__ = [
+    "HttpObjectStore",
+    "HttpTable",
+    "HttpVmList",
+    "ListedVm",
+    "ObjectStore",
+    "Platform",
+    "Row",
+    "Table",
+    "VmList",
+    "Write",
+]
--- a/src/carawaybank/platform/adapters.py
+++ b/src/carawaybank/storage/adapters.py
@@ -8,7 +8,7 @@
 
 from carawaybank import documents
 from carawaybank.exceptions import DocumentError, PlatformError
-from carawaybank.platform.models import ListedVm, Row, Write
+from carawaybank.storage.models import ListedVm, Row, Write
 
 _T = TypeVar("_T")
 _CONFLICT = 409
--- a/src/carawaybank/platform/incidents.py
+++ b/src/carawaybank/storage/incidents.py
@@ -8,7 +8,7 @@
 
 from carawaybank import documents
 from carawaybank.exceptions import DocumentError
-from carawaybank.platform.models import ObjectStore
+from carawaybank.storage.models import ObjectStore
 
 _PREFIX = "incidents/"
 _MAX_BATCHES = 200
--- a/src/carawaybank/platform/leases.py
+++ b/src/carawaybank/storage/leases.py
@@ -9,8 +9,8 @@
 
 from collections.abc import Callable
 
-from carawaybank.platform.models import Table, Write
 from carawaybank.steering.leases import Lease, LeaseObserver
+from carawaybank.storage.models import Table, Write
 
 
 class TableLease:
--- a/src/carawaybank/platform/tasks.py
+++ b/src/carawaybank/storage/tasks.py
@@ -12,14 +12,14 @@
 from carawaybank import logs
 from carawaybank.exceptions import PlatformError, SnapshotError
 from carawaybank.host import Host
-from carawaybank.platform.incidents import IncidentDocument, IncidentLog
-from carawaybank.platform.leases import TableLease
-from carawaybank.platform.models import ListedVm, Platform, Table, Write
-from carawaybank.platform.tickets import SNAPSHOT_INTERVAL, TicketStore
 from carawaybank.steering import hashing
 from carawaybank.steering.blocks import BlockMap
 from carawaybank.steering.membership import Member, Status
 from carawaybank.steering.ownership import DeathProof
+from carawaybank.storage.incidents import IncidentDocument, IncidentLog
+from carawaybank.storage.leases import TableLease
+from carawaybank.storage.models import ListedVm, Platform, Table, Write
+from carawaybank.storage.tickets import SNAPSHOT_INTERVAL, TicketStore
 
 _READERS = 2
 _MAX_BACKOFF_S = 5.0
--- a/src/carawaybank/platform/tickets.py
+++ b/src/carawaybank/storage/tickets.py
@@ -9,7 +9,6 @@
 
 from carawaybank import documents
 from carawaybank.exceptions import DocumentError, PlatformError, SnapshotError
-from carawaybank.platform.models import ObjectStore, Table, Write
 from carawaybank.steering import hashing
 from carawaybank.steering.tickets import (
     EMPTY,
@@ -20,6 +19,7 @@
     find_faults,
     nonce,
 )
+from carawaybank.storage.models import ObjectStore, Table, Write
 from carawaybank.verdicts import MayHaveRun, NotRun, Reason
 
 _HEAD_KEY = "tickets/head"
--- a/tests/platform/test_tasks.py
+++ b/tests/storage/test_tasks.py
@@ -6,11 +6,11 @@
 
 from carawaybank.exceptions import PlatformError
 from carawaybank.host import Host
-from carawaybank.platform.incidents import IncidentLog
-from carawaybank.platform.leases import TableLease
-from carawaybank.platform.models import Platform as PlatformServices
-from carawaybank.platform.tasks import PlatformTask
 from carawaybank.steering.membership import Member, Status
+from carawaybank.storage.incidents import IncidentLog
+from carawaybank.storage.leases import TableLease
+from carawaybank.storage.models import Platform as PlatformServices
+from carawaybank.storage.tasks import PlatformTask
 from standins.fleet_models import make_settings
 from standins.platform import Platform
 from tests.fakes import FailurePlan, FakeObjects, FakeTable
--- a/tests/platform/test_tickets.py
+++ b/tests/storage/test_tickets.py
@@ -4,8 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from carawaybank.platform.tickets import Accepted, TicketStore, read_snapshot
 from carawaybank.steering.tickets import EMPTY
+from carawaybank.storage.tickets import Accepted, TicketStore, read_snapshot
 from carawaybank.verdicts import MayHaveRun, NotRun, Reason
 from standins.platform import Platform
 from tests.fakes import FailurePlan, FakeObjects, FakeTable
