Place by object, load and distance; move demand between regions at a bounded rate

Change: work bounded by the timeout at first, objects by route, pace against the nearer of warm and cold, regions compared by settled cost, bounded overflow, newcomers first.

--- a/src/carawaybank/entry.py
+++ b/src/carawaybank/entry.py
@@ -79,17 +79,19 @@
         info = self._dialect.read_request(request, key=next(self._keys))
         call = self._dialect.forward(request)
         try:
-            finish = await self._run(info, call)
+            finish, last = await self._run(info, call)
         except asyncio.CancelledError:
             self._router.abandon(info.key, loop.time())
             self._metrics.count_abandoned()
             self._journal.note("request", "caller left", id=info.request_id)
             raise
-        self._note(info, finish, loop.time() - arrived)
+        self._note(info, finish, last, loop.time() - arrived)
         return self._reply(info, finish)
 
-    async def _run(self, info: Request, call: HttpCall) -> Finish:
+    async def _run(self, info: Request, call: HttpCall) -> tuple[Finish, Send | None]:
+        """Returns the outcome and the last attempt."""
         loop = asyncio.get_running_loop()
+        sent: Send | None = None
         action: Action = self._router.arrive(info, loop.time())
         while isinstance(action, Send):
             sent = action
@@ -98,7 +100,7 @@
             action = self._router.end_attempt(info.key, result, loop.time())
             if not isinstance(result.verdict, Answered) or isinstance(action, Send):
                 self._note_attempt(info, sent, result)
-        return action
+        return action, sent
 
     async def _send(self, info: Request, sent: Send, call: HttpCall) -> AttemptResult:
         region = self._router.region_of(sent.target_id)
@@ -134,10 +136,15 @@
             ms=round(result.latency_s * 1000),
         )
 
-    def _note(self, info: Request, finish: Finish, latency_s: float) -> None:
+    def _note(self, info: Request, finish: Finish, last: Send | None, latency_s: float) -> None:
         verdict = finish.verdict
         self._metrics.count_request(finish.service, verdict, latency_s)
-        fields: dict[str, object] = {"id": info.request_id, "status": finish.status}
+        fields: dict[str, object] = {
+            "id": info.request_id,
+            "service": finish.service,
+            "object": info.object_key,
+            "status": finish.status,
+        }
         if isinstance(verdict, NotRun | MayHaveRun):
             fields["reason"] = str(verdict.reason)
             fields["detail"] = verdict.detail
@@ -145,6 +152,10 @@
             fields["retry_after_s"] = round(verdict.retry_after_s, 2)
         else:
             fields["target"] = finish.target_id
+        if last is not None:
+            fields["expected_ms"] = round(last.expected_s * 1000)
+            fields["wait_ms"] = round(last.wait_s * 1000)
+            fields["warmth"] = last.warmth
         configuration = self._router.configuration
         fields["config"] = configuration.version if configuration else None
         fields["ms"] = round(latency_s * 1000)
--- a/src/carawaybank/platform/registry.py
+++ b/src/carawaybank/platform/registry.py
@@ -63,6 +63,7 @@
                 "registry",
                 "target changed",
                 target=entry.target_id,
+                failure_domain=entry.failure_domain,
                 draining=entry.draining,
                 cold_left_s=entry.cold_left_s,
                 version=row.version,
--- a/src/carawaybank/routing/admission.py
+++ b/src/carawaybank/routing/admission.py
@@ -11,10 +11,13 @@
 from typing import NamedTuple
 
 from carawaybank.routing.catalogue import Route
+from carawaybank.routing.placement import Choice
 
 #: Expected time in multiples of the objective up to which requests are sent, by urgency.
 URGENT_PATIENCE = 1.6
 ORDINARY_PATIENCE = 1.15
+#: Wait in multiples of the patience that is accepted however long the work itself takes.
+LEAST_WAIT = 0.2
 #: Part of the time left that the expected answer may take at most.
 DEADLINE_PART = 0.9
 #: Bounds in seconds of the time after which a refused caller is asked to come back.
@@ -43,21 +46,29 @@
 
 
 def judge(
-    *, expected_s: float, elapsed_s: float, patience_s: float, left_s: float, rng: random.Random
+    *,
+    choice: Choice,
+    elapsed_s: float,
+    patience_s: float,
+    left_s: float,
+    rng: random.Random,
 ) -> Refusal | None:
     """Returns a refusal if the answer is expected too late.
 
     Args:
-        expected_s: Seconds until the answer.
+        choice: The target with the earliest answer.
         elapsed_s: Seconds since the request arrived.
         patience_s: Longest time from arrival to the expected answer.
         left_s: Seconds until the request's deadline.
         rng: Source of the jitter.
     """
-    excess_s = expected_s + elapsed_s - patience_s
-    if excess_s <= 0 and expected_s <= DEADLINE_PART * left_s:
+    if choice.expected_s > DEADLINE_PART * left_s:
+        return refuse(choice.wait_s, rng=rng)
+    work_s = choice.expected_s - choice.wait_s
+    allowed_s = max(patience_s - elapsed_s - work_s, LEAST_WAIT * patience_s)
+    if choice.wait_s <= allowed_s:
         return None
-    return refuse(max(excess_s, 0.0), rng=rng)
+    return refuse(choice.wait_s - allowed_s, rng=rng)
 
 
 def refuse(excess_s: float, *, rng: random.Random) -> Refusal:
--- a/src/carawaybank/routing/directory.py
+++ b/src/carawaybank/routing/directory.py
@@ -76,12 +76,9 @@
         self._evacuated = failure_domains
         self._reindex()
 
-    def pool_names(self, service: str) -> tuple[str, ...]:
-        """Returns the pools in which this entry VM looks for an object's target."""
-        return (
-            f"{service}/domain/{self._options.failure_domain}",
-            f"{service}/region/{self._options.region}",
-        )
+    def pool_name(self, service: str, region: str) -> str:
+        """Returns the pool among which a region's entry VMs place objects by hash."""
+        return f"{service}/{region}"
 
     def _reindex(self) -> None:
         self._usable = {}
@@ -91,6 +88,5 @@
             if entry.draining or entry.failure_domain in self._evacuated:
                 continue
             self._usable.setdefault(entry.service, []).append(target)
-            pools.setdefault(f"{entry.service}/domain/{entry.failure_domain}", []).append(target_id)
-            pools.setdefault(f"{entry.service}/region/{entry.region}", []).append(target_id)
+            pools.setdefault(self.pool_name(entry.service, entry.region), []).append(target_id)
         self._pools.update({name: tuple(ids) for name, ids in pools.items()})
--- a/src/carawaybank/routing/fleet.py
+++ b/src/carawaybank/routing/fleet.py
@@ -9,7 +9,7 @@
 #: Time in seconds in which a report of other callers' requests loses half of its weight.
 REPORT_HALF_LIFE_S = 2.0
 #: Weight of the newest sample in the moving averages of a target.
-SAMPLE_WEIGHT = 0.25
+SAMPLE_WEIGHT = 0.15
 #: Bounds of a target's measured slowness, so that one sample cannot rule it out for good.
 SLOWNESS_RANGE = (0.6, 20.0)
 #: First and longest pause in seconds before a failed target is checked again.
@@ -64,6 +64,7 @@
         """
         self.entry = entry
         self.in_flight = 0
+        self.sent = 0
         self.slowness = 1.0
         self.failure_share = 0.0
         self.cold_until = 0.0
--- a/src/carawaybank/routing/messages.py
+++ b/src/carawaybank/routing/messages.py
@@ -58,6 +58,9 @@
         failure_domain: Where it stands.
         deadline: Time at which the attempt ends.
         repeatable: Whether the request may run again.
+        expected_s: Seconds after which the answer is expected.
+        wait_s: Seconds of them that the request waits at the target.
+        warmth: Probability that the target knows the request's object.
     """
 
     key: int
@@ -66,6 +69,9 @@
     failure_domain: str
     deadline: float
     repeatable: bool
+    expected_s: float = 0.0
+    wait_s: float = 0.0
+    warmth: float = 0.0
 
 
 class Finish(NamedTuple):
--- a/src/carawaybank/routing/placement.py
+++ b/src/carawaybank/routing/placement.py
@@ -3,10 +3,9 @@
 Load pattern: most of the work on an object is saved where the object was handled lately, so that
 spreading by load alone multiplies the load. The expected time of an answer counts the way, the
 requests ahead and the work, which is short at a target that knows the object. Entry VMs that have
-not met an object yet agree on its target by a hash, first within the failure domain.
+not met an object yet agree on its target in each region by a hash.
 """
 
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from carawaybank.routing.fleet import Target
@@ -19,6 +18,8 @@
 #: Work in multiples of a route's objective before anything is measured, and its part when warm.
 FIRST_WORK = 1.3
 FIRST_WARM_PART = 0.35
+#: Largest part of a route's timeout that its work is assumed to take.
+FIRST_WORK_PART = 0.5
 #: Weight of the newest sample in the averages of a route's work.
 WORK_SAMPLE_WEIGHT = 0.05
 #: Delay in multiples of the expected work that a target costs for each share of failed requests.
@@ -60,15 +61,20 @@
 class WorkEstimate:
     """Seconds that a target works on a request of one route."""
 
-    def __init__(self, *, objective_s: float, sticky: bool) -> None:
-        """Starts with assumptions from the route's objective."""
-        self.cold_s = FIRST_WORK * objective_s
+    def __init__(self, *, objective_s: float, timeout_s: float, sticky: bool) -> None:
+        """Starts with assumptions from the route's objective and timeout."""
+        self.cold_s = min(FIRST_WORK * objective_s, FIRST_WORK_PART * timeout_s)
         self.warm_s = self.cold_s * (FIRST_WARM_PART if sticky else 1.0)
 
     def expect(self, warmth: float) -> float:
         """Returns the seconds of work at a probability that the object is known."""
         return warmth * self.warm_s + (1 - warmth) * self.cold_s
 
+    def relative(self, seconds: float) -> float:
+        """Returns how much longer a request took than a warm or a cold one, whichever is nearer."""
+        expected_s = self.warm_s if seconds < (self.warm_s * self.cold_s) ** 0.5 else self.cold_s
+        return seconds / max(0.001, expected_s)
+
     def note(self, seconds: float, *, warmth: float) -> None:
         """Takes the time of a request that did not wait, where its warmth was certain."""
         if warmth >= RECENT_WARMTH:
@@ -86,12 +92,15 @@
         expected_s: Seconds after which its answer is expected.
         wait_s: Seconds of them that the request waits at the target.
         warmth: Probability that the target knows the object.
+        settled_s: Seconds that would be expected if the target knew the object, as it will after
+            the first request on it.
     """
 
     target: Target
     expected_s: float
     wait_s: float
     warmth: float
+    settled_s: float
 
 
 class HashPool:
@@ -108,14 +117,12 @@
             self._members = members
             self._ranks.clear()
 
-    def warmth(self, object_key: str, target_id: str, pools: Iterable[str]) -> float:
+    def warmth(self, object_key: str, target_id: str, pool: str) -> float:
         """Returns the probability that a target knows an object by the hash alone."""
-        best = 0.0
-        for pool in pools:
-            for rank, name in enumerate(self._rank(pool, object_key)):
-                if name == target_id:
-                    best = max(best, HASH_WARMTH[rank])
-        return best
+        for rank, name in enumerate(self._rank(pool, object_key)):
+            if name == target_id:
+                return HASH_WARMTH[rank]
+        return 0.0
 
     def _rank(self, pool: str, object_key: str) -> tuple[str, ...]:
         key = (pool, object_key)
@@ -147,4 +154,5 @@
     ahead = max(0.0, target.busy(now=now) + 1 - slots)
     wait_s = ahead / slots * work.expect(0.7) * target.slowness
     penalty_s = FAILURE_COST * target.failure_share * work.expect(0.7)
-    return Choice(target, distance_s + wait_s + work_s + penalty_s, wait_s, warmth)
+    settled_s = distance_s + wait_s + penalty_s + work.expect(1.0) * target.slowness
+    return Choice(target, distance_s + wait_s + work_s + penalty_s, wait_s, warmth, settled_s)
--- a/src/carawaybank/routing/progress.py
+++ b/src/carawaybank/routing/progress.py
@@ -40,7 +40,7 @@
     def object_key(self) -> str:
         """The object by which targets are chosen."""
         if self.route.sticky and self.request.object_key:
-            return f"{self.service}/{self.request.object_key}"
+            return f"{self.route.name}/{self.request.object_key}"
         return ""
 
     @property
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -176,10 +176,6 @@
         target = self.targets.find(target_id)
         return target.entry.region if target else ""
 
-    def work(self, route_name: str) -> WorkEstimate | None:
-        """Returns the estimate of a route's work, if it had requests."""
-        return self._work.get(route_name)
-
     def shares(self, service: str) -> RegionShares:
         """Returns the shares of a service's requests by region."""
         if service not in self._shares:
@@ -195,22 +191,31 @@
             return 0.0
         return found.cold_rate * self._options.cold_factor + self._options.cold_slack
 
-    def _place(self, progress: Progress, now: float) -> Action:
-        choice = selection.choose(self, progress, now)
-        left_s = progress.deadline - now
-        if choice is None:
-            refusal = admission.refuse(progress.route.objective_s, rng=self._rng)
-            return self._give_up(progress, refusal, "no target can take it")
+    def accepts(self, progress: Progress, choice: Choice, now: float) -> bool:
+        """Returns whether a request would be sent to a choice."""
+        return self._judge(progress, choice, now) is None
+
+    def _judge(self, progress: Progress, choice: Choice, now: float) -> admission.Refusal | None:
         limit_s = admission.patience_s(progress.route, least_urgent=progress.rank_below)
-        judged = admission.judge(
-            expected_s=choice.expected_s,
+        return admission.judge(
+            choice=choice,
             elapsed_s=now - progress.arrived,
             patience_s=limit_s,
-            left_s=left_s,
+            left_s=progress.deadline - now,
             rng=self._rng,
         )
+
+    def _place(self, progress: Progress, now: float) -> Action:
+        choice = selection.choose(self, progress, now)
+        if choice is None:
+            refusal = admission.refuse(progress.route.objective_s, rng=self._rng)
+            return self._give_up(progress, refusal, "no target can take it")
+        judged = self._judge(progress, choice, now)
         if judged is not None:
-            return self._give_up(progress, judged, "all targets are busy")
+            detail = (
+                f"expected after {choice.expected_s:.3f} s, of them {choice.wait_s:.3f} s waiting"
+            )
+            return self._give_up(progress, judged, detail)
         return self._send(progress, choice, now)
 
     def _send(self, progress: Progress, choice: Choice, now: float) -> Action:
@@ -226,6 +231,7 @@
         progress.tried.add(target.entry.target_id)
         progress.last_target_id = target.entry.target_id
         target.in_flight += 1
+        target.sent += 1
         return Send(
             progress.request.key,
             target.entry.target_id,
@@ -233,6 +239,9 @@
             target.entry.failure_domain,
             progress.deadline,
             progress.route.idempotent,
+            choice.expected_s,
+            choice.wait_s,
+            choice.warmth,
         )
 
     def _may_repeat(self, progress: Progress, now: float) -> bool:
@@ -273,7 +282,7 @@
         reason = getattr(result.verdict, "reason", None)
         if reason in {Reason.CONNECT_FAILED, Reason.CONNECTION_REFUSED}:
             choice.target.fail(now=now)
-        elif reason is Reason.TIMEOUT:
+        elif reason is Reason.TIMEOUT and progress.object_key:
             choice.target.note_pace(result.latency_s / max(choice.expected_s, 0.001))
         if result.lost_target:
             report = CrashReport(
@@ -282,15 +291,16 @@
             self.note_crash(report, now)
 
     def _learn_pace(self, progress: Progress, choice: Choice, latency_s: float) -> None:
+        if not progress.object_key:
+            return
         entry = choice.target.entry
         distance_s = self.distances.find(entry.failure_domain, entry.region)
         work_s = max(0.001, latency_s - distance_s)
-        work = self.work(progress.route.name)
-        if work is not None and choice.wait_s == 0:
-            choice.target.note_pace(work_s / max(0.001, work.expect(choice.warmth)))
+        work = self.estimate(progress)
+        if choice.wait_s == 0:
+            choice.target.note_pace(work.relative(work_s))
             work.note(work_s / choice.target.slowness, warmth=choice.warmth)
-        if progress.object_key:
-            choice.target.note_run(progress.object_key)
+        choice.target.note_run(progress.object_key)
 
     def _release(self, progress: Progress) -> Choice | None:
         choice, progress.choice = progress.choice, None
@@ -333,6 +343,6 @@
         route = progress.route
         if route.name not in self._work:
             self._work[route.name] = WorkEstimate(
-                objective_s=route.objective_s, sticky=route.sticky
+                objective_s=route.objective_s, timeout_s=route.timeout_s, sticky=route.sticky
             )
         return self._work[route.name]
--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -23,28 +23,44 @@
         now: Monotonic seconds.
     """
     best: dict[str, Choice] = {}
+    settled: dict[str, float] = {}
     for choice in _choices(router, progress, now):
         region = choice.target.entry.region
         if region not in best or choice.expected_s < best[region].expected_s:
             best[region] = choice
+        settled[region] = min(settled.get(region, choice.settled_s), choice.settled_s)
     if not best:
         return None
     if progress.route.home_regions:
         return min(best.values(), key=lambda choice: choice.expected_s)
-    return best[_choose_region(router, progress, best, now)]
+    region = _choose_region(router, progress, settled, now)
+    return _spill(router, progress, best, region, now)
 
 
-def _choose_region(
-    router: "Router", progress: Progress, best: dict[str, Choice], now: float
-) -> str:
+def _spill(
+    router: "Router", progress: Progress, best: dict[str, Choice], region: str, now: float
+) -> Choice:
+    """Returns the choice in a region, or a better one elsewhere if that region is full."""
+    chosen = best[region]
+    if router.accepts(progress, chosen, now):
+        return chosen
+    others = [choice for name, choice in best.items() if name != region]
+    other = min(others, key=lambda choice: choice.expected_s, default=chosen)
+    if other is chosen or not router.accepts(progress, other, now):
+        return chosen
+    return other if router.shares(progress.service).try_spill(now=now) else chosen
+
+
+def _choose_region(router: "Router", progress: Progress, best: dict[str, float], now: float) -> str:
     home = router.options.region
     shares = router.shares(progress.service)
     if not shares.started:
         shares.start(_slots(router.targets.usable(progress.service)))
-    cheapest = min(best, key=lambda region: (best[region].expected_s, region))
-    if home in best and best[cheapest].expected_s > MOVE_MARGIN * best[home].expected_s:
+    cheapest = min(best, key=lambda region: (best[region], region))
+    if home in best and best[cheapest] > MOVE_MARGIN * best[home]:
         cheapest = home
     if not progress.tried:
+        shares.note_request(now=now)
         shares.prefer(cheapest, now=now)
         shares.evict(_regions_in_use(router, progress, now))
     region = shares.choose(draw=router.draw(progress.object_key))
@@ -53,9 +69,7 @@
 
 def _choices(router: "Router", progress: Progress, now: float) -> Iterable[Choice]:
     work = router.estimate(progress)
-    pools = router.targets.pool_names(progress.service)
     rate = router.cold_rate(progress.service)
-    key = progress.object_key
     homes = progress.route.home_regions
     for target in router.targets.usable(progress.service):
         entry = target.entry
@@ -74,22 +88,28 @@
         yield expect(
             target,
             now=now,
-            warmth=_warmth(router, target, key, pools),
+            warmth=_warmth(router, target, progress),
             work=work,
             distance_s=router.distances.find(entry.failure_domain, entry.region),
         )
 
 
-def _warmth(router: "Router", target: Target, key: str, pools: tuple[str, ...]) -> float:
+def _warmth(router: "Router", target: Target, progress: Progress) -> float:
+    """Returns the probability that a target knows the request's object.
+
+    A target of the own region that got nothing yet counts as if it did, so that newcomers take
+    part at once instead of losing to targets that are warm already.
+    """
+    key, entry = progress.object_key, target.entry
+    newcomer = target.sent == 0 and entry.region == router.options.region
+    if key and target.is_warm(key):
+        return RECENT_WARMTH
+    if newcomer and progress.route.idempotent:
+        return RECENT_WARMTH
     if not key:
         return 0.0
-    if target.is_warm(key):
-        return RECENT_WARMTH
-    return router.targets.pools.warmth(
-        key,
-        target.entry.target_id,
-        (*pools, f"{key.partition('/')[0]}/region/{target.entry.region}"),
-    )
+    pool = router.targets.pool_name(entry.service, entry.region)
+    return router.targets.pools.warmth(key, entry.target_id, pool)
 
 
 def _regions_in_use(router: "Router", progress: Progress, now: float) -> set[str]:
--- a/src/carawaybank/routing/spill.py
+++ b/src/carawaybank/routing/spill.py
@@ -9,8 +9,14 @@
 
 from collections.abc import Mapping
 
+from carawaybank.routing.windows import SlidingCount
+
 #: Demand, as a part of all slots, for which the first shares are made.
 EXPECTED_USE = 0.5
+#: Part of the requests that may leave a full region besides its share.
+SPILL_PART = 0.05
+#: Window in seconds over which changes of the shares are bounded.
+SHIFT_WINDOW_S = 2.0
 
 
 class RegionShares:
@@ -37,6 +43,8 @@
         self._shares: dict[str, float] = {home: 1.0}
         self._updated: float | None = None
         self._started = False
+        self._requests = SlidingCount(window_s=SHIFT_WINDOW_S)
+        self._spilled = SlidingCount(window_s=SHIFT_WINDOW_S)
 
     @property
     def started(self) -> bool:
@@ -68,6 +76,17 @@
             self._move(region, self._rate * min(1.0, now - self._updated))
         self._updated = now
 
+    def note_request(self, *, now: float) -> None:
+        """Counts a request."""
+        self._requests.add(now=now)
+
+    def try_spill(self, *, now: float) -> bool:
+        """Takes one request out of its region; returns whether it may leave."""
+        if self._spilled.total(now=now) >= SPILL_PART * self._requests.total(now=now):
+            return False
+        self._spilled.add(now=now)
+        return True
+
     def evict(self, usable: set[str]) -> None:
         """Moves the shares of regions that cannot run anything to the others at once."""
         kept = {region: share for region, share in self._shares.items() if region in usable}
--- a/src/carawaybank/siblings/heartbeat.py
+++ b/src/carawaybank/siblings/heartbeat.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from typing import cast
 
 import msgspec
 
@@ -28,8 +29,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the socket."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self._transport = transport
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Takes a heartbeat."""
