Refuse below the objective and move demand before queues form

Cause: the smallest region queued up to and beyond the objective before demand moved, so that most of its answers were late; each VM also sent a first cold request to every target at the start. Ruled out: a wrong estimate of warm work (109 ms expected, 104 ms seen). Change: patience of 0.85 and 1.0 objectives, crowding counted when regions are compared, newcomers only among targets that join while requests are served.

--- a/src/carawaybank/routing/admission.py
+++ b/src/carawaybank/routing/admission.py
@@ -14,8 +14,8 @@
 from carawaybank.routing.placement import Choice
 
 #: Expected time in multiples of the objective up to which requests are sent, by urgency.
-URGENT_PATIENCE = 1.6
-ORDINARY_PATIENCE = 1.15
+URGENT_PATIENCE = 1.0
+ORDINARY_PATIENCE = 0.85
 #: Wait in multiples of the patience that is accepted however long the work itself takes.
 LEAST_WAIT = 0.2
 #: Part of the time left that the expected answer may take at most.
--- a/src/carawaybank/routing/directory.py
+++ b/src/carawaybank/routing/directory.py
@@ -23,6 +23,8 @@
         self._usable: dict[str, list[Target]] = {}
         self._pools = HashPool()
         self._evacuated: frozenset[str] = frozenset()
+        #: Whether any request was routed yet.
+        self.is_serving = False
 
     @property
     def all(self) -> dict[str, Target]:
@@ -51,7 +53,8 @@
         """Takes an announcement; returns whether it changed anything but its number."""
         known = self._targets.get(entry.target_id)
         if known is None:
-            self._targets[entry.target_id] = Target(entry=entry, now=now)
+            target = Target(entry=entry, now=now, is_newcomer=self.is_serving)
+            self._targets[entry.target_id] = target
             self._reindex()
             return True
         before = known.entry
--- a/src/carawaybank/routing/fleet.py
+++ b/src/carawaybank/routing/fleet.py
@@ -55,16 +55,17 @@
 class Target:
     """A target as this entry VM sees it."""
 
-    def __init__(self, *, entry: TargetEntry, now: float) -> None:
+    def __init__(self, *, entry: TargetEntry, now: float, is_newcomer: bool = False) -> None:
         """Takes the first announcement.
 
         Args:
             entry: The announcement.
             now: Monotonic seconds.
+            is_newcomer: Whether it joined while requests were served.
         """
+        self.is_newcomer = is_newcomer
         self.entry = entry
         self.in_flight = 0
-        self.sent = 0
         self.slowness = 1.0
         self.failure_share = 0.0
         self.cold_until = 0.0
@@ -114,6 +115,10 @@
         """Returns whether this entry VM sent it a request on the object lately."""
         return object_key in self._warm
 
+    def utilization(self, *, now: float) -> float:
+        """Returns the requests that it has for each slot."""
+        return self.busy(now=now) / max(1, self.entry.slots)
+
     def note_run(self, object_key: str) -> None:
         """Records that it ran a request on an object."""
         self._warm[object_key] = None
--- a/src/carawaybank/routing/placement.py
+++ b/src/carawaybank/routing/placement.py
@@ -24,6 +24,8 @@
 WORK_SAMPLE_WEIGHT = 0.05
 #: Delay in multiples of the expected work that a target costs for each share of failed requests.
 FAILURE_COST = 4.0
+#: Delay in multiples of the work that other requests cause at a target with all slots taken.
+CROWDING_COST = 0.6
 
 
 class Distances:
@@ -93,7 +95,7 @@
         wait_s: Seconds of them that the request waits at the target.
         warmth: Probability that the target knows the object.
         settled_s: Seconds that would be expected if the target knew the object, as it will after
-            the first request on it.
+            the first request on it, and if all slots of a busy target were about to be taken.
     """
 
     target: Target
@@ -154,5 +156,8 @@
     ahead = max(0.0, target.busy(now=now) + 1 - slots)
     wait_s = ahead / slots * work.expect(0.7) * target.slowness
     penalty_s = FAILURE_COST * target.failure_share * work.expect(0.7)
-    settled_s = distance_s + wait_s + penalty_s + work.expect(1.0) * target.slowness
+    crowding = CROWDING_COST * min(2.0, target.utilization(now=now)) ** 2
+    settled_s = (
+        distance_s + penalty_s + wait_s + work.expect(1.0) * target.slowness * (1 + crowding)
+    )
     return Choice(target, distance_s + wait_s + work_s + penalty_s, wait_s, warmth, settled_s)
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -123,6 +123,7 @@
         if self.quarantine.is_refused(request.fingerprint, now=now):
             detail = "this request crashed the targets that ran it"
             return self._reject(request, NotRun(Reason.QUARANTINED, 5.0, detail))
+        self.targets.is_serving = True
         service = choose_part(route, draw=self._rng.random())
         progress = Progress(
             request=request,
@@ -231,7 +232,7 @@
         progress.tried.add(target.entry.target_id)
         progress.last_target_id = target.entry.target_id
         target.in_flight += 1
-        target.sent += 1
+        target.is_newcomer = False
         return Send(
             progress.request.key,
             target.entry.target_id,
--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -101,7 +101,7 @@
     part at once instead of losing to targets that are warm already.
     """
     key, entry = progress.object_key, target.entry
-    newcomer = target.sent == 0 and entry.region == router.options.region
+    newcomer = target.is_newcomer and entry.region == router.options.region
     if key and target.is_warm(key):
         return RECENT_WARMTH
     if newcomer and progress.route.idempotent:
