Notice a silent store connection and drop entries that went missing during a cut

Ruled out: rows missing from the feed; it delivered them at once after the reconnection. Change: keep-alive probes on store connections, siblings compare versions by heartbeat, pauses of at most 0.4 s, entries kept only where most of a service's lapsed, listener closed after the linger.

--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -15,7 +15,9 @@
 from carawaybank.verdicts import Reason
 
 #: Longest time in milliseconds that sent bytes may stay unacknowledged before the kernel gives up.
-_USER_TIMEOUT_MS = 5_000
+_USER_TIMEOUT_MS = 2_500
+#: Seconds of silence after which the kernel probes a watched connection, and between probes.
+_KEEPALIVE_S = 1
 #: Answers to earlier exchanges that are passed over on one connection.
 _MOST_STRAY_ANSWERS = 2
 _MAX_HEAD_BYTES = 65_536
@@ -104,12 +106,16 @@
         return self.is_reusable and transport is not None and not transport.is_closing()
 
     @classmethod
-    async def open(cls, address: str, *, timeout_s: float) -> "ClientConnection":
+    async def open(
+        cls, address: str, *, timeout_s: float, keep_alive: bool = False
+    ) -> "ClientConnection":
         """Opens a connection.
 
         Args:
             address: ``IP:PORT`` of the peer.
             timeout_s: Longest time in seconds.
+            keep_alive: Whether the kernel probes the peer while nothing is exchanged, so that a
+                connection that went silent ends a long wait.
 
         Raises:
             ExchangeError: If the peer refuses or does not answer in time.
@@ -127,8 +133,19 @@
         except (OSError, ValueError) as error:
             message = f"no connection to {address}: {type(error).__name__}"
             raise ExchangeError(reason=Reason.CONNECT_FAILED, message=message, sent=False) from None
+        if keep_alive:
+            connection.keep_alive()
         return connection
 
+    def keep_alive(self) -> None:
+        """Lets the kernel probe the peer while nothing is exchanged."""
+        sock = self._transport.get_extra_info("socket") if self._transport else None
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
+                sock.setsockopt(socket.IPPROTO_TCP, option, _KEEPALIVE_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+
     async def exchange(self, call: HttpCall, *, timeout_s: float) -> HttpReply:
         """Sends a request and returns the whole answer.
 
--- a/src/carawaybank/platform/node.py
+++ b/src/carawaybank/platform/node.py
@@ -80,7 +80,17 @@
         self._evacuations: set[str] = set()
         self._connections: set[CallerConnection] = set()
         self._stopped = asyncio.Event()
-        self._heartbeat = HeartbeatTask(vms=self._vms, on_change=self._note_vm)
+        self._watches = [
+            self._watch(_OPERATORS_TABLE, self._take_operators),
+            self._watch(_TARGETS_TABLE, self._registry.take),
+            self._watch(_VMS_TABLE, self._take_vms),
+        ]
+        self._heartbeat = HeartbeatTask(
+            vms=self._vms,
+            versions=lambda: {watch.table: watch.changed_at for watch in self._watches},
+            on_change=self._note_vm,
+            on_versions=self._compare_versions,
+        )
 
     async def run(self) -> None:
         """Serves until a signal to stop, and ends what is under way."""
@@ -90,12 +100,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._journal.note("daemon", "started", **self._deployment._asdict())
         servers = await self._listen()
-        watches = [
-            self._watch(_OPERATORS_TABLE, self._take_operators),
-            self._watch(_TARGETS_TABLE, self._registry.take),
-            self._watch(_VMS_TABLE, self._take_vms),
-        ]
-        jobs: list[Coroutine[Any, Any, None]] = [watch.run() for watch in watches]
+        jobs: list[Coroutine[Any, Any, None]] = [watch.run() for watch in self._watches]
         jobs += [self._register(), self._heartbeat.run(), self._checks.run(), self._tidy()]
         tasks = [asyncio.create_task(job) for job in jobs]
         for task in tasks:
@@ -140,6 +145,10 @@
             rng=self._rng,
         )
 
+    def _compare_versions(self, versions: dict[str, int]) -> None:
+        for watch in self._watches:
+            watch.compare(versions.get(watch.table, 0))
+
     def _take_operators(self, changes: Changes) -> None:
         if changes.whole:
             self._evacuations = set()
@@ -217,13 +226,14 @@
         self._journal.note("daemon", "stopping", connections=len(self._connections))
         self._vm.is_stopping = True
         self._vms.stop()
-        self._heartbeat.send()
+        self._heartbeat.send(everywhere=True)
         deregistration = asyncio.create_task(self._deregister())
         end = started + self._deployment.stop_within_s - _STOP_MARGIN_S
         while loop.time() < end:
             await asyncio.sleep(0.1)
             if loop.time() - started < _LINGER_S:
                 continue
+            servers[0].close()
             for connection in list(self._connections):
                 if connection.is_idle:
                     connection.close()
--- a/src/carawaybank/platform/registry.py
+++ b/src/carawaybank/platform/registry.py
@@ -10,11 +10,18 @@
 from carawaybank.routing.router import Router
 
 
+#: Share of a service's rows beyond which rows that are missing after an outage are taken to have
+#: lapsed. Planned work replaces fewer targets within an outage.
+_LAPSED_SHARE = 0.5
+
+
 class Registry:
     """Passes announcements on to the router.
 
-    Rows that went missing while the store was out of reach may come back with it: their targets
-    stay in use until a grace time after its return. Rows removed in plain sight are gone at once.
+    Rows removed in plain sight are gone at once, and so are the few that went missing while the
+    store was out of reach. When most rows of a service went missing with it, they lapsed because
+    the targets did not reach the store either: those stay in use until a grace time after the
+    store's return, within which they come back.
     """
 
     def __init__(
@@ -38,16 +45,29 @@
     def take(self, changes: Changes) -> None:
         """Takes what the registry said."""
         present = {row.key for row in changes.rows if not row.removed}
+        missing = {row.key for row in changes.rows if row.removed}
+        if changes.whole:
+            missing |= set(self._router.targets.all) - present
         for row in changes.rows:
-            if row.removed:
-                self._miss(row.key, at_once=not changes.after_outage)
-            else:
+            if not row.removed:
                 self._announce(row)
-        if changes.whole:
-            for target_id in set(self._router.targets.all) - present:
-                self._miss(target_id, at_once=not changes.after_outage)
+        lapsed = self._find_lapsed(missing) if changes.after_outage else set()
+        for target_id in sorted(missing):
+            self._miss(target_id, at_once=target_id not in lapsed)
         self.is_loaded = True
 
+    def _find_lapsed(self, missing: set[str]) -> set[str]:
+        """Returns the missing targets of services that lost most of their rows."""
+        by_service: dict[str, set[str]] = {}
+        for target_id, target in self._router.targets.all.items():
+            by_service.setdefault(target.entry.service, set()).add(target_id)
+        lapsed: set[str] = set()
+        for known in by_service.values():
+            gone = known & missing
+            if len(gone) > _LAPSED_SHARE * len(known):
+                lapsed |= gone
+        return lapsed
+
     def _announce(self, row: Row) -> None:
         pending = self._removals.pop(row.key, None)
         if pending is not None:
--- a/src/carawaybank/platform/store.py
+++ b/src/carawaybank/platform/store.py
@@ -12,7 +12,7 @@
 
 #: Longest time in seconds for a call that does not wait for news.
 _CALL_TIMEOUT_S = 2.0
-_CONNECT_TIMEOUT_S = 1.0
+_CONNECT_TIMEOUT_S = 0.6
 _PAGE = 500
 
 
@@ -159,7 +159,9 @@
     async def _exchange(self, call: HttpCall, timeout_s: float) -> HttpReply:
         connection = self._pool.take(self._address)
         if connection is None:
-            connection = await ClientConnection.open(self._address, timeout_s=_CONNECT_TIMEOUT_S)
+            connection = await ClientConnection.open(
+                self._address, timeout_s=_CONNECT_TIMEOUT_S, keep_alive=True
+            )
         try:
             reply = await connection.exchange(call, timeout_s=timeout_s)
         except asyncio.CancelledError:
--- a/src/carawaybank/platform/watch.py
+++ b/src/carawaybank/platform/watch.py
@@ -2,16 +2,18 @@
 
 import asyncio
 import random
-from collections.abc import Callable
-from typing import NamedTuple
+from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple
 
 from carawaybank.journal import Journal
-from carawaybank.platform.store import HistoryGoneError, Row, StoreClient, StoreError
+from carawaybank.platform.store import HistoryGoneError, Row, Rows, StoreClient, StoreError
 
 #: Seconds for which the store holds a call that has no news.
 _WAIT_S = 20.0
 #: Bounds in seconds of the pause after a failed call.
-_PAUSES_S = (0.15, 1.0)
+_PAUSES_S = (0.1, 0.4)
+#: Seconds for which a watch may be behind a sibling's before it is started again.
+_BEHIND_S = 0.7
 
 
 class Changes(NamedTuple):
@@ -56,17 +58,41 @@
         self._rng = rng
         self._version: int | None = None
         self._failures = 0
+        self._changed_at = 0
+        self._behind_since: float | None = None
+        self._call: asyncio.Task[Rows] | None = None
 
     @property
-    def is_connected(self) -> bool:
-        """Whether the last call succeeded."""
-        return self._version is not None and self._failures == 0
+    def table(self) -> str:
+        """Name of the table."""
+        return self._table
+
+    @property
+    def changed_at(self) -> int:
+        """Version of the newest change that was read."""
+        return self._changed_at
+
+    def compare(self, version: int) -> None:
+        """Takes the version that a sibling has read; starts a watch again that stays behind."""
+        now = asyncio.get_running_loop().time()
+        if self._version is None or version <= self._version:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        elif now - self._behind_since > _BEHIND_S and self._call is not None:
+            self._behind_since = None
+            self._journal.note("store", "watch is behind", table=self._table, sibling=version)
+            self._call.cancel()
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
         while True:
             try:
                 await self._step()
+            except asyncio.CancelledError:
+                task = asyncio.current_task()
+                if task is not None and task.cancelling():
+                    raise
             except HistoryGoneError:
                 self._journal.note("store", "history gone", table=self._table, seen=self._version)
                 self._version = None
@@ -80,15 +106,27 @@
         else:
             # The first call after an outage returns at once, to show that the store is back.
             wait_s = 0.0 if self._failures else _WAIT_S
-            found = await self._store.watch(self._table, after=self._version, wait_s=wait_s)
+            found = await self._interruptible(
+                self._store.watch(self._table, after=self._version, wait_s=wait_s)
+            )
         after_outage = self._failures > 0
         if after_outage:
             self._journal.note("store", "regained", table=self._table, failures=self._failures)
         self._failures = 0
         self._version = found.version
+        self._changed_at = max([self._changed_at, *(row.version for row in found.rows)])
         if found.rows or whole or after_outage:
             self._on_changes(Changes(found.rows, whole, after_outage))
 
+    async def _interruptible(self, call: Coroutine[Any, Any, Rows]) -> Rows:
+        """Returns what a call returned; :meth:`compare` may cancel it."""
+        self._call = asyncio.create_task(call)
+        try:
+            return await self._call
+        finally:
+            self._call.cancel()
+            self._call = None
+
     async def _pause(self, error: StoreError) -> None:
         self._failures += 1
         if self._failures == 1:
--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -6,8 +6,10 @@
 
 from typing import NamedTuple
 
-#: Seconds without a heartbeat after which a VM is not listed any more.
+#: Seconds without a heartbeat after which a VM of the own region is not listed any more.
 SILENCE_LIMIT_S = 2.5
+#: The same for VMs of other regions, whose heartbeats come less often.
+REMOTE_SILENCE_LIMIT_S = 5.0
 #: Fewest VMs that a look-up names, if there are so many in the caller's region.
 FEWEST_LISTED = 2
 #: Most VMs that a look-up names.
@@ -36,6 +38,22 @@
     stopping: bool = False
 
 
+class Heartbeat(NamedTuple):
+    """What a VM tells its siblings again and again.
+
+    Attributes:
+        vm: Its name.
+        incarnation: Start of its process.
+        stopping: Whether it is shutting down.
+        versions: Newest version that it read of each watched table.
+    """
+
+    vm: str
+    incarnation: int
+    stopping: bool
+    versions: dict[str, int]
+
+
 class VmDirectory:
     """Entry VMs by name, with the time at which each was heard last."""
 
@@ -63,6 +81,10 @@
         """Records that this VM is shutting down."""
         self._own = self._own._replace(stopping=True)
 
+    def beat(self, versions: dict[str, int]) -> Heartbeat:
+        """Returns this VM's heartbeat."""
+        return Heartbeat(self._own.vm, self._own.incarnation, self._own.stopping, versions)
+
     def update(self, record: VmRecord, *, now: float) -> bool:
         """Takes a VM's registration or its own word; returns whether it was news."""
         if record.vm == self._own.vm:
@@ -85,14 +107,26 @@
             self._records.pop(vm, None)
             self._heard.pop(vm, None)
 
-    def hear(self, vm: str, *, now: float) -> None:
-        """Records a heartbeat."""
-        if vm in self._records:
-            self._heard[vm] = now
+    def hear(self, beat: Heartbeat, *, now: float) -> VmRecord | None:
+        """Records a heartbeat; returns the VM's record if the heartbeat changed it."""
+        record = self._records.get(beat.vm)
+        if record is None or beat.incarnation < record.incarnation:
+            return None
+        self._heard[beat.vm] = now
+        changed = record._replace(incarnation=beat.incarnation, stopping=beat.stopping)
+        return changed if self.update(changed, now=now) else None
 
     def is_heard(self, vm: str, *, now: float) -> bool:
         """Returns whether a VM's heartbeats arrive."""
-        return now - self._heard.get(vm, float("-inf")) <= SILENCE_LIMIT_S
+        record = self._records.get(vm)
+        if record is None:
+            return False
+        limit_s = SILENCE_LIMIT_S if self.is_near(record) else REMOTE_SILENCE_LIMIT_S
+        return now - self._heard.get(vm, float("-inf")) <= limit_s
+
+    def is_near(self, record: VmRecord) -> bool:
+        """Returns whether a VM is of the own region."""
+        return record.region == self._own.region
 
     def count(self, *, now: float) -> int:
         """Returns how many VMs may send to targets now, this one included."""
