--- a/src/carawaybank/callers/front.py
+++ b/src/carawaybank/callers/front.py
@@ -163,6 +163,8 @@
         if isinstance(event, h11.Request):
             self._request, self._body, self._size = event, [], 0
             self._head_since = None
+            if _head_size(event) > self._gate.limits().header_bytes:
+                self._refuse(431, "the request head is too large")
         elif isinstance(event, h11.Data):
             self._size += len(event.data)
             if self._size > self._gate.limits().body_bytes:
@@ -249,3 +251,9 @@
     def _pause(self) -> None:
         if self._transport is not None:
             self._transport.pause_reading()
+
+
+def _head_size(request: h11.Request) -> int:
+    """Returns the bytes of a request head, without the blanks between its parts."""
+    fields = sum(len(name) + len(value) + 4 for name, value in request.headers)
+    return len(request.method) + len(request.target) + fields
--- a/src/carawaybank/platform/node.py
+++ b/src/carawaybank/platform/node.py
@@ -193,11 +193,11 @@
             for record in self._vms.others:
                 if record.vm not in present:
                     self._vms.remove(record.vm, now=now)
-        self._router.senders = self._vms.count(now=now)
+        self._router.vms = self._vms.names
 
     def _note_vm(self, record: VmRecord) -> None:
         self._journal.note("siblings", "vm changed", **record._asdict())
-        self._router.senders = self._vms.count(now=asyncio.get_running_loop().time())
+        self._router.vms = self._vms.names
 
     async def _register(self) -> None:
         """Writes the row of this VM, again until the store confirms it."""
--- a/src/carawaybank/routing/coldstart.py
+++ b/src/carawaybank/routing/coldstart.py
@@ -1,45 +1,58 @@
 """A rate limit for cold targets that holds over all entry VMs without any message.
 
 Load pattern: a failure domain returns from an outage with all its targets cold while callers wait
-for it. A cold target crashes when the sum over all entry VMs exceeds its rate, so each VM spaces
-its requests to one such target by the number of VMs that may send to it.
+for it. A cold target crashes when the sum over all entry VMs exceeds its rate. No VM sends it more
+than one request a second; where more VMs are known than the rate allows, those that come first by
+a hash of the target send, and the others do not.
 """
 
-#: Requests that may arrive closer together than they were sent; covers the jitter of links.
+from collections.abc import Sequence
+
+from carawaybank.steering import hashing
+
+#: Requests may arrive closer together than they were sent, by the jitter of links.
 JITTER_ALLOWANCE = 1.15
 
 
 class ColdStartLimit:
-    """Spaces requests to cold targets.
+    """Spaces requests of one entry VM to cold targets.
 
-    >>> limit = ColdStartLimit()
-    >>> limit.try_send("t", senders=11, rate=11.0, now=0.0)
+    >>> limit = ColdStartLimit(vm="a")
+    >>> limit.try_send("t", vms=("a", "b"), rate=11.0, now=0.0)
     True
-    >>> limit.try_send("t", senders=11, rate=11.0, now=1.0)
+    >>> limit.try_send("t", vms=("a", "b"), rate=11.0, now=1.0)
     False
-    >>> limit.try_send("t", senders=11, rate=11.0, now=1.2)
+    >>> limit.try_send("t", vms=("a", "b"), rate=11.0, now=1.2)
     True
     """
 
-    def __init__(self) -> None:
-        """Starts without requests."""
+    def __init__(self, *, vm: str) -> None:
+        """Starts without requests.
+
+        Args:
+            vm: Name of this entry VM.
+        """
+        self._vm = vm
         self._last_sent: dict[str, float] = {}
 
-    def may_send(self, target: str, *, senders: int, rate: float, now: float) -> bool:
+    def may_send(self, target: str, *, vms: Sequence[str], rate: float, now: float) -> bool:
         """Returns whether a cold target may get a request now.
 
         Args:
             target: The target.
-            senders: Entry VMs that may send to it, this one included.
+            vms: Entry VMs that may send to it, this one included.
             rate: Requests a second that it tolerates from all of them.
             now: Monotonic seconds.
         """
-        interval_s = JITTER_ALLOWANCE * max(1.0, senders / rate)
-        return now - self._last_sent.get(target, float("-inf")) >= interval_s
+        interval_s = JITTER_ALLOWANCE * max(1.0, 1.0 / rate)
+        if now - self._last_sent.get(target, float("-inf")) < interval_s:
+            return False
+        senders = max(1, int(rate))
+        return len(vms) <= senders or self._vm in hashing.rank(key=target, members=vms)[:senders]
 
-    def try_send(self, target: str, *, senders: int, rate: float, now: float) -> bool:
+    def try_send(self, target: str, *, vms: Sequence[str], rate: float, now: float) -> bool:
         """Takes a turn at a cold target; returns whether there was one."""
-        if not self.may_send(target, senders=senders, rate=rate, now=now):
+        if not self.may_send(target, vms=vms, rate=rate, now=now):
             return False
         self._last_sent[target] = now
         return True
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -76,14 +76,14 @@
         self._requests: dict[int, Progress] = {}
         self._retries: dict[str, RetryLimit] = {}
         self._shares: dict[str, RegionShares] = {}
-        self.cold_starts = ColdStartLimit()
+        self.cold_starts = ColdStartLimit(vm=options.vm)
         self.targets = TargetDirectory(options=options)
         self.distances = Distances(failure_domain=options.failure_domain, region=options.region)
         self.quarantine = Quarantine(
             limit=_CRASH_LIMIT, expiry_s=_CRASH_MEMORY_S, capacity=_CRASH_CAPACITY
         )
-        #: Entry VMs that may send to targets now.
-        self.senders = 1
+        #: Entry VMs that may send to targets now, this one included.
+        self.vms: tuple[str, ...] = (options.vm,)
 
     @property
     def configuration(self) -> Configuration | None:
@@ -224,7 +224,7 @@
         if target.is_cold(now=now):
             rate = self.cold_rate(progress.service)
             if rate and not self.cold_starts.try_send(
-                target.entry.target_id, senders=self.senders, rate=rate, now=now
+                target.entry.target_id, vms=self.vms, rate=rate, now=now
             ):
                 refusal = admission.refuse(progress.route.objective_s, rng=self._rng)
                 return self._give_up(progress, refusal, "only cold targets are left")
--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -26,6 +26,8 @@
     settled: dict[str, float] = {}
     for choice in _choices(router, progress, now):
         region = choice.target.entry.region
+        if _is_newcomer(router, choice, progress):
+            return choice
         if region not in best or choice.expected_s < best[region].expected_s:
             best[region] = choice
         settled[region] = min(settled.get(region, choice.settled_s), choice.settled_s)
@@ -80,9 +82,7 @@
         if (
             rate
             and target.is_cold(now=now)
-            and not router.cold_starts.may_send(
-                entry.target_id, senders=router.senders, rate=rate, now=now
-            )
+            and not router.cold_starts.may_send(entry.target_id, vms=router.vms, rate=rate, now=now)
         ):
             continue
         yield expect(
@@ -95,23 +95,31 @@
 
 
 def _warmth(router: "Router", target: Target, progress: Progress) -> float:
-    """Returns the probability that a target knows the request's object.
-
-    A target of the own region that got nothing yet counts as if it did, so that newcomers take
-    part at once instead of losing to targets that are warm already.
-    """
+    """Returns the probability that a target knows the request's object."""
     key, entry = progress.object_key, target.entry
-    newcomer = target.is_newcomer and entry.region == router.options.region
-    if key and target.is_warm(key):
-        return RECENT_WARMTH
-    if newcomer and progress.route.idempotent:
-        return RECENT_WARMTH
     if not key:
         return 0.0
+    if target.is_warm(key):
+        return RECENT_WARMTH
     pool = router.targets.pool_name(entry.service, entry.region)
     return router.targets.pools.warmth(key, entry.target_id, pool)
 
 
+def _is_newcomer(router: "Router", choice: Choice, progress: Progress) -> bool:
+    """Returns whether a target of the own region joined lately and got nothing from here yet.
+
+    Newcomers get one request of each entry VM first: they know no object and would lose every
+    comparison to the targets that do.
+    """
+    target = choice.target
+    return (
+        target.is_newcomer
+        and progress.route.idempotent
+        and not progress.tried
+        and target.entry.region == router.options.region
+    )
+
+
 def _regions_in_use(router: "Router", progress: Progress, now: float) -> set[str]:
     return {
         target.entry.region
--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -77,6 +77,11 @@
         """All other known VMs."""
         return list(self._records.values())
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of all known VMs, this one included."""
+        return (self._own.vm, *self._records)
+
     def stop(self) -> None:
         """Records that this VM is shutting down."""
         self._own = self._own._replace(stopping=True)
@@ -128,10 +133,6 @@
         """Returns whether a VM is of the own region."""
         return record.region == self._own.region
 
-    def count(self, *, now: float) -> int:
-        """Returns how many VMs may send to targets now, this one included."""
-        return 1 + len(self._records)
-
     def find(self, failure_domain: str, region: str, *, now: float) -> list[VmRecord]:
         """Returns the VMs that callers of a failure domain should use, the nearest alone."""
         listed = [record for record in self._listed(now) if not record.stopping]
--- /dev/null
+++ b/tests/routing/builders.py
@@ -0,0 +1,54 @@
+"""Small builders of configurations, targets and requests."""
+
+import random
+
+from carawaybank.routing.catalogue import Configuration, Route, RoutePart, Service
+from carawaybank.routing.fleet import TargetEntry
+from carawaybank.routing.messages import Request
+from carawaybank.routing.router import Router, RouterOptions
+
+HOST = "parts.example"
+
+
+def make_route(name="look", *, prefix="/look/", idempotent=True, rank=2, parts=None, **changes):
+    route = Route(
+        name=name,
+        host=HOST,
+        prefix=prefix,
+        idempotent=idempotent,
+        timeout_s=2.0,
+        objective_s=0.5,
+        rank=rank,
+        parts=parts or (RoutePart("ledger", 1.0),),
+        attempts=2,
+        sticky=True,
+    )
+    return route._replace(**changes)
+
+
+BOOK = make_route("book", prefix="/book/", idempotent=False, rank=1)
+
+
+def make_configuration(*routes, version=1, cold_rate=0.0):
+    services = {"ledger": Service("ledger", "/healthz", cold_rate)}
+    return Configuration(version, routes or (make_route(), BOOK), services)
+
+
+def make_target(number, *, domain="a1", region="a", **changes):
+    entry = TargetEntry(f"t{number}", "ledger", f"10.0.0.{number}:80", domain, region, 4)
+    return entry._replace(**changes)
+
+
+def make_router(*targets, configuration=None, now=0.0, **options):
+    router = Router(
+        options=RouterOptions(**{"failure_domain": "a1", "region": "a", "vm": "vm-1", **options}),
+        rng=random.Random(7),
+    )
+    router.configure(configuration or make_configuration())
+    for entry in targets:
+        router.targets.update(entry, now=now)
+    return router
+
+
+def make_request(key, *, path="/look/1", object_key="o1", budget_s=2.0, fingerprint=None):
+    return Request(key, f"id-{key}", HOST, path, object_key, fingerprint or f"f{key}", budget_s)
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,199 @@
+"""The router: what it sends where, and what it never repeats."""
+
+import pytest
+
+from carawaybank.routing.catalogue import RoutePart
+from carawaybank.routing.fleet import LoadReport
+from carawaybank.routing.messages import AttemptResult, Finish, Send
+from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason
+from tests.routing.builders import (
+    BOOK,
+    make_configuration,
+    make_request,
+    make_route,
+    make_router,
+    make_target,
+)
+
+TARGETS = tuple(make_target(number) for number in range(1, 5))
+
+
+def lost(reason=Reason.CONNECTION_LOST, **changes):
+    return AttemptResult(MayHaveRun(reason), 0.1, **changes)
+
+
+def answered(status=200):
+    return AttemptResult(Answered(status), 0.1)
+
+
+def shed():
+    return AttemptResult(NotRun(Reason.TARGET_SHED), 0.01)
+
+
+def test_without_a_configuration_requests_are_refused_as_not_run():
+    router = make_router(*TARGETS)
+    router._configuration = None
+    action = router.arrive(make_request(1), 0.0)
+    assert isinstance(action, Finish)
+    assert action.status == 503
+
+
+def test_a_path_without_a_route_is_not_found():
+    action = make_router(*TARGETS).arrive(make_request(1, path="/none/1"), 0.0)
+    assert action == Finish(1, action.verdict, 404)
+
+
+def test_a_booking_that_may_have_run_is_never_sent_again():
+    router = make_router(*TARGETS)
+    action = router.arrive(make_request(1, path="/book/1"), 0.0)
+    assert isinstance(action, Send)
+    action = router.end_attempt(1, lost(), 0.1)
+    assert isinstance(action, Finish)
+    assert action.status == 502
+
+
+def test_a_booking_that_was_shed_goes_to_another_target():
+    router = make_router(*TARGETS)
+    first = router.arrive(make_request(1, path="/book/1"), 0.0)
+    second = router.end_attempt(1, shed(), 0.1)
+    assert isinstance(second, Send)
+    assert second.target_id != first.target_id
+
+
+def test_a_booking_that_was_shed_and_then_lost_is_not_called_not_run():
+    router = make_router(*TARGETS)
+    router.arrive(make_request(1, path="/book/1"), 0.0)
+    router.end_attempt(1, shed(), 0.1)
+    action = router.end_attempt(1, lost(), 0.2)
+    assert action.status == 502
+
+
+def test_a_look_up_that_ran_at_a_lost_target_does_not_end_as_not_run():
+    router = make_router(*TARGETS)
+    router.arrive(make_request(1), 0.0)
+    assert isinstance(router.end_attempt(1, lost(), 0.1), Send)
+    action = router.end_attempt(1, shed(), 0.2)
+    assert action.status == 502
+
+
+def test_attempts_of_a_route_are_the_most_targets():
+    router = make_router(*TARGETS)
+    router.arrive(make_request(1), 0.0)
+    router.end_attempt(1, lost(), 0.1)
+    assert isinstance(router.end_attempt(1, lost(), 0.2), Finish)
+
+
+def test_a_failure_that_a_target_answered_is_returned_when_nothing_better_follows():
+    router = make_router(*TARGETS)
+    router.arrive(make_request(1), 0.0)
+    assert isinstance(router.end_attempt(1, answered(500), 0.1), Send)
+    action = router.end_attempt(1, shed(), 0.2)
+    assert action.verdict == Answered(500)
+
+
+def test_a_target_that_refuses_connections_gets_nothing_until_it_recovers():
+    router = make_router(*TARGETS)
+    sent = router.arrive(make_request(1), 0.0)
+    router.end_attempt(1, AttemptResult(NotRun(Reason.CONNECTION_REFUSED), 0.01), 0.1)
+    target = router.targets.find(sent.target_id)
+    assert target.is_down
+    chosen = {router.arrive(make_request(key), 0.2).target_id for key in range(2, 12)}
+    assert sent.target_id not in chosen
+
+
+def test_another_target_at_the_address_is_noticed():
+    router = make_router(*TARGETS)
+    sent = router.arrive(make_request(1), 0.0)
+    result = AttemptResult(NotRun(Reason.NOT_OWNER), 0.01, other_target=True)
+    router.end_attempt(1, result, 0.1)
+    assert router.targets.find(sent.target_id) is None
+
+
+@pytest.mark.parametrize("changes", [{"draining": True}, {"failure_domain": "a9"}])
+def test_leaving_and_evacuated_targets_get_nothing(changes):
+    router = make_router(make_target(1, **changes), make_target(2))
+    router.targets.evacuate(frozenset({"a9"}))
+    chosen = {router.arrive(make_request(key), 0.0).target_id for key in range(1, 4)}
+    assert chosen == {"t2"}
+
+
+def test_draining_does_not_end_with_an_older_announcement():
+    router = make_router(make_target(1, sequence=5, draining=True))
+    router.targets.update(make_target(1, sequence=4), now=1.0)
+    router.targets.update(make_target(1, sequence=6), now=1.0)
+    assert router.targets.usable("ledger") == []
+    router.targets.update(make_target(1, incarnation=1), now=2.0)
+    assert len(router.targets.usable("ledger")) == 1
+
+
+def test_homes_bind_even_when_only_other_regions_have_targets():
+    route = make_route(home_regions=frozenset({"b"}))
+    far = make_target(1, domain="c1", region="c")
+    router = make_router(far, configuration=make_configuration(route))
+    assert isinstance(router.arrive(make_request(1), 0.0), Finish)
+    router.targets.update(make_target(2, domain="b1", region="b"), now=0.0)
+    assert router.arrive(make_request(2), 0.0).target_id == "t2"
+
+
+def test_an_older_configuration_changes_nothing():
+    router = make_router(*TARGETS, configuration=make_configuration(version=5))
+    assert not router.configure(make_configuration(make_route(prefix="/x/"), version=4))
+    assert isinstance(router.arrive(make_request(1), 0.0), Send)
+
+
+def test_parts_of_a_split_get_their_weights():
+    parts = (RoutePart("ledger", 3.0), RoutePart("desk", 1.0))
+    desk = make_target(9, service="desk", slots=1000)
+    ledger = make_target(8, slots=1000)
+    configuration = make_configuration(make_route(parts=parts, sticky=False))
+    router = make_router(ledger, desk, configuration=configuration)
+    sent = [router.arrive(make_request(key), 0.0).target_id for key in range(1000)]
+    assert 0.2 < sent.count("t9") / 1000 < 0.3
+
+
+def test_a_request_that_crashes_targets_is_stopped_after_the_second():
+    router = make_router(*TARGETS)
+    for key in (1, 2):
+        router.arrive(make_request(key, path="/book/1", fingerprint="bad"), 0.0)
+        router.end_attempt(key, lost(lost_target=True), 0.1)
+    action = router.arrive(make_request(3, path="/book/1", fingerprint="bad"), 0.2)
+    assert action.verdict.reason is Reason.QUARANTINED
+
+
+def test_an_added_route_is_served_though_nothing_is_known_of_its_work():
+    route = make_route("new", prefix="/new/", timeout_s=0.4, objective_s=0.4, sticky=False)
+    router = make_router(*TARGETS, configuration=make_configuration(route))
+    assert isinstance(router.arrive(make_request(1, path="/new/1", object_key=""), 0.0), Send)
+
+
+def test_objects_keep_to_the_target_that_knows_them():
+    router = make_router(*TARGETS)
+    sent = set()
+    for key in range(20):
+        action = router.arrive(make_request(key), key * 1.0)
+        sent.add(action.target_id)
+        result = AttemptResult(Answered(200), 0.2, load=LoadReport(0, 0, 4))
+        router.end_attempt(key, result, key + 0.2)
+    assert len(sent) == 1
+
+
+def test_a_newcomer_gets_a_request_though_others_are_warm():
+    router = make_router(*TARGETS)
+    for key in range(8):
+        router.arrive(make_request(key), float(key))
+        router.end_attempt(key, answered(), key + 0.1)
+    router.targets.update(make_target(9), now=10.0)
+    chosen = {router.arrive(make_request(key), 10.0).target_id for key in range(20, 24)}
+    assert "t9" in chosen
+
+
+def test_a_caller_that_left_frees_its_place():
+    router = make_router(*TARGETS)
+    sent = router.arrive(make_request(1), 0.0)
+    router.abandon(1, 0.1)
+    assert router.targets.find(sent.target_id).in_flight == 0
+    assert router.is_idle
+
+
+def test_bookings_are_routed_by_their_own_kind():
+    assert not BOOK.idempotent
