Bound the objects that a target sees, and place regions by slots alone

Shares of regions that each VM adapted on its own sent the same object to different regions. Ruled out: unseen load of other VMs (waits were expected within 30 ms of what was seen where objects were warm); false slowness. Change: two candidates an object in one region, one elsewhere when full; regions by slots, the same on all VMs; work learned from the nearer of the warm and the cold time.

--- a/src/carawaybank/platform/node.py
+++ b/src/carawaybank/platform/node.py
@@ -293,5 +293,4 @@
         retry_window_s=deployment.retry_window_s,
         cold_factor=deployment.cold_factor,
         cold_slack=deployment.cold_slack,
-        shift_rate=deployment.most_shift / 3,
     )
--- a/src/carawaybank/routing/placement.py
+++ b/src/carawaybank/routing/placement.py
@@ -11,8 +11,9 @@
 from carawaybank.routing.fleet import Target
 from carawaybank.steering import hashing
 
-#: Probability that a target knows an object that others placed there by the same hash.
-HASH_WARMTH = (0.6, 0.25)
+#: Probability that a target knows an object that others placed there by the same hash, by rank
+#: among the targets that may get it.
+HASH_WARMTH = (0.7, 0.3)
 #: Probability that a target knows an object that this entry VM sent it lately.
 RECENT_WARMTH = 0.95
 #: Work in multiples of a route's objective before anything is measured, and its part when warm.
@@ -24,8 +25,6 @@
 WORK_SAMPLE_WEIGHT = 0.05
 #: Delay in multiples of the expected work that a target costs for each share of failed requests.
 FAILURE_COST = 4.0
-#: Delay in multiples of the work that other requests cause at a target with all slots taken.
-CROWDING_COST = 0.6
 
 
 class Distances:
@@ -72,18 +71,19 @@
         """Returns the seconds of work at a probability that the object is known."""
         return warmth * self.warm_s + (1 - warmth) * self.cold_s
 
-    def relative(self, seconds: float) -> float:
-        """Returns how much longer a request took than a warm or a cold one, whichever is nearer."""
-        expected_s = self.warm_s if seconds < (self.warm_s * self.cold_s) ** 0.5 else self.cold_s
-        return seconds / max(0.001, expected_s)
+    def note(self, seconds: float) -> float:
+        """Takes the time of a request that did not wait, on a target of ordinary pace.
 
-    def note(self, seconds: float, *, warmth: float) -> None:
-        """Takes the time of a request that did not wait, where its warmth was certain."""
-        if warmth >= RECENT_WARMTH:
-            self.warm_s += WORK_SAMPLE_WEIGHT * (min(seconds, self.cold_s) - self.warm_s)
-        elif warmth < HASH_WARMTH[1]:
-            self.cold_s += WORK_SAMPLE_WEIGHT * (min(seconds, 3 * self.cold_s) - self.cold_s)
-            self.warm_s = min(self.warm_s, self.cold_s)
+        Returns:
+            The time in multiples of that of a warm or a cold request, whichever is nearer.
+        """
+        if seconds < (self.warm_s * self.cold_s) ** 0.5:
+            ratio = seconds / max(0.001, self.warm_s)
+            self.warm_s += WORK_SAMPLE_WEIGHT * (seconds - self.warm_s)
+        else:
+            ratio = seconds / max(0.001, self.cold_s)
+            self.cold_s += WORK_SAMPLE_WEIGHT * (min(seconds, 2 * self.cold_s) - self.cold_s)
+        return ratio
 
 
 class Choice(NamedTuple):
@@ -94,19 +94,16 @@
         expected_s: Seconds after which its answer is expected.
         wait_s: Seconds of them that the request waits at the target.
         warmth: Probability that the target knows the object.
-        settled_s: Seconds that would be expected if the target knew the object, as it will after
-            the first request on it, and if all slots of a busy target were about to be taken.
     """
 
     target: Target
     expected_s: float
     wait_s: float
     warmth: float
-    settled_s: float
 
 
 class HashPool:
-    """Preferred targets of objects among the targets of a service, by rendezvous hash."""
+    """Targets of a service in a region in the order in which objects prefer them."""
 
     def __init__(self) -> None:
         """Starts empty."""
@@ -119,18 +116,12 @@
             self._members = members
             self._ranks.clear()
 
-    def warmth(self, object_key: str, target_id: str, pool: str) -> float:
-        """Returns the probability that a target knows an object by the hash alone."""
-        for rank, name in enumerate(self._rank(pool, object_key)):
-            if name == target_id:
-                return HASH_WARMTH[rank]
-        return 0.0
-
-    def _rank(self, pool: str, object_key: str) -> tuple[str, ...]:
+    def rank(self, pool: str, object_key: str) -> tuple[str, ...]:
+        """Returns the targets of a pool, the preferred one of an object first."""
         key = (pool, object_key)
         if key not in self._ranks:
-            ranked = hashing.rank(key=object_key, members=self._members.get(pool, ()))
-            self._ranks[key] = tuple(ranked[: len(HASH_WARMTH)])
+            members = self._members.get(pool, ())
+            self._ranks[key] = tuple(hashing.rank(key=object_key, members=members))
         return self._ranks[key]
 
 
@@ -156,8 +147,4 @@
     ahead = max(0.0, target.busy(now=now) + 1 - slots)
     wait_s = ahead / slots * work.expect(0.7) * target.slowness
     penalty_s = FAILURE_COST * target.failure_share * work.expect(0.7)
-    crowding = CROWDING_COST * min(2.0, target.utilization(now=now)) ** 2
-    settled_s = (
-        distance_s + penalty_s + wait_s + work.expect(1.0) * target.slowness * (1 + crowding)
-    )
-    return Choice(target, distance_s + wait_s + work_s + penalty_s, wait_s, warmth, settled_s)
+    return Choice(target, distance_s + wait_s + work_s + penalty_s, wait_s, warmth)
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -42,7 +42,6 @@
         most_vms: Entry VMs among which the sums are divided.
         cold_factor: Factor on a cold target's rate.
         cold_slack: Requests a second besides.
-        shift_rate: Largest change a second of the share that runs in another region.
     """
 
     failure_domain: str
@@ -54,7 +53,6 @@
     most_vms: int = 17
     cold_factor: float = 1.5
     cold_slack: float = 5.0
-    shift_rate: float = 0.05
 
 
 class Router:
@@ -180,9 +178,7 @@
     def shares(self, service: str) -> RegionShares:
         """Returns the shares of a service's requests by region."""
         if service not in self._shares:
-            self._shares[service] = RegionShares(
-                home=self._options.region, rate=self._options.shift_rate
-            )
+            self._shares[service] = RegionShares(home=self._options.region)
         return self._shares[service]
 
     def cold_rate(self, service: str) -> float:
@@ -297,10 +293,10 @@
         entry = choice.target.entry
         distance_s = self.distances.find(entry.failure_domain, entry.region)
         work_s = max(0.001, latency_s - distance_s)
-        work = self.estimate(progress)
         if choice.wait_s == 0:
-            choice.target.note_pace(work.relative(work_s))
-            work.note(work_s / choice.target.slowness, warmth=choice.warmth)
+            slowness = choice.target.slowness
+            ratio = self.estimate(progress).note(work_s / slowness)
+            choice.target.note_pace(ratio * slowness)
         choice.target.note_run(progress.object_key)
 
     def _release(self, progress: Progress) -> Choice | None:
--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -1,17 +1,23 @@
-"""Selection among the usable targets of a service: region first, then the earliest answer."""
+"""Selection of a target: few candidates for each object, then the earliest answer.
 
-from collections.abc import Iterable
+Load pattern: targets remember a limited number of objects. When load rises and each request goes
+wherever there is room, all targets see all objects, forget them in turn and work several times as
+long, so that the load rises further. Each object therefore keeps to two candidates in one region,
+and one elsewhere when these are full, however high the load.
+"""
+
+from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING
 
 from carawaybank.routing.fleet import Target
-from carawaybank.routing.placement import RECENT_WARMTH, Choice, expect
+from carawaybank.routing.placement import HASH_WARMTH, RECENT_WARMTH, Choice, expect
 from carawaybank.routing.progress import Progress
 
 if TYPE_CHECKING:
     from carawaybank.routing.router import Router
 
-#: Part by which another region's answer must be expected earlier before demand moves there.
-MOVE_MARGIN = 0.9
+#: Targets of a region among which a request without an object is placed.
+CANDIDATES_WITHOUT_OBJECT = 4
 
 
 def choose(router: "Router", progress: Progress, now: float) -> Choice | None:
@@ -22,114 +28,110 @@
         progress: The request.
         now: Monotonic seconds.
     """
-    best: dict[str, Choice] = {}
-    settled: dict[str, float] = {}
-    for choice in _choices(router, progress, now):
-        region = choice.target.entry.region
-        if _is_newcomer(router, choice, progress):
-            return choice
-        if region not in best or choice.expected_s < best[region].expected_s:
-            best[region] = choice
-        settled[region] = min(settled.get(region, choice.settled_s), choice.settled_s)
-    if not best:
-        return None
-    if progress.route.home_regions:
-        return min(best.values(), key=lambda choice: choice.expected_s)
-    region = _choose_region(router, progress, settled, now)
-    return _spill(router, progress, best, region, now)
-
-
-def _spill(
-    router: "Router", progress: Progress, best: dict[str, Choice], region: str, now: float
-) -> Choice:
-    """Returns the choice in a region, or a better one elsewhere if that region is full."""
-    chosen = best[region]
-    if router.accepts(progress, chosen, now):
-        return chosen
-    others = [choice for name, choice in best.items() if name != region]
-    other = min(others, key=lambda choice: choice.expected_s, default=chosen)
-    if other is chosen or not router.accepts(progress, other, now):
-        return chosen
-    return other if router.shares(progress.service).try_spill(now=now) else chosen
-
-
-def _choose_region(router: "Router", progress: Progress, best: dict[str, float], now: float) -> str:
-    home = router.options.region
+    newcomer = _find_newcomer(router, progress, now)
+    if newcomer is not None:
+        return _expect(router, progress, newcomer, HASH_WARMTH[-1], now)
     shares = router.shares(progress.service)
-    if not shares.started:
-        shares.start(_slots(router.targets.usable(progress.service)))
-    cheapest = min(best, key=lambda region: (best[region], region))
-    if home in best and best[cheapest] > MOVE_MARGIN * best[home]:
-        cheapest = home
-    if not progress.tried:
-        shares.note_request(now=now)
-        shares.prefer(cheapest, now=now)
-        shares.evict(_regions_in_use(router, progress, now))
+    shares.update(_slots(router.targets.usable(progress.service)))
+    shares.note_request(now=now)
     region = shares.choose(draw=router.draw(progress.object_key))
-    return region if region in best else cheapest
-
-
-def _choices(router: "Router", progress: Progress, now: float) -> Iterable[Choice]:
-    work = router.estimate(progress)
-    rate = router.cold_rate(progress.service)
     homes = progress.route.home_regions
-    for target in router.targets.usable(progress.service):
-        entry = target.entry
-        if target.is_down or entry.target_id in progress.tried:
-            continue
-        if homes and entry.region not in homes:
-            continue
-        if (
-            rate
-            and target.is_cold(now=now)
-            and not router.cold_starts.may_send(entry.target_id, vms=router.vms, rate=rate, now=now)
-        ):
-            continue
-        yield expect(
-            target,
-            now=now,
-            warmth=_warmth(router, target, progress),
-            work=work,
-            distance_s=router.distances.find(entry.failure_domain, entry.region),
-        )
-
-
-def _warmth(router: "Router", target: Target, progress: Progress) -> float:
-    """Returns the probability that a target knows the request's object."""
-    key, entry = progress.object_key, target.entry
-    if not key:
-        return 0.0
-    if target.is_warm(key):
-        return RECENT_WARMTH
-    pool = router.targets.pool_name(entry.service, entry.region)
-    return router.targets.pools.warmth(key, entry.target_id, pool)
+    if homes and region not in homes:
+        region = router.options.region if router.options.region in homes else min(homes)
+    best = _best(router, progress, region, now)
+    if best is not None and router.accepts(progress, best, now):
+        return best
+    other = _best_elsewhere(router, progress, region, now)
+    if best is None or other is None:
+        return best or other
+    if router.accepts(progress, other, now) and shares.try_spill(now=now):
+        return other
+    return best
+
+
+def _best(router: "Router", progress: Progress, region: str, now: float) -> Choice | None:
+    """Returns the candidate of a region whose answer is expected first."""
+    choices = []
+    count = len(HASH_WARMTH) if progress.object_key else CANDIDATES_WITHOUT_OBJECT
+    for rank, target in enumerate(_candidates(router, progress, region, now)):
+        if rank >= count:
+            break
+        choices.append(_expect(router, progress, target, _warmth(target, progress, rank), now))
+    return min(choices, key=lambda choice: choice.expected_s, default=None)
+
+
+def _best_elsewhere(router: "Router", progress: Progress, region: str, now: float) -> Choice | None:
+    homes = progress.route.home_regions
+    regions = {target.entry.region for target in router.targets.usable(progress.service)}
+    choices = [
+        _best(router, progress, name, now)
+        for name in sorted(regions)
+        if name != region and (not homes or name in homes)
+    ]
+    found = [choice for choice in choices if choice is not None]
+    return min(found, key=lambda choice: choice.expected_s, default=None)
+
+
+def _candidates(router: "Router", progress: Progress, region: str, now: float) -> Iterator[Target]:
+    """Yields the targets of a region that may get the request, the preferred ones first."""
+    pool = router.targets.pool_name(progress.service, region)
+    key = progress.object_key or str(progress.request.key)
+    for target_id in router.targets.pools.rank(pool, key):
+        target = router.targets.find(target_id)
+        if target is not None and _may_get(router, progress, target, now):
+            yield target
+
+
+def _may_get(router: "Router", progress: Progress, target: Target, now: float) -> bool:
+    target_id = target.entry.target_id
+    if target.is_down or target_id in progress.tried:
+        return False
+    rate = router.cold_rate(progress.service)
+    if not rate or not target.is_cold(now=now):
+        return True
+    return router.cold_starts.may_send(target_id, vms=router.vms, rate=rate, now=now)
 
 
-def _is_newcomer(router: "Router", choice: Choice, progress: Progress) -> bool:
-    """Returns whether a target of the own region joined lately and got nothing from here yet.
+def _find_newcomer(router: "Router", progress: Progress, now: float) -> Target | None:
+    """Returns a target of the own region that joined lately and got nothing from here yet.
 
     Newcomers get one request of each entry VM first: they know no object and would lose every
     comparison to the targets that do.
     """
-    target = choice.target
-    return (
-        target.is_newcomer
-        and progress.route.idempotent
-        and not progress.tried
-        and target.entry.region == router.options.region
-    )
+    if not progress.route.idempotent or progress.tried:
+        return None
+    homes = progress.route.home_regions
+    for target in router.targets.usable(progress.service):
+        near = target.entry.region == router.options.region
+        allowed = not homes or target.entry.region in homes
+        if target.is_newcomer and near and allowed and _may_get(router, progress, target, now):
+            return target
+    return None
 
 
-def _regions_in_use(router: "Router", progress: Progress, now: float) -> set[str]:
-    return {
-        target.entry.region
-        for target in router.targets.usable(progress.service)
-        if not target.is_down
-    }
+def _warmth(target: Target, progress: Progress, rank: int) -> float:
+    """Returns the probability that a target knows the request's object."""
+    if not progress.object_key:
+        return 0.0
+    return RECENT_WARMTH if target.is_warm(progress.object_key) else HASH_WARMTH[rank]
+
+
+def _expect(
+    router: "Router", progress: Progress, target: Target, warmth: float, now: float
+) -> Choice:
+    entry = target.entry
+    return expect(
+        target,
+        now=now,
+        warmth=warmth,
+        work=router.estimate(progress),
+        distance_s=router.distances.find(entry.failure_domain, entry.region),
+    )
 
 
 def _slots(targets: Iterable[Target]) -> dict[str, int]:
     slots: dict[str, int] = {}
     for target in targets:
-        slots[target.entry.region] = slots.get(target.entry.region, 0) + target.entry.slots
+        if not target.is_down:
+            slots[target.entry.region] = slots.get(target.entry.region, 0) + target.entry.slots
     return slots
--- a/src/carawaybank/routing/spill.py
+++ b/src/carawaybank/routing/spill.py
@@ -1,81 +1,70 @@
-"""How much of a region's demand runs in other regions, and how fast that may change.
-
-Load pattern: demand moves between regions in waves, or a region has fewer targets than its
-callers need. Sending each request to the cheapest region at that instant would swing the whole
-demand back and forth and overload one region after the other. Shares follow the cheapest choice
-at a limited rate, which each entry VM keeps for its own callers; so it holds for their sum.
-Objects keep to their region while the shares move, since the draw is made from the object.
+"""How much of a region's demand runs in other regions.
+
+Load pattern: a region has fewer slots than its callers need, or demand moves between regions in
+waves. Following the cheapest region of each instant would swing the demand back and forth, and
+objects would be cold wherever they arrive. Shares are worked out from the regions' slots alone, so
+that all entry VMs of a region place an object in the same region without any message; they change
+only when slots come or go. Beyond its share, a full region may let a small part of the requests
+leave, which bounds how fast demand shifts.
 """
 
 from collections.abc import Mapping
 
 from carawaybank.routing.windows import SlidingCount
 
-#: Demand, as a part of all slots, for which the first shares are made.
-EXPECTED_USE = 0.5
+#: Demand of a region that its own slots are given, in multiples of an even spread over all slots.
+LOCALITY = 1.1
 #: Part of the requests that may leave a full region besides its share.
-SPILL_PART = 0.05
-#: Window in seconds over which changes of the shares are bounded.
+SPILL_PART = 0.06
+#: Window in seconds over which changes of the regions' shares are bounded.
 SHIFT_WINDOW_S = 2.0
 
 
 class RegionShares:
     """Shares of one service's requests by region in which they run.
 
-    >>> shares = RegionShares(home="a", rate=0.05)
-    >>> shares.start({"a": 1, "b": 2})
-    >>> shares.choose(draw=0.6), shares.choose(draw=0.7)
+    >>> shares = RegionShares(home="a")
+    >>> shares.update({"a": 1, "b": 5})
+    >>> shares.choose(draw=0.36), shares.choose(draw=0.37)
     ('a', 'b')
-    >>> shares.prefer("b", now=0.0); shares.prefer("b", now=1.0)
-    >>> round(shares.share("a"), 2)
-    0.62
     """
 
-    def __init__(self, *, home: str, rate: float) -> None:
+    def __init__(self, *, home: str) -> None:
         """Starts with everything at home.
 
         Args:
             home: Region of this entry VM.
-            rate: Largest change of the shares in a second.
         """
         self._home = home
-        self._rate = rate
+        self._slots: dict[str, int] = {}
         self._shares: dict[str, float] = {home: 1.0}
-        self._updated: float | None = None
-        self._started = False
         self._requests = SlidingCount(window_s=SHIFT_WINDOW_S)
         self._spilled = SlidingCount(window_s=SHIFT_WINDOW_S)
 
-    @property
-    def started(self) -> bool:
-        """Whether first shares were set."""
-        return self._started
-
     def share(self, region: str) -> float:
         """Returns the share of a region, from 0 to 1."""
         return self._shares.get(region, 0.0)
 
-    def start(self, slots: Mapping[str, int]) -> None:
-        """Sets the first shares by the regions' slots, as if callers were spread evenly."""
-        self._started = True
-        total = sum(slots.values())
-        if not total:
+    def update(self, slots: Mapping[str, int]) -> None:
+        """Takes the usable slots by region."""
+        if slots == self._slots:
             return
-        own = len(slots) * slots.get(self._home, 0) / total
-        at_home = min(1.0, own / EXPECTED_USE)
-        abroad = total - slots.get(self._home, 0)
+        self._slots = dict(slots)
+        even = sum(slots.values()) / max(1, len(slots))
+        room = {region: LOCALITY * count / even if even else 0.0 for region, count in slots.items()}
+        at_home = min(1.0, room.get(self._home, 0.0))
+        spare = {region: max(0.0, part - 1.0) for region, part in room.items()}
+        spare.pop(self._home, None)
+        total = sum(spare.values())
+        if not total:
+            at_home = 1.0 if at_home else 0.0
+            spare = {region: part for region, part in room.items() if region != self._home}
+            total = sum(spare.values())
         self._shares = {
-            region: (1.0 - at_home) * count / abroad if abroad else 0.0
-            for region, count in slots.items()
+            region: (1.0 - at_home) * part / total for region, part in spare.items() if total
         }
         self._shares[self._home] = at_home
 
-    def prefer(self, region: str, *, now: float) -> None:
-        """Moves the shares towards a region, by the time since the last call."""
-        if self._updated is not None:
-            self._move(region, self._rate * min(1.0, now - self._updated))
-        self._updated = now
-
     def note_request(self, *, now: float) -> None:
         """Counts a request."""
         self._requests.add(now=now)
@@ -87,17 +76,6 @@
         self._spilled.add(now=now)
         return True
 
-    def evict(self, usable: set[str]) -> None:
-        """Moves the shares of regions that cannot run anything to the others at once."""
-        kept = {region: share for region, share in self._shares.items() if region in usable}
-        total = sum(kept.values())
-        if len(kept) == len(self._shares) or not usable:
-            return
-        if total > 0:
-            self._shares = {region: share / total for region, share in kept.items()}
-        else:
-            self._shares = dict.fromkeys(usable, 1.0 / len(usable))
-
     def choose(self, *, draw: float) -> str:
         """Returns the region of a request.
 
@@ -110,13 +88,3 @@
             if mark < 0:
                 return region
         return self._home
-
-    def _move(self, region: str, step: float) -> None:
-        room = 1.0 - self.share(region)
-        if room <= 0:
-            return
-        step = min(step, room)
-        for other, share in self._shares.items():
-            if other != region:
-                self._shares[other] = share - step * share / room
-        self._shares[region] = self.share(region) + step
