--- a/src/carawaybank/deployment.py
+++ b/src/carawaybank/deployment.py
@@ -17,6 +17,7 @@
     callers_address: str
     ready_address: str
     directory_address: str
+    control_address: NotRequired[str]
     sibling_port: int
 
 
@@ -40,11 +41,18 @@
     lapse_grace_s: float
 
 
+class SiblingsTable(TypedDict, total=False):
+    """Where other entry VMs may be found."""
+
+    seeds: list[str]
+
+
 class DeploymentDocument(TypedDict):
     """The settings file."""
 
     vm: VmTable
     store: StoreTable
+    siblings: NotRequired[SiblingsTable]
     regions: dict[str, str]
     bounds: NotRequired[BoundsTable]
 
@@ -60,6 +68,8 @@
         callers_address: Where callers connect.
         ready_address: Where the readiness check is served.
         directory_address: Where look-ups are served.
+        control_address: Where siblings fetch what this VM read from the store; empty for nowhere.
+        seeds: Control addresses of a few other entry VMs, which may be stale.
         sibling_port: UDP port of heartbeats, the same on all entry VMs.
         store_address: Where the store is.
         regions: Region by failure domain.
@@ -84,6 +94,8 @@
     sibling_port: int
     store_address: str
     regions: dict[str, str]
+    control_address: str = ""
+    seeds: tuple[str, ...] = ()
     stop_within_s: float = 6.0
     retry_share: float = 0.2
     retry_slack: float = 60.0
@@ -133,6 +145,8 @@
         sibling_port=vm["sibling_port"],
         store_address=document["store"]["address"],
         regions=document["regions"],
+        control_address=vm.get("control_address", ""),
+        seeds=tuple(document.get("siblings", {}).get("seeds", ())),
         **bounds,
     )
     faults = _find_faults(deployment)
--- a/src/carawaybank/platform/checks.py
+++ b/src/carawaybank/platform/checks.py
@@ -1,12 +1,15 @@
-"""Health checks of targets that failed, until they pass."""
+"""Checks of targets that failed, until they pass, and of those whose connections broke."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from carawaybank.client import ClientConnection, ExchangeError
 from carawaybank.journal import Journal
 from carawaybank.platform.dialect import PlatformDialect
 from carawaybank.routing.fleet import Target
 from carawaybank.routing.router import Router
+from carawaybank.steering.quarantine import CrashReport
 
 #: Seconds between looks for targets that are due.
 _LOOK_S = 0.2
@@ -17,13 +20,21 @@
 class HealthChecks:
     """Checks failed targets; healthy ones are judged by their answers alone."""
 
-    def __init__(self, *, router: Router, journal: Journal) -> None:
+    def __init__(
+        self,
+        *,
+        router: Router,
+        journal: Journal,
+        on_crash: Callable[[CrashReport], None],
+    ) -> None:
         """Takes the parts.
 
         Args:
             router: Knows the targets.
             journal: Where changes are noted.
+            on_crash: Called with each request that was under way at a target that crashed.
         """
+        self._on_crash = on_crash
         self._router = router
         self._journal = journal
         self._dialect = PlatformDialect()
@@ -38,9 +49,32 @@
             for target in self._router.targets.all.values():
                 if target.is_down and now >= target.next_check:
                     target.fail(now=now)
-                    task = asyncio.create_task(self._check(target))
-                    self._running.add(task)
-                    task.add_done_callback(self._running.discard)
+                    self._start(self._check(target))
+            suspected: dict[str, list[CrashReport]] = {}
+            for report in self._router.take_suspected():
+                suspected.setdefault(report.target, []).append(report)
+            for target_id, reports in suspected.items():
+                self._start(self._confirm(target_id, reports))
+
+    def _start(self, check: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(check)
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+
+    async def _confirm(self, target_id: str, reports: list[CrashReport]) -> None:
+        """Reports a crash if the target does not accept connections any more."""
+        target = self._router.targets.find(target_id)
+        if target is None:
+            return
+        try:
+            connection = await ClientConnection.open(target.entry.address, timeout_s=_TIMEOUT_S)
+        except ExchangeError as error:
+            target.fail(now=asyncio.get_running_loop().time())
+            self._note(target, "crashed", f"{len(reports)} requests under way; {error}")
+            for report in reports:
+                self._on_crash(report)
+        else:
+            connection.close()
 
     async def _check(self, target: Target) -> None:
         configuration = self._router.configuration
--- /dev/null
+++ b/src/carawaybank/platform/crashes.py
@@ -0,0 +1,76 @@
+"""Reports of requests that cost targets, shared by all entry VMs through the store."""
+
+import asyncio
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+import msgspec
+
+from carawaybank.journal import Journal
+from carawaybank.platform.store import StoreClient, StoreError
+from carawaybank.platform.watch import Changes
+from carawaybank.routing.router import Router
+from carawaybank.steering.quarantine import CrashReport
+
+TABLE = "crash-reports"
+#: Seconds after which a row counts no longer and may be removed.
+_RETENTION_S = 600.0
+
+
+class CrashReports:
+    """Writes own reports and passes those of all VMs to the router."""
+
+    def __init__(self, *, router: Router, store: StoreClient, journal: Journal) -> None:
+        """Takes the parts.
+
+        Args:
+            router: Stops requests that crash targets.
+            store: Where reports are kept.
+            journal: Where reports are noted.
+        """
+        self._router = router
+        self._store = store
+        self._journal = journal
+        self._writes: set[asyncio.Task[None]] = set()
+
+    def take(self, changes: Changes) -> None:
+        """Takes what the table said."""
+        now = asyncio.get_running_loop().time()
+        for row in changes.rows:
+            if row.removed:
+                continue
+            try:
+                written_at, report = msgspec.json.decode(row.value, type=tuple[float, CrashReport])
+            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+                self._journal.note("crashes", "row passed over", row=row.key, reason=str(error))
+                continue
+            if time.time() - written_at < _RETENTION_S:
+                self._router.note_crash(report, now)
+            elif changes.whole:
+                self._start(self._remove(row.key))
+
+    def report(self, report: CrashReport) -> None:
+        """Records a request that was under way at a target that crashed."""
+        if self._router.note_crash(report, asyncio.get_running_loop().time()):
+            self._journal.note("crashes", "reported", **report._asdict())
+            self._start(self._write(report))
+
+    def _start(self, write: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(write)
+        self._writes.add(task)
+        task.add_done_callback(self._writes.discard)
+
+    async def _write(self, report: CrashReport) -> None:
+        key = f"{report.fingerprint}.{report.target}"
+        value = msgspec.json.encode((time.time(), report))
+        try:
+            await self._store.put(TABLE, key, value)
+        except StoreError as error:
+            self._journal.note("crashes", "not shared", row=key, reason=str(error))
+
+    async def _remove(self, key: str) -> None:
+        try:
+            await self._store.remove(TABLE, key)
+        except StoreError as error:
+            self._journal.note("crashes", "not removed", row=key, reason=str(error))
--- /dev/null
+++ b/src/carawaybank/platform/handover.py
@@ -0,0 +1,91 @@
+"""What one entry VM read from the store, fetched by a sibling that cannot read it.
+
+A VM that starts during an outage of the store asks the seeds of its settings. What it gets may be
+old; it is replaced as soon as the store answers.
+"""
+
+import asyncio
+import base64
+from collections.abc import Sequence
+from typing import TypedDict
+
+import msgspec
+
+from carawaybank.callers.front import CallerRequest
+from carawaybank.client import ClientConnection, ExchangeError, HttpCall, HttpReply
+from carawaybank.journal import Journal
+from carawaybank.platform.store import Row, Rows
+from carawaybank.platform.watch import TableWatch
+
+_PATH = "/tables"
+#: Seconds for which a start waits for the store before it asks siblings.
+_STORE_FIRST_S = 0.5
+#: Seconds between rounds of asking all seeds.
+_PAUSE_S = 0.4
+_TIMEOUT_S = 0.6
+
+
+class _Table(TypedDict):
+    version: int
+    #: Key, value in base64 and version of each row.
+    rows: list[tuple[str, str, int]]
+
+
+class Handover:
+    """Serves the watched tables to siblings, and fetches them from siblings at the start."""
+
+    def __init__(
+        self, *, watches: Sequence[TableWatch], seeds: Sequence[str], journal: Journal
+    ) -> None:
+        """Takes the parts.
+
+        Args:
+            watches: The watched tables.
+            seeds: Control addresses of siblings, which may be stale.
+            journal: Where attempts are noted.
+        """
+        self._watches = watches
+        self._seeds = seeds
+        self._journal = journal
+
+    def answer(self, request: CallerRequest) -> HttpReply:
+        """Answers a sibling's request."""
+        if not all(watch.is_loaded for watch in self._watches):
+            return HttpReply(503, [], b"")
+        tables = {watch.table: _encode(watch.rows) for watch in self._watches}
+        headers = [("content-type", "application/json")]
+        return HttpReply(200, headers, msgspec.json.encode(tables))
+
+    async def run(self) -> None:
+        """Asks the seeds until all tables were read, here or by a sibling."""
+        await asyncio.sleep(_STORE_FIRST_S)
+        while not all(watch.is_loaded for watch in self._watches):
+            for seed in self._seeds:
+                await self._fetch(seed)
+            await asyncio.sleep(_PAUSE_S)
+
+    async def _fetch(self, seed: str) -> None:
+        call = HttpCall("GET", _PATH, [("Host", seed)])
+        try:
+            connection = await ClientConnection.open(seed, timeout_s=_TIMEOUT_S)
+            try:
+                reply = await connection.exchange(call, timeout_s=_TIMEOUT_S)
+            finally:
+                connection.close()
+            tables = msgspec.json.decode(reply.body, type=dict[str, _Table])
+        except (ExchangeError, msgspec.MsgspecError) as error:
+            self._journal.note("siblings", "no tables from a seed", seed=seed, reason=str(error))
+            return
+        for watch in self._watches:
+            if reply.status == 200 and watch.table in tables:
+                watch.adopt(_decode(tables[watch.table]))
+
+
+def _encode(found: Rows) -> _Table:
+    rows = [(row.key, base64.b64encode(row.value).decode(), row.version) for row in found.rows]
+    return {"version": found.version, "rows": rows}
+
+
+def _decode(table: _Table) -> Rows:
+    rows = [Row(key, base64.b64decode(value), ver, False) for key, value, ver in table["rows"]]
+    return Rows(rows, table["version"])
--- a/src/carawaybank/platform/node.py
+++ b/src/carawaybank/platform/node.py
@@ -19,9 +19,11 @@
 from carawaybank.exceptions import DocumentError
 from carawaybank.journal import Journal
 from carawaybank.metrics import Metrics, scrape
-from carawaybank.platform import decoding
+from carawaybank.platform import crashes, decoding
 from carawaybank.platform.checks import HealthChecks
+from carawaybank.platform.crashes import CrashReports
 from carawaybank.platform.dialect import PlatformDialect
+from carawaybank.platform.handover import Handover
 from carawaybank.platform.registry import Registry
 from carawaybank.platform.store import StoreClient, StoreError
 from carawaybank.platform.watch import Changes, TableWatch
@@ -76,7 +78,10 @@
             lapse_grace_s=deployment.lapse_grace_s,
             journal=self._journal,
         )
-        self._checks = HealthChecks(router=self._router, journal=self._journal)
+        self._crashes = CrashReports(router=self._router, store=self._store, journal=self._journal)
+        self._checks = HealthChecks(
+            router=self._router, journal=self._journal, on_crash=self._crashes.report
+        )
         self._evacuations: set[str] = set()
         self._connections: set[CallerConnection] = set()
         self._stopped = asyncio.Event()
@@ -84,7 +89,11 @@
             self._watch(_OPERATORS_TABLE, self._take_operators),
             self._watch(_TARGETS_TABLE, self._registry.take),
             self._watch(_VMS_TABLE, self._take_vms),
+            self._watch(crashes.TABLE, self._crashes.take),
         ]
+        self._handover = Handover(
+            watches=self._watches, seeds=deployment.seeds, journal=self._journal
+        )
         self._heartbeat = HeartbeatTask(
             vms=self._vms,
             versions=lambda: {watch.table: watch.changed_at for watch in self._watches},
@@ -102,6 +111,7 @@
         servers = await self._listen()
         jobs: list[Coroutine[Any, Any, None]] = [watch.run() for watch in self._watches]
         jobs += [self._register(), self._heartbeat.run(), self._checks.run(), self._tidy()]
+        jobs.append(self._handover.run())
         tasks = [asyncio.create_task(job) for job in jobs]
         for task in tasks:
             task.add_done_callback(self._end_on_failure)
@@ -126,7 +136,7 @@
             is_closing=lambda: self._vm.is_stopping,
         )
         metrics_address = f"{deployment.ip}:{_METRICS_PORT}"
-        return [
+        servers = [
             await listen(
                 deployment.callers_address,
                 lambda: CallerConnection(gate=gate, connections=self._connections),
@@ -135,6 +145,10 @@
             await listen(deployment.directory_address, serve_text(self._answer_lookup)),
             await listen(metrics_address, serve_text(self._answer_metrics)),
         ]
+        if deployment.control_address:
+            answer = self._handover.answer
+            servers.append(await listen(deployment.control_address, serve_text(answer)))
+        return servers
 
     def _watch(self, table: str, on_changes: Any) -> TableWatch:
         return TableWatch(
--- a/src/carawaybank/platform/registry.py
+++ b/src/carawaybank/platform/registry.py
@@ -9,7 +9,6 @@
 from carawaybank.platform.watch import Changes
 from carawaybank.routing.router import Router
 
-
 #: Share of a service's rows beyond which rows that are missing after an outage are taken to have
 #: lapsed. Planned work replaces fewer targets within an outage.
 _LAPSED_SHARE = 0.5
--- a/src/carawaybank/platform/watch.py
+++ b/src/carawaybank/platform/watch.py
@@ -61,6 +61,23 @@
         self._changed_at = 0
         self._behind_since: float | None = None
         self._call: asyncio.Task[Rows] | None = None
+        self._rows: dict[str, Row] = {}
+
+    @property
+    def rows(self) -> Rows:
+        """All rows as they were read last, or none before the first reading."""
+        return Rows(list(self._rows.values()), self._version or 0)
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the table was read, here or by a sibling."""
+        return self._version is not None
+
+    def adopt(self, rows: Rows) -> None:
+        """Takes a sibling's rows while the store cannot be read."""
+        if self._version is None and rows.version:
+            self._journal.note("store", "read by a sibling", table=self._table, rows=len(rows.rows))
+            self._take(rows, whole=True, after_outage=False)
 
     @property
     def table(self) -> str:
@@ -113,8 +130,18 @@
         if after_outage:
             self._journal.note("store", "regained", table=self._table, failures=self._failures)
         self._failures = 0
+        self._take(found, whole=whole, after_outage=after_outage)
+
+    def _take(self, found: Rows, *, whole: bool, after_outage: bool) -> None:
         self._version = found.version
         self._changed_at = max([self._changed_at, *(row.version for row in found.rows)])
+        if whole:
+            self._rows.clear()
+        for row in found.rows:
+            if row.removed:
+                self._rows.pop(row.key, None)
+            else:
+                self._rows[row.key] = row
         if found.rows or whole or after_outage:
             self._on_changes(Changes(found.rows, whole, after_outage))
 
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -25,8 +25,9 @@
 )
 _CRASH_MEMORY_S = 600.0
 _CRASH_CAPACITY = 2_000
-#: Crashes after which a request is not sent again; the bound of the pages allows three.
-_CRASH_LIMIT = 2
+#: Crashes after which a request is not sent again. An unrelated request can be under way at one
+#: or two targets that crash, hardly at three.
+_CRASH_LIMIT = 3
 
 
 class RouterOptions(NamedTuple):
@@ -80,6 +81,7 @@
         self.quarantine = Quarantine(
             limit=_CRASH_LIMIT, expiry_s=_CRASH_MEMORY_S, capacity=_CRASH_CAPACITY
         )
+        self._suspected: list[CrashReport] = []
         #: Entry VMs that may send to targets now, this one included.
         self.vms: tuple[str, ...] = (options.vm,)
 
@@ -166,6 +168,15 @@
             )
         return self._retries[service]
 
+    def take_suspected(self) -> list[CrashReport]:
+        """Returns requests whose connection broke, which are then no longer kept.
+
+        Whether the target crashed is not known yet: a check that it still accepts connections
+        tells a crash from a lost answer.
+        """
+        taken, self._suspected = self._suspected, []
+        return taken
+
     def note_crash(self, report: CrashReport, now: float) -> bool:
         """Takes a report of a request that cost a target; returns whether it is news."""
         return self.quarantine.report(report, now=now)
@@ -285,7 +296,7 @@
             report = CrashReport(
                 progress.request.fingerprint, choice.target.entry.target_id, self._options.vm
             )
-            self.note_crash(report, now)
+            self._suspected.append(report)
 
     def _learn_pace(self, progress: Progress, choice: Choice, latency_s: float) -> None:
         if not progress.object_key:
