--- a/src/carawaybank/platform/handover.py
+++ b/src/carawaybank/platform/handover.py
@@ -19,9 +19,9 @@
 
 _PATH = "/tables"
 #: Seconds for which a start waits for the store before it asks siblings.
-_STORE_FIRST_S = 0.5
+_STORE_FIRST_S = 0.2
 #: Seconds between rounds of asking all seeds.
-_PAUSE_S = 0.4
+_PAUSE_S = 0.25
 _TIMEOUT_S = 0.6
 
 
