--- a/src/carawaybank/routing/admission.py
+++ b/src/carawaybank/routing/admission.py
@@ -14,7 +14,7 @@
 from carawaybank.routing.placement import Choice
 
 #: Expected time in multiples of the objective up to which requests are sent, by urgency.
-URGENT_PATIENCE = 1.0
+URGENT_PATIENCE = 1.3
 ORDINARY_PATIENCE = 0.85
 #: Wait in multiples of the patience that is accepted however long the work itself takes.
 LEAST_WAIT = 0.2
--- a/src/carawaybank/routing/fleet.py
+++ b/src/carawaybank/routing/fleet.py
@@ -7,9 +7,11 @@
 #: Objects that a target is taken to remember; fewer than any site's targets keep.
 REMEMBERED_OBJECTS = 24
 #: Time in seconds in which a report of other callers' requests loses half of its weight.
-REPORT_HALF_LIFE_S = 2.0
+REPORT_HALF_LIFE_S = 0.3
 #: Weight of the newest sample in the moving averages of a target.
 SAMPLE_WEIGHT = 0.15
+#: Weight of the newest report in the average load of a target.
+LOAD_SAMPLE_WEIGHT = 0.2
 #: Bounds of a target's measured slowness, so that one sample cannot rule it out for good.
 SLOWNESS_RANGE = (0.6, 20.0)
 #: First and longest pause in seconds before a failed target is checked again.
@@ -68,6 +70,8 @@
         self.in_flight = 0
         self.slowness = 1.0
         self.failure_share = 0.0
+        #: Requests for each slot, averaged over reports of the last seconds.
+        self.usual_load = 0.0
         self.cold_until = 0.0
         self.down_since: float | None = None
         self.next_check = 0.0
@@ -115,10 +119,6 @@
         """Returns whether this entry VM sent it a request on the object lately."""
         return object_key in self._warm
 
-    def utilization(self, *, now: float) -> float:
-        """Returns the requests that it has for each slot."""
-        return self.busy(now=now) / max(1, self.entry.slots)
-
     def note_run(self, object_key: str) -> None:
         """Records that it ran a request on an object."""
         self._warm[object_key] = None
@@ -131,7 +131,10 @@
 
         The report counts the answered request no longer; neither does ``in_flight``.
         """
-        self._others = max(0.0, report.running + report.waiting - self.in_flight)
+        requests = report.running + report.waiting
+        sample = requests / max(1, report.slots)
+        self.usual_load += LOAD_SAMPLE_WEIGHT * (sample - self.usual_load)
+        self._others = max(0.0, requests - self.in_flight)
         self._others_at = now
 
     def note_pace(self, ratio: float) -> None:
@@ -160,6 +163,6 @@
     def _forget(self, now: float) -> None:
         self._warm.clear()
         self._others, self._others_at = 0.0, now
-        self.slowness, self.failure_share = 1.0, 0.0
+        self.slowness, self.failure_share, self.usual_load = 1.0, 0.0, 0.0
         self.cold_until = 0.0
         self.recover()
--- a/src/carawaybank/routing/placement.py
+++ b/src/carawaybank/routing/placement.py
@@ -13,7 +13,7 @@
 
 #: Probability that a target knows an object that others placed there by the same hash, by rank
 #: among the targets that may get it.
-HASH_WARMTH = (0.7, 0.3)
+HASH_WARMTH = (0.7, 0.6)
 #: Probability that a target knows an object that this entry VM sent it lately.
 RECENT_WARMTH = 0.95
 #: Work in multiples of a route's objective before anything is measured, and its part when warm.
--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -16,6 +16,9 @@
 if TYPE_CHECKING:
     from carawaybank.routing.router import Router
 
+#: Usual requests for each slot up to which another region's target may take what a full region cannot.
+#: Under general overload no target is that idle, and objects stay where they are known.
+IDLE_LOAD = 1.0
 #: Targets of a region among which a request without an object is placed.
 CANDIDATES_WITHOUT_OBJECT = 4
 
@@ -44,7 +47,8 @@
     other = _best_elsewhere(router, progress, region, now)
     if best is None or other is None:
         return best or other
-    if router.accepts(progress, other, now) and shares.try_spill(now=now):
+    idle = other.target.usual_load <= IDLE_LOAD
+    if idle and router.accepts(progress, other, now) and shares.try_spill(now=now):
         return other
     return best
 
--- a/src/carawaybank/routing/spill.py
+++ b/src/carawaybank/routing/spill.py
@@ -15,7 +15,7 @@
 #: Demand of a region that its own slots are given, in multiples of an even spread over all slots.
 LOCALITY = 1.1
 #: Part of the requests that may leave a full region besides its share.
-SPILL_PART = 0.06
+SPILL_PART = 0.1
 #: Window in seconds over which changes of the regions' shares are bounded.
 SHIFT_WINDOW_S = 2.0
 
