--- a/src/carawaybank/__init__.py
+++ b/src/carawaybank/__init__.py
@@ -12,29 +12,78 @@
     True
 """
 
-from carawaybank.exceptions import (
-    CarawaybankError,
-    DocumentError,
-    PlatformError,
-    SnapshotError,
-)
-from carawaybank.steering.allowances import Allowance, split
-from carawaybank.steering.blocks import BlockMap
-from carawaybank.steering.core import Steering
-from carawaybank.steering.deduplication import Admission, RequestId, RequestMemory
-from carawaybank.steering.dissemination import TicketLog
-from carawaybank.steering.group import Group
-from carawaybank.steering.leases import Lease, LeaseObserver
-from carawaybank.steering.membership import Member, Membership, Status
-from carawaybank.steering.options import Options
-from carawaybank.steering.ownership import DeathProof, Ownership
-from carawaybank.steering.quarantine import CrashReport, Quarantine
-from carawaybank.steering.retries import RetryBudget
-from carawaybank.steering.watching import GroupOptions
-from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from carawaybank.exceptions import (
+        CarawaybankError,
+        DocumentError,
+        PlatformError,
+        SnapshotError,
+    )
+    from carawaybank.steering.allowances import Allowance, split
+    from carawaybank.steering.blocks import BlockMap
+    from carawaybank.steering.core import Steering
+    from carawaybank.steering.deduplication import Admission, RequestId, RequestMemory
+    from carawaybank.steering.dissemination import TicketLog
+    from carawaybank.steering.group import Group
+    from carawaybank.steering.leases import Lease, LeaseObserver
+    from carawaybank.steering.membership import Member, Membership, Status
+    from carawaybank.steering.options import Options
+    from carawaybank.steering.ownership import DeathProof, Ownership
+    from carawaybank.steering.quarantine import CrashReport, Quarantine
+    from carawaybank.steering.retries import RetryBudget
+    from carawaybank.steering.watching import GroupOptions
+    from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
 
 __version__ = "0.1.0"
 
+#: Module of each public name. They are imported on first use, so that an entry VM that starts
+#: during a rush does not load parts that it does not need.
+_MODULES = {
+    "Admission": "carawaybank.steering.deduplication",
+    "Allowance": "carawaybank.steering.allowances",
+    "Answered": "carawaybank.verdicts",
+    "BlockMap": "carawaybank.steering.blocks",
+    "CarawaybankError": "carawaybank.exceptions",
+    "CrashReport": "carawaybank.steering.quarantine",
+    "DeathProof": "carawaybank.steering.ownership",
+    "DocumentError": "carawaybank.exceptions",
+    "Group": "carawaybank.steering.group",
+    "GroupOptions": "carawaybank.steering.watching",
+    "Lease": "carawaybank.steering.leases",
+    "LeaseObserver": "carawaybank.steering.leases",
+    "MayHaveRun": "carawaybank.verdicts",
+    "Member": "carawaybank.steering.membership",
+    "Membership": "carawaybank.steering.membership",
+    "NotRun": "carawaybank.verdicts",
+    "Options": "carawaybank.steering.options",
+    "Ownership": "carawaybank.steering.ownership",
+    "PlatformError": "carawaybank.exceptions",
+    "Quarantine": "carawaybank.steering.quarantine",
+    "Reason": "carawaybank.verdicts",
+    "RequestId": "carawaybank.steering.deduplication",
+    "RequestMemory": "carawaybank.steering.deduplication",
+    "RetryBudget": "carawaybank.steering.retries",
+    "SnapshotError": "carawaybank.exceptions",
+    "Status": "carawaybank.steering.membership",
+    "Steering": "carawaybank.steering.core",
+    "TicketLog": "carawaybank.steering.dissemination",
+    "Verdict": "carawaybank.verdicts",
+    "split": "carawaybank.steering.allowances",
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Imports a public name on first use."""
+    if name not in _MODULES:
+        raise AttributeError(f"module 'carawaybank' has no attribute {name!r}")
+    value = getattr(import_module(_MODULES[name]), name)
+    globals()[name] = value
+    return value
+
+
 __all__ = [
     "Admission",
     "Allowance",
--- a/src/carawaybank/entry.py
+++ b/src/carawaybank/entry.py
@@ -5,19 +5,24 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 from typing import Protocol
 
 from carawaybank.callers.front import CallerRequest
 from carawaybank.client import Headers, HttpCall, HttpReply
+from carawaybank.counters import Counters
 from carawaybank.journal import Journal
-from carawaybank.metrics import Metrics
 from carawaybank.routing.catalogue import Limits
 from carawaybank.routing.messages import Action, AttemptResult, Finish, Request, Send
 from carawaybank.routing.router import Router
 from carawaybank.targets.sender import TargetDialect, TargetSender
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun
 
+#: Longest time in seconds that a request waits for the first configuration after a start. Reading
+#: it takes two calls of the store; a refused caller would come back later than that.
+CONFIGURATION_WAIT_S = 0.4
+
 
 class Dialect(TargetDialect, Protocol):
     """Reads callers' requests and writes the answers that no target gave."""
@@ -42,7 +47,7 @@
         sender: TargetSender,
         dialect: Dialect,
         journal: Journal,
-        metrics: Metrics,
+        counters: Counters,
     ) -> None:
         """Takes the parts.
 
@@ -51,14 +56,15 @@
             sender: Performs attempts at targets.
             dialect: How callers speak.
             journal: Where decisions are noted.
-            metrics: Counts requests.
+            counters: Counts requests.
         """
         self._router = router
         self._sender = sender
         self._dialect = dialect
         self._journal = journal
         self._keys = itertools.count(1)
-        self._metrics = metrics
+        self._configured = asyncio.Event()
+        self._counters = counters
         self.is_stopping = False
 
     @property
@@ -76,18 +82,33 @@
         """Answers a request; cancelled when its caller leaves."""
         loop = asyncio.get_running_loop()
         arrived = loop.time()
+        await self._wait_for_configuration()
         info = self._dialect.read_request(request, key=next(self._keys))
+        if info.budget_s is not None:
+            info = info._replace(budget_s=info.budget_s - (loop.time() - arrived))
         call = self._dialect.forward(request)
         try:
             finish, last = await self._run(info, call)
         except asyncio.CancelledError:
             self._router.abandon(info.key, loop.time())
-            self._metrics.count_abandoned()
+            self._counters.count_abandoned()
             self._journal.note("request", "caller left", id=info.request_id)
             raise
         self._note(info, finish, last, loop.time() - arrived)
         return self._reply(info, finish)
 
+    async def _wait_for_configuration(self) -> None:
+        """Lets the first requests after a start wait until it is known where they may go."""
+        if self._router.configuration is not None:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONFIGURATION_WAIT_S):
+                await self._configured.wait()
+
+    def note_configured(self) -> None:
+        """Records that the first configuration and the targets are known."""
+        self._configured.set()
+
     async def _run(self, info: Request, call: HttpCall) -> tuple[Finish, Send | None]:
         """Returns the outcome and the last attempt."""
         loop = asyncio.get_running_loop()
@@ -138,7 +159,7 @@
 
     def _note(self, info: Request, finish: Finish, last: Send | None, latency_s: float) -> None:
         verdict = finish.verdict
-        self._metrics.count_request(finish.service, verdict, latency_s)
+        self._counters.count_request(finish.service, verdict, latency_s)
         fields: dict[str, object] = {
             "id": info.request_id,
             "service": finish.service,
--- a/src/carawaybank/metrics.py
+++ b/src/carawaybank/metrics.py
@@ -1,10 +1,5 @@
 """Metrics by OpenTelemetry, scraped in the Prometheus format and pushed by OTLP if set."""
 
-import threading
-from collections import Counter
-from typing import NamedTuple
-
-from hdrh.histogram import HdrHistogram
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
@@ -12,43 +7,28 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import REGISTRY, generate_latest
 
-from carawaybank.verdicts import Answered, MayHaveRun, Verdict
-
-_LONGEST_LATENCY_US = 600_000_000
-_LATENCY_DIGITS = 2
-_PERCENTILES = (50.0, 99.0)
-
+from carawaybank.counters import Counters, verdict_name
+from carawaybank.verdicts import Verdict
 
-class _RequestKind(NamedTuple):
-    """Attributes that requests are counted by."""
+__all__ = ["Metrics", "scrape", "verdict_name"]
 
-    service: str
-    verdict: str
-    reason: str
+_PERCENTILES = (50.0, 99.0)
 
 
 class Metrics:
-    """The instruments of a daemon.
-
-    Requests are counted in plain dictionaries and read when metrics are collected, because
-    recording each through the library would cost a tenth of a forwarded request.
-    """
+    """The instruments of a daemon, which observe its counters when metrics are collected."""
 
-    def __init__(self, *, vm: str, otlp_endpoint: str = "") -> None:
+    def __init__(
+        self, *, vm: str, otlp_endpoint: str = "", counters: Counters | None = None
+    ) -> None:
         """Registers the instruments.
 
         Args:
             vm: Name of the entry VM.
             otlp_endpoint: URL that metrics are pushed to; empty for none.
+            counters: What is observed; new counters if left out.
         """
-        self._lock = threading.Lock()
-        self._requests: Counter[_RequestKind] = Counter()
-        self._attempts: Counter[str] = Counter()
-        self._latencies: dict[str, HdrHistogram] = {}
-        self._lookups = 0
-        self._abandoned = 0
-        self._control_bytes = 0
-        self._ticket = 0
+        self._counters = counters or Counters()
         readers: list[MetricReader] = [PrometheusMetricReader()]
         if otlp_endpoint:
             # Imported here because it costs every other daemon start-up time and memory.
@@ -60,86 +40,65 @@
             readers.append(PeriodicExportingMetricReader(exporter))
         resource = Resource.create({"service.name": "carawaybankd", "service.instance.id": vm})
         self._provider = MeterProvider(metric_readers=readers, resource=resource)
-        meter = self._provider.get_meter("carawaybank")
-        counter, gauge = meter.create_observable_counter, meter.create_observable_gauge
-        counter("carawaybank.requests", [self._observe_requests], description="by verdict")
-        counter("carawaybank.attempts", [self._observe_attempts], description="at targets")
-        counter("carawaybank.requests.abandoned", [lambda _: [Observation(self._abandoned)]])
-        counter("carawaybank.lookups", [lambda _: [Observation(self._lookups)]])
-        counter("carawaybank.control.bytes", [lambda _: [Observation(self._control_bytes)]], "By")
-        gauge("carawaybank.ticket", [lambda _: [Observation(self._ticket)]])
-        gauge("carawaybank.request.duration", [self._observe_latencies], "s")
+        self._register()
+
+    @property
+    def counters(self) -> Counters:
+        """What is observed."""
+        return self._counters
 
     def count_request(self, service: str, verdict: Verdict, latency_s: float) -> None:
         """Counts a request that ended."""
-        reason = "" if isinstance(verdict, Answered) else str(verdict.reason)
-        kind = _RequestKind(service, verdict_name(verdict), reason)
-        with self._lock:
-            self._requests[kind] += 1
-            histogram = self._latencies.get(service)
-            if histogram is None:
-                histogram = HdrHistogram(1, _LONGEST_LATENCY_US, _LATENCY_DIGITS)
-                self._latencies[service] = histogram
-            histogram.record_value(min(_LONGEST_LATENCY_US, int(latency_s * 1e6) + 1))
+        self._counters.count_request(service, verdict, latency_s)
 
     def count_attempt(self, service: str) -> None:
         """Counts a dispatch to a target."""
-        with self._lock:
-            self._attempts[service] += 1
+        self._counters.count_attempt(service)
 
     def count_control_bytes(self, count: int) -> None:
         """Counts bytes of exchanges with siblings."""
-        with self._lock:
-            self._control_bytes += count
-
-    def set_ticket(self, number: int) -> None:
-        """Records the ticket in force."""
-        self._ticket = number
-
-    def count_abandoned(self) -> None:
-        """Counts a request whose caller left."""
-        self._abandoned += 1
+        self._counters.count_control_bytes(count)
 
     def count_lookup(self) -> None:
         """Counts a look-up of entry VMs."""
-        with self._lock:
-            self._lookups += 1
+        self._counters.count_lookup()
+
+    def set_ticket(self, number: int) -> None:
+        """Records the ticket in force."""
+        self._counters.configuration = number
 
     def close(self) -> None:
         """Flushes and stops the exporters."""
         self._provider.shutdown()
 
+    def _register(self) -> None:
+        counters = self._counters
+        meter = self._provider.get_meter("carawaybank")
+        counter, gauge = meter.create_observable_counter, meter.create_observable_gauge
+        counter("carawaybank.requests", [self._observe_requests], description="by verdict")
+        counter("carawaybank.attempts", [self._observe_attempts], description="at targets")
+        counter("carawaybank.requests.abandoned", [lambda _: [Observation(counters.abandoned)]])
+        counter("carawaybank.lookups", [lambda _: [Observation(counters.lookups)]])
+        counter(
+            "carawaybank.control.bytes", [lambda _: [Observation(counters.control_bytes)]], "By"
+        )
+        gauge("carawaybank.ticket", [lambda _: [Observation(counters.configuration)]])
+        gauge("carawaybank.request.duration", [self._observe_latencies], "s")
+
     def _observe_requests(self, _: CallbackOptions) -> list[Observation]:
-        with self._lock:
-            counts = dict(self._requests)
+        counts = self._counters.requests()
         return [Observation(count, kind._asdict()) for kind, count in counts.items()]
 
     def _observe_attempts(self, _: CallbackOptions) -> list[Observation]:
-        with self._lock:
-            counts = dict(self._attempts)
+        counts = self._counters.attempts()
         return [Observation(count, {"service": service}) for service, count in counts.items()]
 
     def _observe_latencies(self, _: CallbackOptions) -> list[Observation]:
-        with self._lock:
-            return [
-                Observation(
-                    histogram.get_value_at_percentile(percentile) / 1e6,
-                    {"service": service, "percentile": str(percentile)},
-                )
-                for service, histogram in self._latencies.items()
-                for percentile in _PERCENTILES
-            ]
-
-
-def verdict_name(verdict: Verdict) -> str:
-    """Returns the name of a verdict in headers, metrics and documents.
-
-    >>> verdict_name(Answered(200))
-    'answered'
-    """
-    if isinstance(verdict, Answered):
-        return "answered"
-    return "may-have-run" if isinstance(verdict, MayHaveRun) else "not-run"
+        return [
+            Observation(seconds, {"service": service, "percentile": str(percentile)})
+            for percentile in _PERCENTILES
+            for service, seconds in self._counters.latency_s(percentile).items()
+        ]
 
 
 def scrape() -> bytes:
--- a/src/carawaybank/platform/node.py
+++ b/src/carawaybank/platform/node.py
@@ -5,7 +5,7 @@
 import random
 import signal
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -14,11 +14,11 @@
 from carawaybank.callers.front import CallerConnection, CallerRequest, Gate
 from carawaybank.callers.listeners import listen, serve_text
 from carawaybank.client import HttpReply
+from carawaybank.counters import Counters
 from carawaybank.deployment import Deployment
 from carawaybank.entry import EntryVm
 from carawaybank.exceptions import DocumentError
 from carawaybank.journal import Journal
-from carawaybank.metrics import Metrics, scrape
 from carawaybank.platform import crashes, decoding
 from carawaybank.platform.checks import HealthChecks
 from carawaybank.platform.crashes import CrashReports
@@ -45,6 +45,8 @@
 _LOOKUP_TTL_S = 2.0
 #: Port of the metrics, as in the deploy file.
 _METRICS_PORT = 9464
+#: Seconds after the start at which the metrics library is loaded.
+_METRICS_AFTER_S = 3.0
 _JSON = [("content-type", "application/json")]
 
 
@@ -59,7 +61,8 @@
         """
         self._deployment = deployment
         self._journal = Journal(vm=deployment.vm)
-        self._metrics = Metrics(vm=deployment.vm)
+        self._counters = Counters()
+        self._scrape: Callable[[], bytes] | None = None
         self._rng = random.Random(f"{deployment.vm}.{time.time_ns()}")
         self._router = Router(options=_options(deployment), rng=self._rng)
         self._store = StoreClient(address=deployment.store_address)
@@ -70,7 +73,7 @@
             sender=self._sender,
             dialect=PlatformDialect(),
             journal=self._journal,
-            metrics=self._metrics,
+            counters=self._counters,
         )
         self._registry = Registry(
             router=self._router,
@@ -87,7 +90,7 @@
         self._stopped = asyncio.Event()
         self._watches = [
             self._watch(_OPERATORS_TABLE, self._take_operators),
-            self._watch(_TARGETS_TABLE, self._registry.take),
+            self._watch(_TARGETS_TABLE, self._take_targets),
             self._watch(_VMS_TABLE, self._take_vms),
             self._watch(crashes.TABLE, self._crashes.take),
         ]
@@ -111,7 +114,7 @@
         servers = await self._listen()
         jobs: list[Coroutine[Any, Any, None]] = [watch.run() for watch in self._watches]
         jobs += [self._register(), self._heartbeat.run(), self._checks.run(), self._tidy()]
-        jobs.append(self._handover.run())
+        jobs += [self._handover.run(), self._load_metrics()]
         tasks = [asyncio.create_task(job) for job in jobs]
         for task in tasks:
             task.add_done_callback(self._end_on_failure)
@@ -185,9 +188,18 @@
             self._journal.note("config", "passed over", reason=str(error))
             return
         if self._router.configure(configuration):
-            self._metrics.set_ticket(configuration.version)
+            self._note_loaded()
+            self._counters.configuration = configuration.version
             self._journal.note("config", "installed", version=configuration.version)
 
+    def _take_targets(self, changes: Changes) -> None:
+        self._registry.take(changes)
+        self._note_loaded()
+
+    def _note_loaded(self) -> None:
+        if self._registry.is_loaded and self._router.configuration is not None:
+            self._vm.note_configured()
+
     def _take_vms(self, changes: Changes) -> None:
         now = asyncio.get_running_loop().time()
         present = set()
@@ -270,7 +282,7 @@
         return HttpReply(200 if ready else 503, [("content-type", "text/plain")], b"")
 
     def _answer_lookup(self, request: CallerRequest) -> HttpReply:
-        self._metrics.count_lookup()
+        self._counters.count_lookup()
         query = parse_qs(urlsplit(request.path).query)
         failure_domain = query.get("zone", [""])[0]
         region = query.get("region", [""])[0]
@@ -283,7 +295,21 @@
         return HttpReply(200, _JSON, msgspec.json.encode(body))
 
     def _answer_metrics(self, request: CallerRequest) -> HttpReply:
-        return HttpReply(200, [("content-type", "text/plain; version=0.0.4")], scrape())
+        if self._scrape is None:
+            return HttpReply(503, [], b"metrics are not loaded yet\n")
+        return HttpReply(200, [("content-type", "text/plain; version=0.0.4")], self._scrape())
+
+    async def _load_metrics(self) -> None:
+        """Loads the metrics library beside the requests, once the rush of the start is over."""
+        await asyncio.sleep(_METRICS_AFTER_S)
+        self._scrape = await asyncio.to_thread(_make_scrape, self._deployment.vm, self._counters)
+
+
+def _make_scrape(vm: str, counters: Counters) -> Callable[[], bytes]:
+    from carawaybank.metrics import Metrics, scrape  # noqa: PLC0415
+
+    Metrics(vm=vm, counters=counters)
+    return scrape
 
 
 def _own_record(deployment: Deployment) -> VmRecord:
--- a/tests/routing/test_parts.py
+++ b/tests/routing/test_parts.py
@@ -6,7 +6,7 @@
 
 from carawaybank.routing import admission
 from carawaybank.routing.catalogue import RouteTable
-from carawaybank.routing.fleet import LoadReport, Target
+from carawaybank.routing.fleet import REPORT_HALF_LIFE_S, LoadReport, Target
 from carawaybank.routing.placement import Choice, Distances, WorkEstimate, expect
 from tests.routing.builders import BOOK, HOST, make_route, make_target
 
@@ -56,7 +56,8 @@
     target = Target(entry=make_target(1), now=0.0)
     target.note_load(LoadReport(4, 4, 4), now=0.0)
     assert target.busy(now=0.0) == 8
-    assert target.busy(now=2.0) == pytest.approx(4)
+    assert target.busy(now=REPORT_HALF_LIFE_S) == pytest.approx(4)
+    assert target.busy(now=10 * REPORT_HALF_LIFE_S) < 0.01
 
 
 def test_waiting_and_distance_lengthen_what_is_expected():
