--- a/src/carawaybank/callers/front.py
+++ b/src/carawaybank/callers/front.py
@@ -231,7 +231,8 @@
 
     def _write(self, exchange: _Exchange, *, closes: bool) -> None:
         reply = exchange.reply
-        assert reply is not None and self._transport is not None
+        assert reply is not None
+        assert self._transport is not None
         headers = [*reply.headers, ("content-length", str(len(reply.body)))]
         if closes:
             headers.append(("connection", "close"))
--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -248,7 +248,10 @@
             self._fail(Reason.CONNECTION_LOST, "the peer closed the connection")
 
     def _finish(self) -> None:
-        assert self._parser and self._reply and self._call and self._waiter
+        assert self._parser is not None
+        assert self._reply is not None
+        assert self._call is not None
+        assert self._waiter is not None
         trailing, _ = self._parser.trailing_data
         name, value = self._call.echo
         found = self._reply.header(name) if name else None
@@ -264,7 +267,8 @@
     def _skip(self, trailing: bytes) -> None:
         """Passes over an answer to an earlier exchange."""
         self._strays += 1
-        assert self._call is not None and self._parser is not None
+        assert self._call is not None
+        assert self._parser is not None
         ended = self._parser.their_state is not h11.DONE
         if self._strays > _MOST_STRAY_ANSWERS or ended:
             self._fail(Reason.ANSWER_CROSSED, "the answer carries another request's id")
--- a/src/carawaybank/journal.py
+++ b/src/carawaybank/journal.py
@@ -18,13 +18,13 @@
 
 
 class Journal:
-    """Writes structured lines.
+    r"""Writes structured lines.
 
     >>> lines = []
     >>> journal = Journal(vm="vm-1", write=lines.append, clock=lambda: 0.0)
     >>> journal.note("config", "installed", version=7)
     >>> lines[0]
-    b'{"at":0.0,"vm":"vm-1","part":"config","event":"installed","version":7}\\n'
+    b'{"at":0.0,"vm":"vm-1","part":"config","event":"installed","version":7}\n'
     """
 
     def __init__(
--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -16,7 +16,8 @@
 if TYPE_CHECKING:
     from carawaybank.routing.router import Router
 
-#: Usual requests for each slot up to which another region's target may take what a full region cannot.
+#: Usual requests for each slot up to which another region's target may take what a full region
+#: cannot.
 #: Under general overload no target is that idle, and objects stay where they are known.
 IDLE_LOAD = 1.0
 #: Targets of a region among which a request without an object is placed.
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -140,7 +140,7 @@
     )
     info = dialect.read_request(asked, key=1)
     call = dialect.encode(dialect.forward(asked), target_id="i-1", left_s=0.25)
-    names = dict((name.lower(), value) for name, value in call.headers)
+    names = {name.lower(): value for name, value in call.headers}
     assert info.budget_s == 0.9
     assert "x-hop" not in names
     assert "connection" not in names
