--- a/src/carawaybank/deployment.py
+++ b/src/carawaybank/deployment.py
@@ -106,6 +106,24 @@
     most_shift: float = 0.15
     lapse_grace_s: float = 2.0
 
+    def keep_place(self, changed: "Deployment") -> "Deployment":
+        """Returns changed settings with the name, place and addresses of these.
+
+        Those are in use from the start on and change with the next one.
+        """
+        return changed._replace(
+            vm=self.vm,
+            ip=self.ip,
+            failure_domain=self.failure_domain,
+            region=self.region,
+            callers_address=self.callers_address,
+            ready_address=self.ready_address,
+            directory_address=self.directory_address,
+            control_address=self.control_address,
+            sibling_port=self.sibling_port,
+            store_address=self.store_address,
+        )
+
 
 _RANGES: dict[str, tuple[float, float]] = {
     "sibling_port": (1, 65_535),
--- a/src/carawaybank/platform/__main__.py
+++ b/src/carawaybank/platform/__main__.py
@@ -21,12 +21,12 @@
     except DocumentError as error:
         print(error, file=sys.stderr)
         return _BAD_SETTINGS
-    asyncio.run(_serve(settings))
+    asyncio.run(_serve(settings, path))
     return 0
 
 
-async def _serve(settings: deployment.Deployment) -> None:
-    await Node(deployment=settings).run()
+async def _serve(settings: deployment.Deployment, path: Path) -> None:
+    await Node(deployment=settings, settings_path=path).run()
 
 
 if __name__ == "__main__":
--- a/src/carawaybank/platform/node.py
+++ b/src/carawaybank/platform/node.py
@@ -6,11 +6,13 @@
 import signal
 import time
 from collections.abc import Callable, Coroutine
+from pathlib import Path
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
 
+from carawaybank import deployment as deployments
 from carawaybank.callers.front import CallerConnection, CallerRequest, Gate
 from carawaybank.callers.listeners import listen, serve_text
 from carawaybank.client import HttpReply
@@ -53,13 +55,15 @@
 class Node:
     """Runs an entry VM."""
 
-    def __init__(self, *, deployment: Deployment) -> None:
+    def __init__(self, *, deployment: Deployment, settings_path: Path) -> None:
         """Builds the parts.
 
         Args:
             deployment: The settings.
+            settings_path: Where they were read, to notice changes.
         """
         self._deployment = deployment
+        self._settings_path = settings_path
         self._journal = Journal(vm=deployment.vm)
         self._counters = Counters()
         self._scrape: Callable[[], bytes] | None = None
@@ -88,6 +92,7 @@
         self._evacuations: set[str] = set()
         self._connections: set[CallerConnection] = set()
         self._stopped = asyncio.Event()
+        self._settings_fault = ""
         self._watches = [
             self._watch(_OPERATORS_TABLE, self._take_operators),
             self._watch(_TARGETS_TABLE, self._take_targets),
@@ -241,6 +246,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(_TIDY_S)
+            self._reload()
             self._sender.pool.close_idle()
             for connection in list(self._connections):
                 connection.check_timeouts(loop.time())
@@ -275,7 +281,21 @@
             await self._store.remove(_VMS_TABLE, self._vms.own.vm)
 
     def _reload(self) -> None:
-        self._journal.note("daemon", "reload requested")
+        """Takes changed settings, which may change without a signal too."""
+        try:
+            changed = deployments.load(self._settings_path)
+        except DocumentError as error:
+            if str(error) != self._settings_fault:
+                self._journal.note("daemon", "settings passed over", reason=str(error))
+            self._settings_fault = str(error)
+            return
+        self._settings_fault = ""
+        if changed == self._deployment:
+            return
+        kept = self._deployment.keep_place(changed)
+        self._journal.note("daemon", "settings changed", whole=kept == changed, **kept._asdict())
+        self._deployment = kept
+        self._router.update_options(_options(kept))
 
     def _answer_ready(self, request: CallerRequest) -> HttpReply:
         ready = self._vm.is_ready and self._registry.is_loaded
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -100,6 +100,11 @@
         """Whether no request is under way."""
         return not self._requests
 
+    def update_options(self, options: RouterOptions) -> None:
+        """Takes other bounds; the place of the entry VM stays."""
+        self._options = options
+        self._retries.clear()
+
     def configure(self, configuration: Configuration) -> bool:
         """Takes a configuration; returns whether it is newer than the one in force."""
         if self._configuration and configuration.version <= self._configuration.version:
--- /dev/null
+++ b/tests/platform/test_process.py
@@ -0,0 +1,241 @@
+"""An entry VM as a process, between a stand-in store, a stand-in target and callers."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+
+import pytest
+
+from carawaybank.callers.front import CallerConnection, Gate
+from carawaybank.callers.listeners import listen
+from carawaybank.client import ClientConnection, HttpCall, HttpReply
+from carawaybank.routing.catalogue import Limits
+from standins.rowstore import RowStore
+from tests.test_deployment import SETTINGS
+
+pytestmark = pytest.mark.processes
+
+ROUTE = {
+    "host": "a.example",
+    "prefix": "/x/",
+    "kind": "non_idempotent",
+    "timeoutMs": 3000,
+    "sloMs": 1000,
+    "priority": 1,
+    "service": "ledger",
+    "attempts": 2,
+    "sticky": True,
+}
+CONFIGURATION = {
+    "version": "00000002",
+    "resources": [
+        {"resKind": "routes", "metadata": {"name": "r"}, "spec": ROUTE},
+        {"resKind": "services", "metadata": {"name": "ledger"}, "spec": {"healthPath": "/h"}},
+    ],
+}
+CALL_S = 5.0
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Target:
+    """A target that answers when its gate is open, and counts its runs."""
+
+    def __init__(self):
+        self.runs = []
+        self.gate = asyncio.Event()
+        self.gate.set()
+
+    async def handle(self, request):
+        self.runs.append(request)
+        await self.gate.wait()
+        headers = [
+            ("X-Carawaybank-Request-Id", request.header("X-Carawaybank-Request-Id")),
+            ("X-Carawaybank-Server-Seal", "sealed"),
+        ]
+        return HttpReply(200, headers, b"done " + request.body)
+
+    async def start(self):
+        gate = Gate(handle=self.handle, limits=Limits, is_closing=lambda: False)
+        connections = set()
+        self.server = await listen(
+            "127.0.0.1:0", lambda: CallerConnection(gate=gate, connections=connections)
+        )
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+
+class Node:
+    """The process with its surroundings."""
+
+    async def __aenter__(self):
+        self.store, self.target = RowStore(), Target()
+        store_address = await self.store.start()
+        target_address = await self.target.start()
+        beat = {
+            "service": "ledger",
+            "addr": target_address,
+            "zone": "regina",
+            "slots": 4,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "seq": 1,
+            "born": 1,
+        }
+        await self.store.put("op", "config", CONFIGURATION)
+        await self.store.put("servers", "t1", beat)
+        text = SETTINGS.replace("127.0.0.1:8104", store_address)
+        self.ports = {old: free_port() for old in ("8100", "8101", "8102", "8103")}
+        for old, new in self.ports.items():
+            text = text.replace(old, str(new))
+        self.text = text
+        return self
+
+    async def __aexit__(self, *_):
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        await self.store.stop()
+        self.target.server.close()
+
+    async def start(self, tmp_path):
+        self.path = tmp_path / "node.toml"
+        self.path.write_text(self.text)
+        environment = {**os.environ, "CARAWAYBANK_SETTINGS": str(self.path)}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "carawaybank.platform",
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            env=environment,
+        )
+        async with asyncio.timeout(20):
+            while await self.status("8101", "/readyz") != 200:
+                await asyncio.sleep(0.05)
+
+    async def status(self, port, path):
+        try:
+            return (await self.call(port, path)).status
+        except Exception:  # not listening yet, or not any more
+            return None
+
+    async def call(self, port, path, *, method="GET", body=b"", request_id="r1"):
+        address = f"127.0.0.1:{self.ports[port]}"
+        headers = [
+            ("Host", "a.example"),
+            ("X-Carawaybank-Request-Id", request_id),
+            ("X-Carawaybank-Deadline-Ms", "3000"),
+        ]
+        connection = await ClientConnection.open(address, timeout_s=1.0)
+        try:
+            call = HttpCall(method, path, headers, body)
+            return await connection.exchange(call, timeout_s=CALL_S)
+        finally:
+            connection.close()
+
+    async def until(self, condition):
+        async with asyncio.timeout(10):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def output(self):
+        return (await self.process.stdout.read()).decode()
+
+
+def play(tmp_path, scenario):
+    async def run():
+        async with Node() as node:
+            await node.start(tmp_path)
+            await scenario(node)
+
+    asyncio.run(run())
+
+
+def test_a_request_is_served_and_look_ups_name_the_vm(tmp_path):
+    async def scenario(node):
+        reply = await node.call("8100", "/x/1", method="POST", body=b"order")
+        assert (reply.status, reply.body) == (200, b"done order")
+        assert reply.header("X-Carawaybank-Server-Seal") == "sealed"
+        found = await node.call("8102", "/resolve?name=a.example&region=sask&zone=regina")
+        assert json.loads(found.body)["addrs"] == [f"127.0.0.1:{node.ports['8100']}"]
+        assert (await node.call("8100", "/none/1")).status == 404
+
+    play(tmp_path, scenario)
+
+
+def test_a_stop_finishes_what_is_under_way_and_leaves_nothing_behind(tmp_path):
+    async def scenario(node):
+        node.target.gate.clear()
+        call = asyncio.create_task(node.call("8100", "/x/1", method="POST", body=b"order"))
+        await node.until(lambda: node.target.runs)
+        node.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(5):
+            while await node.status("8101", "/readyz") == 200:
+                await asyncio.sleep(0.02)
+        node.target.gate.set()
+        reply = await call
+        assert reply.status == 200
+        assert reply.header("connection") == "close"
+        assert await asyncio.wait_for(node.process.wait(), 10) == 0
+        assert node.store.value("entry-vms", "regina-1") is None
+        output = await node.output()
+        assert '"event":"stopping"' in output
+        assert '"event":"stopped"' in output
+
+    play(tmp_path, scenario)
+
+
+def test_changed_settings_and_a_signal_end_nothing(tmp_path):
+    async def scenario(node):
+        node.path.write_text(node.text.replace("retry_slack = 62", "retry_slack = 17"))
+        node.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+        node.path.write_text("not settings")
+        node.process.send_signal(signal.SIGHUP)
+        assert (await node.call("8100", "/x/1", method="POST")).status == 200
+        node.process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(node.process.wait(), 10) == 0
+        output = await node.output()
+        assert '"event":"settings changed"' in output
+        assert '"event":"settings passed over"' in output
+
+    play(tmp_path, scenario)
+
+
+def test_a_caller_that_leaves_before_its_booking_ends_does_not_run_it_twice(tmp_path):
+    async def scenario(node):
+        node.target.gate.clear()
+        call = asyncio.create_task(node.call("8100", "/x/1", method="POST", body=b"order"))
+        await node.until(lambda: node.target.runs)
+        call.cancel()
+        await asyncio.sleep(0.2)
+        node.target.gate.set()
+        assert (await node.call("8100", "/x/2", method="POST", request_id="r2")).status == 200
+        assert [run.header("X-Carawaybank-Request-Id") for run in node.target.runs] == ["r1", "r2"]
+
+    play(tmp_path, scenario)
+
+
+def test_wrong_settings_end_the_process_with_a_reason(tmp_path):
+    async def run():
+        path = tmp_path / "node.toml"
+        path.write_text(SETTINGS.replace("retry_slack = 62", "retry_slack = -1"))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "carawaybank.platform",
+            stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "CARAWAYBANK_SETTINGS": str(path)},
+        )
+        _, errors = await process.communicate()
+        assert process.returncode == 2
+        assert b"retry_slack" in errors
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/siblings/test_vms.py
@@ -0,0 +1,75 @@
+"""Which entry VMs look-ups name while heartbeats are lost and VMs come and go."""
+
+from carawaybank.siblings.vms import REMOTE_SILENCE_LIMIT_S, SILENCE_LIMIT_S, VmDirectory, VmRecord
+
+
+def record(name, *, domain="a1", region="a", incarnation=1, stopping=False):
+    return VmRecord(name, f"{name}:1", f"{name}:2", domain, region, incarnation, stopping)
+
+
+def directory(*others, now=0.0):
+    found = VmDirectory(own=record("own"))
+    for other in others:
+        found.update(other, now=now)
+    return found
+
+
+def beat(name, *, incarnation=1, stopping=False):
+    return VmDirectory(own=record(name, incarnation=incarnation, stopping=stopping)).beat({})
+
+
+def names(found, domain="a1", region="a", *, now):
+    return {vm.vm for vm in found.find(domain, region, now=now)}
+
+
+def test_the_nearest_are_named_and_the_region_when_they_are_few():
+    found = directory(record("x"), record("y", domain="a2"), record("z", domain="b1", region="b"))
+    assert names(found, now=0.0) == {"own", "x"}
+    assert names(found, "a2", now=0.0) == {"own", "x", "y"}
+    assert names(found, "b1", "b", now=0.0) == {"z"}
+    assert names(found, "c1", "c", now=0.0) == {"own", "x", "y", "z"}
+
+
+def test_a_silent_vm_is_not_named_while_others_are_heard():
+    found = directory(record("x"), record("y"))
+    later = SILENCE_LIMIT_S + 0.5
+    found.hear(beat("y"), now=later)
+    assert names(found, now=later) == {"own", "y"}
+
+
+def test_a_vm_that_hears_nobody_names_all():
+    found = directory(record("x"), record("y"))
+    assert names(found, now=100.0) == {"own", "x", "y"}
+
+
+def test_vms_of_other_regions_may_be_silent_for_longer():
+    found = directory(record("x"), record("z", domain="b1", region="b"))
+    later = SILENCE_LIMIT_S + 0.5
+    found.hear(beat("x"), now=later)
+    assert names(found, "b1", "b", now=later) == {"z"}
+    found.hear(beat("x"), now=REMOTE_SILENCE_LIMIT_S + 1)
+    assert "z" not in names(found, "b1", "b", now=REMOTE_SILENCE_LIMIT_S + 1)
+
+
+def test_a_stopping_vm_is_not_named_until_it_starts_again():
+    found = directory(record("x"))
+    assert found.hear(beat("x", stopping=True), now=1.0) is not None
+    assert names(found, now=1.0) == {"own"}
+    found.hear(beat("x"), now=1.1)
+    assert names(found, now=1.1) == {"own"}
+    found.hear(beat("x", incarnation=2), now=2.0)
+    assert names(found, now=2.0) == {"own", "x"}
+
+
+def test_a_removed_row_of_a_vm_that_is_heard_changes_nothing():
+    found = directory(record("x"))
+    found.remove("x", now=0.5)
+    assert names(found, now=0.5) == {"own", "x"}
+    found.remove("x", now=SILENCE_LIMIT_S + 1)
+    assert names(found, now=SILENCE_LIMIT_S + 1) == {"own"}
+
+
+def test_this_vm_does_not_name_itself_while_it_stops():
+    found = directory(record("x"))
+    found.stop()
+    assert names(found, now=0.0) == {"x"}
--- /dev/null
+++ b/tests/test_deployment.py
@@ -0,0 +1,80 @@
+"""Settings of an entry VM: what is read, what is refused, what a reload keeps."""
+
+import pytest
+
+from carawaybank import deployment
+from carawaybank.exceptions import DocumentError
+
+SETTINGS = """
+[vm]
+name = "regina-1"
+ip = "127.0.0.1"
+failure_domain = "regina"
+region = "sask"
+callers_address = "127.0.0.1:8100"
+ready_address = "127.0.0.1:8101"
+directory_address = "127.0.0.1:8102"
+sibling_port = 8103
+
+[store]
+address = "127.0.0.1:8104"
+
+[siblings]
+seeds = ["127.0.0.1:9"]
+
+[regions]
+regina = "sask"
+calgary = "alberta"
+
+[bounds]
+retry_slack = 62
+stop_within_s = 6
+"""
+
+
+@pytest.fixture
+def load(tmp_path):
+    def load_text(text):
+        path = tmp_path / "node.toml"
+        path.write_text(text)
+        return deployment.load(path)
+
+    return load_text
+
+
+def test_settings_and_defaults(load):
+    found = load(SETTINGS)
+    assert found.vm == "regina-1"
+    assert found.seeds == ("127.0.0.1:9",)
+    assert found.retry_slack == 62
+    assert found.cold_slack == 5.0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "fault"),
+    [
+        ("[vm]", "[wm]", "wm"),
+        ('region = "sask"', 'region = "alberta"', "not the region"),
+        ("retry_slack = 62", "retry_slack = -1", "retry_slack"),
+        ("retry_slack = 62", 'retry_slack = "many"', "retry_slack"),
+        ("retry_slack = 62", "retry_slak = 62", "retry_slak"),
+        ('ready_address = "127.0.0.1:8101"', 'ready_address = "here"', "ready_address"),
+        ("[regions]", "[regions", "TOML"),
+    ],
+)
+def test_wrong_settings_are_refused_with_their_name(load, old, new, fault):
+    with pytest.raises(DocumentError, match=fault):
+        load(SETTINGS.replace(old, new))
+
+
+def test_a_missing_file_is_refused(tmp_path):
+    with pytest.raises(DocumentError, match="cannot be read"):
+        deployment.load(tmp_path / "none.toml")
+
+
+def test_a_reload_takes_bounds_and_keeps_the_place(load):
+    before = load(SETTINGS)
+    changed = load(SETTINGS.replace("8100", "8200").replace("= 62", "= 30"))
+    kept = before.keep_place(changed)
+    assert kept.callers_address == before.callers_address
+    assert kept.retry_slack == 30
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,37 @@
+"""The journal is bounded and never blocks."""
+
+import json
+
+from carawaybank.journal import BURST_LINES, Journal
+
+
+def make_journal(write, clock):
+    return Journal(vm="vm-1", write=write, clock=clock, lines_per_s=10.0)
+
+
+def test_lines_beyond_the_rate_are_dropped_and_counted():
+    lines, now = [], [0.0]
+    journal = make_journal(lines.append, lambda: now[0])
+    for _ in range(int(BURST_LINES) + 50):
+        journal.note("request", "answered")
+    assert len(lines) == BURST_LINES
+    now[0] = 1.0
+    journal.note("request", "answered", id="x")
+    assert json.loads(lines[-1])["dropped_lines"] == 50
+    assert journal.dropped == 0
+
+
+def test_a_reader_that_does_not_read_costs_lines_but_no_time():
+    lines = []
+
+    def write(line):
+        if not lines:
+            lines.append(b"full")
+            raise BlockingIOError
+        lines.append(line)
+
+    journal = make_journal(write, lambda: 0.0)
+    journal.note("daemon", "started")
+    assert journal.dropped == 1
+    journal.note("daemon", "stopping")
+    assert json.loads(lines[-1])["dropped_lines"] == 1
