Wake the stand-in store's watches by events

Cause: one run of tests/platform hung for ten minutes when its loop ended. The trace (faulthandler, 30 s) stood in the loop's cancellation of tasks: the stand-in's watches waited on a condition, and cancelling such waits in this version of Python needs its lock again. Ruled out: the daemon, which is another process in that test. Change: an event for each watch. Four runs of tests/platform passed after it.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -29,7 +29,7 @@
         self.status = 0
         self.loses_answers = False
         self.calls: list[str] = []
-        self._changed = asyncio.Condition()
+        self._waiters: set[asyncio.Event] = set()
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -88,8 +88,8 @@
             else:
                 self.rows[key] = (data, self.version)
             self.changes.append((self.version, key))
-        async with self._changed:
-            self._changed.notify_all()
+        for waiter in self._waiters:
+            waiter.set()
 
     async def _answer(self, request: CallerRequest) -> HttpReply:
         url = urlsplit(request.path)
@@ -123,16 +123,23 @@
         deadline = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
         while not (keys := self._changed_keys(table, after)):
             left_s = deadline - asyncio.get_running_loop().time()
-            if left_s <= 0:
+            if left_s <= 0 or not await self._wait_for_change(left_s):
                 break
-            async with self._changed:
-                try:
-                    await asyncio.wait_for(self._changed.wait(), left_s)
-                except TimeoutError:
-                    break
         rows = [self._encode(key, version) for key, version in keys.items()]
         return _reply({"rows": rows, "ver": self.version, "nowMs": 0})
 
+    async def _wait_for_change(self, timeout_s: float) -> bool:
+        waiter = asyncio.Event()
+        self._waiters.add(waiter)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await waiter.wait()
+        except TimeoutError:
+            return False
+        finally:
+            self._waiters.discard(waiter)
+        return True
+
     def _changed_keys(self, table: str, after: int) -> dict[Key, int]:
         return {key: ver for ver, key in self.changes if ver > after and key[0] == table}
 
