Split the store's tables from the node, and derive the overflow from the permitted shift

Cause: reading the diff as a newcomer: node.py decoded rows, registered and wired all parts in one constructor; most_shift was a setting that nothing used. Change: tables.py (configurations, evacuations, registrations), small builders in node.py, overflow as two thirds of the permitted shift (0.1 as before). No change of behaviour is meant.

--- a/src/carawaybank/platform/node.py
+++ b/src/carawaybank/platform/node.py
@@ -1,7 +1,6 @@
 """One entry VM on the platform: its tasks and listeners, from start to stop."""
 
 import asyncio
-import contextlib
 import random
 import signal
 import time
@@ -21,22 +20,26 @@
 from carawaybank.entry import EntryVm
 from carawaybank.exceptions import DocumentError
 from carawaybank.journal import Journal
-from carawaybank.platform import crashes, decoding
+from carawaybank.platform import crashes
 from carawaybank.platform.checks import HealthChecks
 from carawaybank.platform.crashes import CrashReports
 from carawaybank.platform.dialect import PlatformDialect
 from carawaybank.platform.handover import Handover
 from carawaybank.platform.registry import Registry
-from carawaybank.platform.store import StoreClient, StoreError
+from carawaybank.platform.store import StoreClient
+from carawaybank.platform.tables import (
+    OPERATORS_TABLE,
+    TARGETS_TABLE,
+    VMS_TABLE,
+    OperatorTable,
+    VmTable,
+)
 from carawaybank.platform.watch import Changes, TableWatch
 from carawaybank.routing.router import Router, RouterOptions
 from carawaybank.siblings.heartbeat import HeartbeatTask
 from carawaybank.siblings.vms import VmDirectory, VmRecord
 from carawaybank.targets.sender import TargetSender
 
-_OPERATORS_TABLE = "op"
-_TARGETS_TABLE = "servers"
-_VMS_TABLE = "entry-vms"
 #: Seconds before the kill by which the process has ended.
 _STOP_MARGIN_S = 0.5
 #: Seconds after the signal for which idle connections stay open: callers look up again meanwhile.
@@ -64,6 +67,7 @@
         """
         self._deployment = deployment
         self._settings_path = settings_path
+        self._settings_fault = ""
         self._journal = Journal(vm=deployment.vm)
         self._counters = Counters()
         self._scrape: Callable[[], bytes] | None = None
@@ -71,6 +75,18 @@
         self._router = Router(options=_options(deployment), rng=self._rng)
         self._store = StoreClient(address=deployment.store_address)
         self._vms = VmDirectory(own=_own_record(deployment))
+        self._connections: set[CallerConnection] = set()
+        self._stopped = asyncio.Event()
+        self._make_request_path()
+        self._make_tables()
+        self._heartbeat = HeartbeatTask(
+            vms=self._vms,
+            versions=lambda: {watch.table: watch.changed_at for watch in self._watches},
+            on_change=self._vm_table.note_change,
+            on_versions=self._compare_versions,
+        )
+
+    def _make_request_path(self) -> None:
         self._sender = TargetSender(dialect=PlatformDialect())
         self._vm = EntryVm(
             router=self._router,
@@ -79,34 +95,36 @@
             journal=self._journal,
             counters=self._counters,
         )
+        self._crashes = CrashReports(router=self._router, store=self._store, journal=self._journal)
+        self._checks = HealthChecks(
+            router=self._router, journal=self._journal, on_crash=self._crashes.report
+        )
+
+    def _make_tables(self) -> None:
+        self._operators = OperatorTable(
+            router=self._router, counters=self._counters, journal=self._journal
+        )
         self._registry = Registry(
             router=self._router,
-            regions=deployment.regions,
-            lapse_grace_s=deployment.lapse_grace_s,
+            regions=self._deployment.regions,
+            lapse_grace_s=self._deployment.lapse_grace_s,
             journal=self._journal,
         )
-        self._crashes = CrashReports(router=self._router, store=self._store, journal=self._journal)
-        self._checks = HealthChecks(
-            router=self._router, journal=self._journal, on_crash=self._crashes.report
+        self._vm_table = VmTable(
+            vms=self._vms,
+            router=self._router,
+            store=self._store,
+            journal=self._journal,
+            rng=self._rng,
         )
-        self._evacuations: set[str] = set()
-        self._connections: set[CallerConnection] = set()
-        self._stopped = asyncio.Event()
-        self._settings_fault = ""
         self._watches = [
-            self._watch(_OPERATORS_TABLE, self._take_operators),
-            self._watch(_TARGETS_TABLE, self._take_targets),
-            self._watch(_VMS_TABLE, self._take_vms),
+            self._watch(OPERATORS_TABLE, self._take_operators),
+            self._watch(TARGETS_TABLE, self._take_targets),
+            self._watch(VMS_TABLE, self._vm_table.take),
             self._watch(crashes.TABLE, self._crashes.take),
         ]
         self._handover = Handover(
-            watches=self._watches, seeds=deployment.seeds, journal=self._journal
-        )
-        self._heartbeat = HeartbeatTask(
-            vms=self._vms,
-            versions=lambda: {watch.table: watch.changed_at for watch in self._watches},
-            on_change=self._note_vm,
-            on_versions=self._compare_versions,
+            watches=self._watches, seeds=self._deployment.seeds, journal=self._journal
         )
 
     async def run(self) -> None:
@@ -118,7 +136,7 @@
         self._journal.note("daemon", "started", **self._deployment._asdict())
         servers = await self._listen()
         jobs: list[Coroutine[Any, Any, None]] = [watch.run() for watch in self._watches]
-        jobs += [self._register(), self._heartbeat.run(), self._checks.run(), self._tidy()]
+        jobs += [self._vm_table.register(), self._heartbeat.run(), self._checks.run(), self._tidy()]
         jobs += [self._handover.run(), self._load_metrics()]
         tasks = [asyncio.create_task(job) for job in jobs]
         for task in tasks:
@@ -158,7 +176,7 @@
             servers.append(await listen(deployment.control_address, serve_text(answer)))
         return servers
 
-    def _watch(self, table: str, on_changes: Any) -> TableWatch:
+    def _watch(self, table: str, on_changes: Callable[[Changes], None]) -> TableWatch:
         return TableWatch(
             store=self._store,
             table=table,
@@ -172,30 +190,8 @@
             watch.compare(versions.get(watch.table, 0))
 
     def _take_operators(self, changes: Changes) -> None:
-        if changes.whole:
-            self._evacuations = set()
-        for row in changes.rows:
-            failure_domain = decoding.read_evacuation(row.key)
-            if failure_domain is not None and row.removed:
-                self._evacuations.discard(failure_domain)
-            elif failure_domain is not None:
-                self._evacuations.add(failure_domain)
-            elif row.key == decoding.CONFIGURATION_KEY and not row.removed:
-                self._configure(row.value)
-        if frozenset(self._evacuations) != self._router.targets.evacuated:
-            self._journal.note("routing", "evacuated", failure_domains=sorted(self._evacuations))
-            self._router.targets.evacuate(frozenset(self._evacuations))
-
-    def _configure(self, value: bytes) -> None:
-        try:
-            configuration = decoding.read_configuration(value)
-        except DocumentError as error:
-            self._journal.note("config", "passed over", reason=str(error))
-            return
-        if self._router.configure(configuration):
-            self._note_loaded()
-            self._counters.configuration = configuration.version
-            self._journal.note("config", "installed", version=configuration.version)
+        self._operators.take(changes)
+        self._note_loaded()
 
     def _take_targets(self, changes: Changes) -> None:
         self._registry.take(changes)
@@ -205,43 +201,6 @@
         if self._registry.is_loaded and self._router.configuration is not None:
             self._vm.note_configured()
 
-    def _take_vms(self, changes: Changes) -> None:
-        now = asyncio.get_running_loop().time()
-        present = set()
-        for row in changes.rows:
-            if row.removed:
-                self._vms.remove(row.key, now=now)
-                continue
-            try:
-                record = msgspec.json.decode(row.value, type=VmRecord)
-            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-                self._journal.note("siblings", "row passed over", vm=row.key, reason=str(error))
-                continue
-            present.add(row.key)
-            if self._vms.update(record, now=now):
-                self._note_vm(record)
-        if changes.whole:
-            for record in self._vms.others:
-                if record.vm not in present:
-                    self._vms.remove(record.vm, now=now)
-        self._router.vms = self._vms.names
-
-    def _note_vm(self, record: VmRecord) -> None:
-        self._journal.note("siblings", "vm changed", **record._asdict())
-        self._router.vms = self._vms.names
-
-    async def _register(self) -> None:
-        """Writes the row of this VM, again until the store confirms it."""
-        while True:
-            value = msgspec.json.encode(self._vms.own)
-            try:
-                await self._store.put(_VMS_TABLE, self._vms.own.vm, value)
-            except StoreError as error:
-                self._journal.note("store", "registration failed", reason=str(error))
-                await asyncio.sleep(self._rng.uniform(0.3, 0.8))
-            else:
-                return
-
     async def _tidy(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -259,7 +218,7 @@
         self._vm.is_stopping = True
         self._vms.stop()
         self._heartbeat.send(everywhere=True)
-        deregistration = asyncio.create_task(self._deregister())
+        deregistration = asyncio.create_task(self._vm_table.deregister())
         end = started + self._deployment.stop_within_s - _STOP_MARGIN_S
         while loop.time() < end:
             await asyncio.sleep(0.1)
@@ -276,10 +235,6 @@
             server.close()
         self._journal.note("daemon", "stopped", after_s=round(loop.time() - started, 2))
 
-    async def _deregister(self) -> None:
-        with contextlib.suppress(StoreError):  # siblings heard it from the last heartbeat
-            await self._store.remove(_VMS_TABLE, self._vms.own.vm)
-
     def _reload(self) -> None:
         """Takes changed settings, which may change without a signal too."""
         try:
@@ -353,4 +308,5 @@
         retry_window_s=deployment.retry_window_s,
         cold_factor=deployment.cold_factor,
         cold_slack=deployment.cold_slack,
+        most_shift=deployment.most_shift,
     )
--- a/src/carawaybank/routing/fleet.py
+++ b/src/carawaybank/routing/fleet.py
@@ -12,7 +12,7 @@
 SAMPLE_WEIGHT = 0.15
 #: Weight of the newest report in the average load of a target.
 LOAD_SAMPLE_WEIGHT = 0.2
-#: Bounds of a target's measured slowness, so that one sample cannot rule it out for good.
+#: Bounds of a target's slowness, so that one sample cannot rule it out for good.
 SLOWNESS_RANGE = (0.6, 20.0)
 #: First and longest pause in seconds before a failed target is checked again.
 CHECK_PAUSES_S = (0.4, 3.0)
--- a/src/carawaybank/routing/placement.py
+++ b/src/carawaybank/routing/placement.py
@@ -16,7 +16,7 @@
 HASH_WARMTH = (0.7, 0.6)
 #: Probability that a target knows an object that this entry VM sent it lately.
 RECENT_WARMTH = 0.95
-#: Work in multiples of a route's objective before anything is measured, and its part when warm.
+#: Work in multiples of a route's objective before the first answers, and its part when warm.
 FIRST_WORK = 1.3
 FIRST_WARM_PART = 0.35
 #: Largest part of a route's timeout that its work is assumed to take.
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -43,6 +43,7 @@
         most_vms: Entry VMs among which the sums are divided.
         cold_factor: Factor on a cold target's rate.
         cold_slack: Requests a second besides.
+        most_shift: Largest part of the requests that may change their region between two windows.
     """
 
     failure_domain: str
@@ -54,6 +55,7 @@
     most_vms: int = 17
     cold_factor: float = 1.5
     cold_slack: float = 5.0
+    most_shift: float = 0.15
 
 
 class Router:
@@ -194,7 +196,9 @@
     def shares(self, service: str) -> RegionShares:
         """Returns the shares of a service's requests by region."""
         if service not in self._shares:
-            self._shares[service] = RegionShares(home=self._options.region)
+            self._shares[service] = RegionShares(
+                home=self._options.region, most_shift=self._options.most_shift
+            )
         return self._shares[service]
 
     def cold_rate(self, service: str) -> float:
--- a/src/carawaybank/routing/spill.py
+++ b/src/carawaybank/routing/spill.py
@@ -14,8 +14,9 @@
 
 #: Demand of a region that its own slots are given, in multiples of an even spread over all slots.
 LOCALITY = 1.1
-#: Part of the requests that may leave a full region besides its share.
-SPILL_PART = 0.1
+#: Part of the largest permitted shift that requests leaving a full region may make up; the rest is
+#: left for changes of the shares and for chance.
+SPILL_PART_OF_SHIFT = 2 / 3
 #: Window in seconds over which changes of the regions' shares are bounded.
 SHIFT_WINDOW_S = 2.0
 
@@ -29,12 +30,15 @@
     ('a', 'b')
     """
 
-    def __init__(self, *, home: str) -> None:
+    def __init__(self, *, home: str, most_shift: float = 0.15) -> None:
         """Starts with everything at home.
 
         Args:
             home: Region of this entry VM.
+            most_shift: Largest part of the requests that may change their region between two
+                windows.
         """
+        self._spill_part = SPILL_PART_OF_SHIFT * most_shift
         self._home = home
         self._slots: dict[str, int] = {}
         self._shares: dict[str, float] = {home: 1.0}
@@ -71,7 +75,7 @@
 
     def try_spill(self, *, now: float) -> bool:
         """Takes one request out of its region; returns whether it may leave."""
-        if self._spilled.total(now=now) >= SPILL_PART * self._requests.total(now=now):
+        if self._spilled.total(now=now) >= self._spill_part * self._requests.total(now=now):
             return False
         self._spilled.add(now=now)
         return True
