Say that a peer closed the connection instead of a parser's words

Cause: the log line of a request lost with its target read "can't handle event type ConnectionClosed". Change: the end of a connection without an answer is told apart before the parser sees it.

--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -195,16 +195,17 @@
     def eof_received(self) -> bool:
         """Takes the peer's end of the connection, which may be the end of an answer."""
         self.is_reusable = False
-        if self._waiter is not None and not self._waiter.done() and self._parser is not None:
+        if self._heard and self._parser is not None:
             self._parser.receive_data(b"")
             self._read_events()
-            self._fail(Reason.CONNECTION_LOST, "the peer closed the connection")
+        self._fail(Reason.CONNECTION_LOST, "the peer closed the connection before a whole answer")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends a pending exchange."""
         self.is_reusable = False
-        self._fail(Reason.CONNECTION_LOST, f"the connection broke: {type(exc).__name__}")
+        cause = type(exc).__name__ if exc else "closed"
+        self._fail(Reason.CONNECTION_LOST, f"the connection broke: {cause}")
 
     def _begin(self, call: HttpCall) -> None:
         self._call = call
@@ -245,7 +246,7 @@
         elif isinstance(event, h11.EndOfMessage):
             self._finish()
         elif isinstance(event, h11.ConnectionClosed):
-            self._fail(Reason.CONNECTION_LOST, "the peer closed the connection")
+            self._fail(Reason.CONNECTION_LOST, "the peer closed the connection after its answer")
 
     def _finish(self) -> None:
         assert self._parser is not None
