Check targets that let a request time out

Cause: a target that lost its power without a word was taken out of use only when a new connection to it failed; requests on open connections waited until the route's timeout, again and again. Change: after a timeout a connection to the target is tried; if none stands, it is out of use until a health check passes.

--- a/src/carawaybank/platform/checks.py
+++ b/src/carawaybank/platform/checks.py
@@ -50,7 +50,9 @@
                 if target.is_down and now >= target.next_check:
                     target.fail(now=now)
                     self._start(self._check(target))
-            suspected: dict[str, list[CrashReport]] = {}
+            suspected: dict[str, list[CrashReport]] = {
+                target_id: [] for target_id in self._router.take_silent()
+            }
             for report in self._router.take_suspected():
                 suspected.setdefault(report.target, []).append(report)
             for target_id, reports in suspected.items():
@@ -62,15 +64,19 @@
         task.add_done_callback(self._running.discard)
 
     async def _confirm(self, target_id: str, reports: list[CrashReport]) -> None:
-        """Reports a crash if the target does not accept connections any more."""
+        """Takes a target out of use if it does not accept connections any more."""
         target = self._router.targets.find(target_id)
         if target is None:
             return
+        if target.is_down:
+            for report in reports:
+                self._on_crash(report)
+            return
         try:
             connection = await ClientConnection.open(target.entry.address, timeout_s=_TIMEOUT_S)
         except ExchangeError as error:
             target.fail(now=asyncio.get_running_loop().time())
-            self._note(target, "crashed", f"{len(reports)} requests under way; {error}")
+            self._note(target, "unreachable", f"{len(reports)} requests lost with it; {error}")
             for report in reports:
                 self._on_crash(report)
         else:
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -84,6 +84,7 @@
             limit=_CRASH_LIMIT, expiry_s=_CRASH_MEMORY_S, capacity=_CRASH_CAPACITY
         )
         self._suspected: list[CrashReport] = []
+        self._silent: set[str] = set()
         #: Entry VMs that may send to targets now, this one included.
         self.vms: tuple[str, ...] = (options.vm,)
 
@@ -184,6 +185,15 @@
         taken, self._suspected = self._suspected, []
         return taken
 
+    def take_silent(self) -> set[str]:
+        """Returns targets that let a request time out, which are then no longer kept.
+
+        A target that lost its power says nothing; whether it still accepts connections tells that
+        from a slow one.
+        """
+        taken, self._silent = self._silent, set()
+        return taken
+
     def note_crash(self, report: CrashReport, now: float) -> bool:
         """Takes a report of a request that cost a target; returns whether it is news."""
         return self.quarantine.report(report, now=now)
@@ -299,8 +309,10 @@
         reason = getattr(result.verdict, "reason", None)
         if reason in {Reason.CONNECT_FAILED, Reason.CONNECTION_REFUSED}:
             choice.target.fail(now=now)
-        elif reason is Reason.TIMEOUT and progress.object_key:
-            choice.target.note_pace(result.latency_s / max(choice.expected_s, 0.001))
+        elif reason is Reason.TIMEOUT:
+            self._silent.add(choice.target.entry.target_id)
+            if progress.object_key:
+                choice.target.note_pace(result.latency_s / max(choice.expected_s, 0.001))
         if result.lost_target:
             report = CrashReport(
                 progress.request.fingerprint, choice.target.entry.target_id, self._options.vm
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -172,6 +172,15 @@
         router.take_suspected()
 
 
+def test_a_target_that_lets_a_request_time_out_is_to_be_checked():
+    router = make_router(*TARGETS)
+    sent = router.arrive(make_request(1, path="/book/1"), 0.0)
+    action = router.end_attempt(1, lost(Reason.TIMEOUT), 2.0)
+    assert action.status == 504
+    assert router.take_silent() == {sent.target_id}
+    assert router.take_silent() == set()
+
+
 def test_an_added_route_is_served_though_nothing_is_known_of_its_work():
     route = make_route("new", prefix="/new/", timeout_s=0.4, objective_s=0.4, sticky=False)
     router = make_router(*TARGETS, configuration=make_configuration(route))
