Divide the slack of repeats among all known VMs

Cause: the constant part of the limit was divided by 17 whatever the number of entry VMs: on a deployment of 72 they could together have made 720 repeats of 184 (BUDGET). Change: divided by one and a half times the known VMs, at least 17 as before.

--- a/src/carawaybank/routing/retrylimit.py
+++ b/src/carawaybank/routing/retrylimit.py
@@ -33,6 +33,10 @@
         self._requests = SlidingCount(window_s=window_s)
         self._repeats = SlidingCount(window_s=window_s)
 
+    def set_slack(self, slack: int) -> None:
+        """Takes this entry VM's part of the constant, which changes with the number of VMs."""
+        self._slack = slack
+
     def note_request(self, *, now: float) -> None:
         """Counts a caller's request."""
         self._requests.add(now=now)
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -23,6 +23,8 @@
 _NEXT_TARGET_REASONS = frozenset(
     {Reason.TARGET_SHED, Reason.CONNECT_FAILED, Reason.CONNECTION_REFUSED, Reason.NOT_OWNER}
 )
+#: Entry VMs for each one that is known; the rest may have joined unseen.
+_UNSEEN_VMS = 1.5
 _CRASH_MEMORY_S = 600.0
 _CRASH_CAPACITY = 2_000
 #: Crashes after which a request is not sent again. An unrelated request can be under way at one
@@ -40,7 +42,7 @@
         retry_share: Repeats allowed for each request of a service.
         retry_slack: Repeats allowed besides, by all entry VMs in a window.
         retry_window_s: Length of the window in seconds.
-        most_vms: Entry VMs among which the sums are divided.
+        fewest_vms: Fewest entry VMs among which sums are divided, however few are known.
         cold_factor: Factor on a cold target's rate.
         cold_slack: Requests a second besides.
         most_shift: Largest part of the requests that may change their region between two windows.
@@ -52,7 +54,7 @@
     retry_share: float = 0.2
     retry_slack: float = 60.0
     retry_window_s: float = 10.0
-    most_vms: int = 17
+    fewest_vms: int = 17
     cold_factor: float = 1.5
     cold_slack: float = 5.0
     most_shift: float = 0.15
@@ -168,12 +170,15 @@
 
     def retry_limit(self, service: str) -> RetryLimit:
         """Returns the limit of repeated sends to a service."""
+        vms = max(self._options.fewest_vms, _UNSEEN_VMS * len(self.vms))
+        slack = int(self._options.retry_slack / vms)
         if service not in self._retries:
             self._retries[service] = RetryLimit(
                 share=self._options.retry_share,
-                slack=int(self._options.retry_slack / self._options.most_vms),
+                slack=slack,
                 window_s=self._options.retry_window_s,
             )
+        self._retries[service].set_slack(slack)
         return self._retries[service]
 
     def take_suspected(self) -> list[CrashReport]:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -172,6 +172,18 @@
         router.take_suspected()
 
 
+def test_repeats_are_divided_among_all_known_vms():
+    def repeats(vms):
+        router = make_router(*TARGETS, retry_slack=184.0)
+        router.vms = tuple(f"vm-{number}" for number in range(vms))
+        limit = router.retry_limit("ledger")
+        return sum(limit.try_repeat(now=0.0) for _ in range(184))
+
+    assert repeats(11) * 11 <= 184
+    assert repeats(72) * 72 <= 184
+    assert repeats(72) >= 1
+
+
 def test_a_target_that_lets_a_request_time_out_is_to_be_checked():
     router = make_router(*TARGETS)
     sent = router.arrive(make_request(1, path="/book/1"), 0.0)
