Bound what the router keeps of objects, targets and routes

Change: 64 orders for requests without an object, caches bounded, estimates dropped with their routes.

--- a/src/carawaybank/routing/catalogue.py
+++ b/src/carawaybank/routing/catalogue.py
@@ -115,10 +115,6 @@
                 return route
         return None
 
-    def knows_host(self, host: str) -> bool:
-        """Returns whether any route has the host."""
-        return host.lower().partition(":")[0] in self._by_host
-
 
 def choose_part(route: Route, *, draw: float) -> str:
     """Returns the service that runs a request of a route.
--- a/src/carawaybank/routing/coldstart.py
+++ b/src/carawaybank/routing/coldstart.py
@@ -12,6 +12,10 @@
 
 #: Requests may arrive closer together than they were sent, by the jitter of links.
 JITTER_ALLOWANCE = 1.15
+#: Targets for which the last request is kept before old ones are dropped, and the age in seconds
+#: beyond which they are; longer than any spacing of requests.
+MOST_TARGETS = 4_096
+FORGET_AFTER_S = 60.0
 
 
 class ColdStartLimit:
@@ -54,5 +58,9 @@
         """Takes a turn at a cold target; returns whether there was one."""
         if not self.may_send(target, vms=vms, rate=rate, now=now):
             return False
+        if len(self._last_sent) >= MOST_TARGETS:
+            self._last_sent = {
+                name: sent for name, sent in self._last_sent.items() if now - sent < FORGET_AFTER_S
+            }
         self._last_sent[target] = now
         return True
--- a/src/carawaybank/routing/directory.py
+++ b/src/carawaybank/routing/directory.py
@@ -1,24 +1,14 @@
 """The targets that an entry VM knows, by service and place."""
 
-from typing import TYPE_CHECKING
-
 from carawaybank.routing.fleet import Target, TargetEntry
 from carawaybank.routing.placement import HashPool
 
-if TYPE_CHECKING:
-    from carawaybank.routing.router import RouterOptions
-
 
 class TargetDirectory:
     """Targets by service, without those that must not get requests."""
 
-    def __init__(self, *, options: "RouterOptions") -> None:
-        """Starts empty.
-
-        Args:
-            options: Place of this entry VM.
-        """
-        self._options = options
+    def __init__(self) -> None:
+        """Starts empty."""
         self._targets: dict[str, Target] = {}
         self._usable: dict[str, list[Target]] = {}
         self._pools = HashPool()
--- a/src/carawaybank/routing/placement.py
+++ b/src/carawaybank/routing/placement.py
@@ -21,6 +21,8 @@
 FIRST_WARM_PART = 0.35
 #: Largest part of a route's timeout that its work is assumed to take.
 FIRST_WORK_PART = 0.5
+#: Most objects whose order of targets is kept; beyond them all are worked out anew.
+MOST_RANKS = 20_000
 #: Weight of the newest sample in the averages of a route's work.
 WORK_SAMPLE_WEIGHT = 0.05
 #: Delay in multiples of the expected work that a target costs for each share of failed requests.
@@ -120,6 +122,8 @@
         """Returns the targets of a pool, the preferred one of an object first."""
         key = (pool, object_key)
         if key not in self._ranks:
+            if len(self._ranks) >= MOST_RANKS:
+                self._ranks.clear()
             members = self._members.get(pool, ())
             self._ranks[key] = tuple(hashing.rank(key=object_key, members=members))
         return self._ranks[key]
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -80,7 +80,7 @@
         self._retries: dict[str, RetryLimit] = {}
         self._shares: dict[str, RegionShares] = {}
         self.cold_starts = ColdStartLimit(vm=options.vm)
-        self.targets = TargetDirectory(options=options)
+        self.targets = TargetDirectory()
         self.distances = Distances(failure_domain=options.failure_domain, region=options.region)
         self.quarantine = Quarantine(
             limit=_CRASH_LIMIT, expiry_s=_CRASH_MEMORY_S, capacity=_CRASH_CAPACITY
@@ -117,6 +117,8 @@
         self._configuration = configuration
         self._routes = RouteTable(routes=configuration.routes)
         self._ranks = {}
+        names = {route.name for route in configuration.routes}
+        self._work = {name: work for name, work in self._work.items() if name in names}
         for route in configuration.routes:
             for part in route.parts:
                 known = self._ranks.get(part.service, route.rank)
--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -22,6 +22,8 @@
 IDLE_LOAD = 1.0
 #: Targets of a region among which a request without an object is placed.
 CANDIDATES_WITHOUT_OBJECT = 4
+#: Different orders of targets that requests without an object take in turn.
+ORDERS_WITHOUT_OBJECT = 64
 
 
 def choose(router: "Router", progress: Progress, now: float) -> Choice | None:
@@ -80,7 +82,7 @@
 def _candidates(router: "Router", progress: Progress, region: str, now: float) -> Iterator[Target]:
     """Yields the targets of a region that may get the request, the preferred ones first."""
     pool = router.targets.pool_name(progress.service, region)
-    key = progress.object_key or str(progress.request.key)
+    key = progress.object_key or str(progress.request.key % ORDERS_WITHOUT_OBJECT)
     for target_id in router.targets.pools.rank(pool, key):
         target = router.targets.find(target_id)
         if target is not None and _may_get(router, progress, target, now):
--- a/tests/routing/test_parts.py
+++ b/tests/routing/test_parts.py
@@ -6,9 +6,11 @@
 
 from carawaybank.routing import admission
 from carawaybank.routing.catalogue import RouteTable
+from carawaybank.routing.coldstart import MOST_TARGETS, ColdStartLimit
 from carawaybank.routing.fleet import REPORT_HALF_LIFE_S, LoadReport, Target
 from carawaybank.routing.placement import Choice, Distances, WorkEstimate, expect
-from tests.routing.builders import BOOK, HOST, make_route, make_target
+from carawaybank.routing.selection import ORDERS_WITHOUT_OBJECT
+from tests.routing.builders import BOOK, HOST, make_request, make_route, make_router, make_target
 
 RNG = random.Random(3)
 
@@ -94,6 +96,18 @@
     assert target.slowness > 8
 
 
+def test_what_is_kept_of_objects_and_targets_is_bounded():
+    router = make_router(make_target(1), make_target(2))
+    for key in range(1000):
+        router.arrive(make_request(key, object_key=""), 0.0)
+        router.abandon(key, 0.0)
+    assert len(router.targets.pools._ranks) <= ORDERS_WITHOUT_OBJECT
+    limit = ColdStartLimit(vm="a")
+    for number in range(3 * MOST_TARGETS):
+        limit.try_send(f"t{number}", vms=("a",), rate=10.0, now=float(number))
+    assert len(limit._last_sent) <= MOST_TARGETS
+
+
 def test_distances_are_learned_from_connections():
     distances = Distances(failure_domain="a1", region="a")
     assert distances.find("a2", "a") < distances.find("b1", "b")
