Test that a cancelled exchange closes its connection

Cause: the rule about callers that left (GONE) had a test for the callers' side only. Ruled out: a fault; no source changes. Change: the peer of a cancelled exchange must see the end of its connection.

--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,6 +1,7 @@
 """Client connections against peers that answer late, twice, partly or not at all."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -165,3 +166,29 @@
         asyncio.run(run())
     assert caught.value.reason is Reason.CONNECTION_REFUSED
     assert not caught.value.sent
+
+
+def test_a_cancelled_exchange_closes_its_connection_so_that_the_peer_stops():
+    async def run():
+        started, ended = asyncio.Event(), asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            started.set()
+            with contextlib.suppress(ConnectionError):  # an abort may arrive as a reset
+                await reader.read()
+            ended.set()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await ClientConnection.open(f"127.0.0.1:{port}", timeout_s=2.0)
+        exchange = asyncio.create_task(connection.exchange(call("1"), timeout_s=30.0))
+        async with asyncio.timeout(5):
+            await started.wait()
+            exchange.cancel()
+            await ended.wait()
+        assert not connection.is_open
+        server.close()
+
+    asyncio.run(run())
