End a daemon that cannot listen on one of its addresses

The cluster hands out ports of the ephemeral range, so an outgoing connection, or a second daemon, can have a daemon's port when it starts. Its callers' server then raised out of run(), but the control server's threads kept the process alive: it answered status and exchanges, never joined, and no ticket ever came in force there. Ruled out: a lock held for good and a lost ticket; neither was seen. Change: both addresses are taken before anything starts; if one is in use the daemon says which and ends with 1. The cluster hands out ports below the ephemeral range, each once, and a wait that fails shows the end of the process's log. Callers of the planned-stops test fail it when they end by an exception.

--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -32,7 +32,7 @@
 from carawaybank import logs
 from carawaybank.callers.app import CallersApp
 from carawaybank.callers.forwarding import Forwarder
-from carawaybank.exceptions import DocumentError
+from carawaybank.exceptions import DocumentError, ListenError
 from carawaybank.host import Host
 from carawaybank.metrics import Metrics
 from carawaybank.operators.app import OperatorsApp
@@ -95,7 +95,12 @@
         self._build_servers()
 
     def run(self) -> None:
-        """Serves until a planned stop ends."""
+        """Serves until a planned stop ends.
+
+        Raises:
+            ListenError: If an address to serve is in use; nothing was started then.
+        """
+        self._listen()
         self._serve(self._control_server, "control")
         self._sibling_task.start()
         self._platform_task.start()
@@ -158,8 +163,19 @@
             settings.control_address, control_router, threads=_CONTROL_THREADS
         )
 
+    def _listen(self) -> None:
+        """Takes both addresses before anything starts: half a daemon would be taken for a whole."""
+        servers = (self._control_server, self._callers_server)
+        for server in servers:
+            try:
+                server.prepare()
+            except OSError as error:
+                for prepared in servers:
+                    prepared.stop()
+                host, port = server.bind_addr
+                raise ListenError(f"cannot listen on {host}:{port}: {error}") from error
+
     def _serve(self, server: Server, name: str) -> None:
-        server.prepare()
         threading.Thread(target=server.serve, name=name, daemon=True).start()
 
     def _join(self) -> None:
@@ -214,7 +230,11 @@
         sys.exit(1)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: daemon.stop())
-    daemon.run()
+    try:
+        daemon.run()
+    except ListenError as error:
+        sys.stderr.write(f"carawaybankd: {error}\n")
+        sys.exit(1)
 
 
 if __name__ == "__main__":
--- a/src/carawaybank/exceptions.py
+++ b/src/carawaybank/exceptions.py
@@ -47,3 +47,7 @@
 
 class SnapshotError(CarawaybankError):
     """A snapshot is damaged or incomplete."""
+
+
+class ListenError(CarawaybankError):
+    """An address to serve cannot be listened on."""
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -99,6 +99,7 @@
     def _look_up(self) -> list[dict[str, str]]:
         if time.monotonic() < self._expires_at and self._entries:
             return self._entries
+        answers = {}
         for vm in list(self._cluster.vms.values()):
             if vm.name not in self._cluster.processes:
                 continue
@@ -107,4 +108,5 @@
                 self._entries = answer["entries"]
                 self._expires_at = time.monotonic() + answer["ttl_s"]
                 return self._entries
-        raise TimeoutError("no entry VM answers look-ups")
+            answers[vm.name] = (status, answer)
+        raise TimeoutError(f"no entry VM answers look-ups: {answers}")
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -1,6 +1,7 @@
 """Starts stand-ins and daemons as separate processes on loopback addresses, for demo and tests."""
 
 import contextlib
+import random
 import signal
 import socket
 import subprocess
@@ -17,6 +18,11 @@
 from carawaybank.steering.tickets import TicketDocument
 
 _START_LIMIT_S = 15.0
+_LOG_TAIL_LINES = 40
+#: Below the range of ephemeral ports, which begins at 32768 on Linux.
+_PORTS = (12_000, 32_000)
+_PORT_TRIES = 1_000
+_handed_out: set[int] = set()
 
 
 class Vm(NamedTuple):
@@ -140,15 +146,22 @@
         """Waits for a condition; returns the seconds that it took.
 
         Raises:
-            TimeoutError: If it does not come true in time.
+            TimeoutError: If it does not come true in time; says how the log of the process that
+                ``what`` names ends.
         """
         started = time.monotonic()
         while not condition():
             if time.monotonic() - started > limit_s:
-                raise TimeoutError(f"{what or condition} took more than {limit_s} s")
+                tail = "\n".join(self.log_tail(what))
+                raise TimeoutError(f"{what or condition} took more than {limit_s} s\n{tail}")
             time.sleep(0.02)
         return time.monotonic() - started
 
+    def log_tail(self, name: str) -> list[str]:
+        """Returns the last lines that a process wrote."""
+        path = self.directory / f"{name}.log"
+        return path.read_text().splitlines()[-_LOG_TAIL_LINES:] if path.exists() else []
+
     def _start(self, name: str, command: list[str]) -> None:
         log = (self.directory / f"{name}.log").open("ab")
         self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
@@ -166,10 +179,20 @@
 
 
 def free_address() -> str:
-    """Returns a loopback address with a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Returns a loopback address that no one listens on and that is not handed out again.
+
+    Its port lies below those that the kernel picks for outgoing connections, so that it stays free
+    until a process listens on it, also while that process restarts.
+    """
+    for _ in range(_PORT_TRIES):
+        port = random.randrange(*_PORTS)
+        if port in _handed_out:
+            continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            _handed_out.add(port)
+            return f"127.0.0.1:{port}"
+    raise TimeoutError(f"no free port found in {_PORT_TRIES} tries")
 
 
 def _settings_text(vm: Vm, seeds: list[str], platform: str, extra: dict[str, str]) -> str:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -210,22 +210,33 @@
             if sent.status != 200:
                 failures.append(sent)
 
-    callers = [threading.Thread(target=call, args=(index,)) for index in range(4)]
-    for thread in callers:
-        thread.start()
     names = list(cluster.vms)
-    for number in range(stops):
-        name = names[number % len(names)]
-        vm = cluster.vms[name]
-        assert cluster.stop(name) == 0
-        cluster.start_vm(name, vm.region, vm.failure_domain, requests=QUICK)
-        cluster.wait_ready(name)
-    done.set()
-    for thread in callers:
-        thread.join()
+    with concurrent.futures.ThreadPoolExecutor(4) as pool:
+        callers = [pool.submit(call, index) for index in range(4)]
+        try:
+            for number in range(stops):
+                name = names[number % len(names)]
+                vm = cluster.vms[name]
+                assert cluster.stop(name) == 0
+                cluster.start_vm(name, vm.region, vm.failure_domain, requests=QUICK)
+                cluster.wait_ready(name)
+        finally:
+            done.set()
+    for caller in callers:
+        caller.result()
     assert failures == []
 
 
+def test_a_daemon_whose_address_is_taken_ends_with_an_error(cluster):
+    taken = cluster.vms["regina-vm1"].callers_address
+    before = cluster.vms["regina-vm2"]
+    assert cluster.stop("regina-vm2") == 0
+    cluster.vms["regina-vm2"] = before._replace(callers_address=taken)
+    cluster.start_vm("regina-vm2", "sask", "regina", requests=QUICK)
+    assert cluster.processes["regina-vm2"].wait(10.0) == 1
+    assert f"cannot listen on {taken}" in cluster.log_tail("regina-vm2")[-1]
+
+
 def test_a_race_of_operators_has_one_winner(cluster):
     names = list(cluster.vms)
     for number in range(2, 6):
