Give each cluster of processes a loopback IP number of its own

Cause: eight clusters side by side drew ports from one range, and one daemon found its port taken. Change: the IP number follows from the process id, so neither clusters nor outgoing connections collide.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -1,9 +1,9 @@
 """Starts stand-ins and daemons as separate processes on loopback addresses, for demo and tests."""
 
 import contextlib
-import random
+import itertools
+import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -19,10 +19,9 @@
 
 _START_LIMIT_S = 15.0
 _LOG_TAIL_LINES = 40
-#: Below the range of ephemeral ports, which begins at 32768 on Linux.
-_PORTS = (12_000, 32_000)
-_PORT_TRIES = 1_000
-_handed_out: set[int] = set()
+#: A loopback IP number for each process of the kernel's default range of process ids.
+_OWN_IP = f"127.{1 + os.getpid() // 62_500}.{os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
+_ports = itertools.count(10_000)
 
 
 class Vm(NamedTuple):
@@ -179,20 +178,12 @@
 
 
 def free_address() -> str:
-    """Returns a loopback address that no one listens on and that is not handed out again.
+    """Returns a loopback address that nothing else takes, also while its process restarts.
 
-    Its port lies below those that the kernel picks for outgoing connections, so that it stays free
-    until a process listens on it, also while that process restarts.
+    Its IP number is this process's own, so that neither another cluster nor the kernel, which
+    picks ports of 127.0.0.1 for outgoing connections, takes its port meanwhile.
     """
-    for _ in range(_PORT_TRIES):
-        port = random.randrange(*_PORTS)
-        if port in _handed_out:
-            continue
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            _handed_out.add(port)
-            return f"127.0.0.1:{port}"
-    raise TimeoutError(f"no free port found in {_PORT_TRIES} tries")
+    return f"{_OWN_IP}:{next(_ports)}"
 
 
 def _settings_text(vm: Vm, seeds: list[str], platform: str, extra: dict[str, str]) -> str:
