--- a/standins/caller.py
+++ b/standins/caller.py
@@ -8,6 +8,9 @@
 from standins.cluster import Cluster
 
 _MAX_SENDS = 8
+#: Entry VMs that wake from a pause refuse look-ups until a sibling has answered them.
+_LOOK_UP_LIMIT_S = 2.0
+_LOOK_UP_PAUSE_S = 0.1
 
 
 class Sent(NamedTuple):
@@ -99,14 +102,26 @@
     def _look_up(self) -> list[dict[str, str]]:
         if time.monotonic() < self._expires_at and self._entries:
             return self._entries
-        answers = {}
+        deadline = time.monotonic() + _LOOK_UP_LIMIT_S
+        while True:
+            answers = self._ask_all()
+            if self._entries:
+                return self._entries
+            if time.monotonic() > deadline:
+                raise TimeoutError(f"no entry VM answers look-ups: {answers}")
+            time.sleep(_LOOK_UP_PAUSE_S)
+
+    def _ask_all(self) -> dict[str, int]:
+        """Asks one entry VM after the other until one names entries; returns the statuses."""
+        statuses = {}
+        self._entries = []
         for vm in list(self._cluster.vms.values()):
             if vm.name not in self._cluster.processes:
                 continue
             status, answer, _ = self._cluster.call("GET", vm.callers_address, "/v1/entries")
+            statuses[vm.name] = status
             if status == 200:
                 self._entries = answer["entries"]
                 self._expires_at = time.monotonic() + answer["ttl_s"]
-                return self._entries
-            answers[vm.name] = (status, answer)
-        raise TimeoutError(f"no entry VM answers look-ups: {answers}")
+                break
+        return statuses
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -237,6 +237,16 @@
     assert f"cannot listen on {taken}" in cluster.log_tail("regina-vm2")[-1]
 
 
+def test_callers_find_entry_vms_again_after_all_of_them_were_paused(cluster):
+    caller = Caller(cluster=cluster, name="patient")
+    for name in cluster.vms:
+        cluster.pause(name)
+    time.sleep(2.0)
+    for name in cluster.vms:
+        cluster.resume(name)
+    assert [caller.send(repeatable=True).status for _ in range(5)] == [200] * 5
+
+
 def test_a_race_of_operators_has_one_winner(cluster):
     names = list(cluster.vms)
     for number in range(2, 6):
