Move what decides or recovers out of platform/ into the product

Change: rows.py says what a store is, adapters.py what an adapter provides; node.py, watch.py, operators/rows, siblings/registration, siblings/handover, targets/registry, targets/checks and targets/crashes use those and know no wire name. platform/ keeps the store's client, the rows and headers, and the adapter that names them. Tests follow their modules; the store's test file is split, none is dropped; orders of operators and look-ups get tests of their own.

--- a/src/carawaybank/callers/listeners.py
+++ b/src/carawaybank/callers/listeners.py
@@ -5,6 +5,7 @@
 
 from carawaybank.callers.front import CallerConnection, CallerRequest, Gate
 from carawaybank.client import HttpReply
+from carawaybank.exceptions import ListenError
 from carawaybank.routing.catalogue import Limits
 
 
@@ -31,7 +32,13 @@
     Args:
         address: ``IP:PORT``.
         make: Makes the protocol of a connection.
+
+    Raises:
+        ListenError: If the address is in use or not one of this VM.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
-    return await loop.create_server(make, host, int(port), backlog=1024, reuse_address=True)
+    try:
+        return await loop.create_server(make, host, int(port), backlog=1024, reuse_address=True)
+    except OSError as error:
+        raise ListenError(f"cannot listen on {address}: {error}") from error
--- a/src/carawaybank/platform/node.py
+++ b/src/carawaybank/node.py
@@ -1,4 +1,4 @@
-"""One entry VM on the platform: its tasks and listeners, from start to stop."""
+"""One entry VM: its tasks and listeners, from start to stop."""
 
 import asyncio
 import random
@@ -7,11 +7,9 @@
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
-
-import msgspec
 
 from carawaybank import deployment as deployments
+from carawaybank.adapters import Adapter
 from carawaybank.callers.front import CallerConnection, CallerRequest, Gate
 from carawaybank.callers.listeners import listen, serve_text
 from carawaybank.client import HttpReply
@@ -20,25 +18,19 @@
 from carawaybank.entry import EntryVm
 from carawaybank.exceptions import DocumentError
 from carawaybank.journal import Journal
-from carawaybank.platform import crashes
-from carawaybank.platform.checks import HealthChecks
-from carawaybank.platform.crashes import CrashReports
-from carawaybank.platform.dialect import PlatformDialect
-from carawaybank.platform.handover import Handover
-from carawaybank.platform.registry import Registry
-from carawaybank.platform.store import StoreClient
-from carawaybank.platform.tables import (
-    OPERATORS_TABLE,
-    TARGETS_TABLE,
-    VMS_TABLE,
-    OperatorTable,
-    VmTable,
-)
-from carawaybank.platform.watch import Changes, TableWatch
+from carawaybank.operators.rows import OperatorRows
 from carawaybank.routing.router import Router, RouterOptions
+from carawaybank.siblings import registration
+from carawaybank.siblings.handover import Handover
 from carawaybank.siblings.heartbeat import HeartbeatTask
+from carawaybank.siblings.registration import Registrations
 from carawaybank.siblings.vms import VmDirectory, VmRecord
+from carawaybank.targets import crashes
+from carawaybank.targets.checks import HealthChecks
+from carawaybank.targets.crashes import CrashReports
+from carawaybank.targets.registry import Registry
 from carawaybank.targets.sender import TargetSender
+from carawaybank.watch import Changes, TableWatch
 
 #: Seconds before the kill by which the process has ended.
 _STOP_MARGIN_S = 0.5
@@ -52,20 +44,21 @@
 _METRICS_PORT = 9464
 #: Seconds after the start at which the metrics library is loaded.
 _METRICS_AFTER_S = 3.0
-_JSON = [("content-type", "application/json")]
 
 
 class Node:
     """Runs an entry VM."""
 
-    def __init__(self, *, deployment: Deployment, settings_path: Path) -> None:
+    def __init__(self, *, deployment: Deployment, adapter: Adapter, settings_path: Path) -> None:
         """Builds the parts.
 
         Args:
             deployment: The settings.
+            adapter: The platform on which it runs.
             settings_path: Where they were read, to notice changes.
         """
         self._deployment = deployment
+        self._adapter = adapter
         self._settings_path = settings_path
         self._settings_fault = ""
         self._journal = Journal(vm=deployment.vm)
@@ -73,7 +66,6 @@
         self._scrape: Callable[[], bytes] | None = None
         self._rng = random.Random(f"{deployment.vm}.{time.time_ns()}")
         self._router = Router(options=_options(deployment), rng=self._rng)
-        self._store = StoreClient(address=deployment.store_address)
         self._vms = VmDirectory(own=_own_record(deployment))
         self._connections: set[CallerConnection] = set()
         self._stopped = asyncio.Event()
@@ -82,45 +74,55 @@
         self._heartbeat = HeartbeatTask(
             vms=self._vms,
             versions=lambda: {watch.table: watch.changed_at for watch in self._watches},
-            on_change=self._vm_table.note_change,
+            on_change=self._registrations.note_change,
             on_versions=self._compare_versions,
         )
 
     def _make_request_path(self) -> None:
-        self._sender = TargetSender(dialect=PlatformDialect())
+        dialect = self._adapter.dialect
+        self._sender = TargetSender(dialect=dialect)
         self._vm = EntryVm(
             router=self._router,
             sender=self._sender,
-            dialect=PlatformDialect(),
+            dialect=dialect,
             journal=self._journal,
             counters=self._counters,
         )
-        self._crashes = CrashReports(router=self._router, store=self._store, journal=self._journal)
+        self._crashes = CrashReports(
+            router=self._router, store=self._adapter.store, journal=self._journal
+        )
         self._checks = HealthChecks(
-            router=self._router, journal=self._journal, on_crash=self._crashes.report
+            router=self._router,
+            dialect=dialect,
+            journal=self._journal,
+            on_crash=self._crashes.report,
         )
 
     def _make_tables(self) -> None:
-        self._operators = OperatorTable(
-            router=self._router, counters=self._counters, journal=self._journal
+        adapter = self._adapter
+        self._orders = OperatorRows(
+            router=self._router,
+            read_row=adapter.read_order,
+            counters=self._counters,
+            journal=self._journal,
         )
         self._registry = Registry(
             router=self._router,
-            regions=self._deployment.regions,
+            read_target=adapter.read_target,
             lapse_grace_s=self._deployment.lapse_grace_s,
             journal=self._journal,
         )
-        self._vm_table = VmTable(
+        self._registrations = Registrations(
             vms=self._vms,
             router=self._router,
-            store=self._store,
+            store=adapter.store,
             journal=self._journal,
             rng=self._rng,
         )
         self._watches = [
-            self._watch(OPERATORS_TABLE, self._take_operators),
-            self._watch(TARGETS_TABLE, self._take_targets),
-            self._watch(VMS_TABLE, self._vm_table.take),
+            self._watch(adapter.orders_table, self._take_orders),
+            self._watch(adapter.targets_table, self._take_targets),
+            self._watch(registration.TABLE, self._registrations.take),
             self._watch(crashes.TABLE, self._crashes.take),
         ]
         self._handover = Handover(
@@ -136,7 +138,12 @@
         self._journal.note("daemon", "started", **self._deployment._asdict())
         servers = await self._listen()
         jobs: list[Coroutine[Any, Any, None]] = [watch.run() for watch in self._watches]
-        jobs += [self._vm_table.register(), self._heartbeat.run(), self._checks.run(), self._tidy()]
+        jobs += [
+            self._registrations.register(),
+            self._heartbeat.run(),
+            self._checks.run(),
+            self._tidy(),
+        ]
         jobs += [self._handover.run(), self._load_metrics()]
         tasks = [asyncio.create_task(job) for job in jobs]
         for task in tasks:
@@ -178,7 +185,7 @@
 
     def _watch(self, table: str, on_changes: Callable[[Changes], None]) -> TableWatch:
         return TableWatch(
-            store=self._store,
+            store=self._adapter.store,
             table=table,
             on_changes=on_changes,
             journal=self._journal,
@@ -189,8 +196,8 @@
         for watch in self._watches:
             watch.compare(versions.get(watch.table, 0))
 
-    def _take_operators(self, changes: Changes) -> None:
-        self._operators.take(changes)
+    def _take_orders(self, changes: Changes) -> None:
+        self._orders.take(changes)
         self._note_loaded()
 
     def _take_targets(self, changes: Changes) -> None:
@@ -218,7 +225,7 @@
         self._vm.is_stopping = True
         self._vms.stop()
         self._heartbeat.send(everywhere=True)
-        deregistration = asyncio.create_task(self._vm_table.deregister())
+        deregistration = asyncio.create_task(self._registrations.deregister())
         end = started + self._deployment.stop_within_s - _STOP_MARGIN_S
         while loop.time() < end:
             await asyncio.sleep(0.1)
@@ -258,16 +265,13 @@
 
     def _answer_lookup(self, request: CallerRequest) -> HttpReply:
         self._counters.count_lookup()
-        query = parse_qs(urlsplit(request.path).query)
-        failure_domain = query.get("zone", [""])[0]
-        region = query.get("region", [""])[0]
+        place = self._adapter.read_lookup(request)
         now = asyncio.get_running_loop().time()
-        records = self._vms.find(failure_domain, region, now=now)
-        if not records:
-            return HttpReply(503, _JSON, b"{}")
-        ttl_s = min(_LOOKUP_TTL_S, self._deployment.lookup_ttl_s)
-        body = {"addrs": [record.callers_address for record in records], "ttlS": ttl_s}
-        return HttpReply(200, _JSON, msgspec.json.encode(body))
+        records = self._vms.find(place.failure_domain, place.region, now=now)
+        return self._adapter.lookup_reply(
+            [record.callers_address for record in records],
+            ttl_s=min(_LOOKUP_TTL_S, self._deployment.lookup_ttl_s),
+        )
 
     def _answer_metrics(self, request: CallerRequest) -> HttpReply:
         if self._scrape is None:
--- a/src/carawaybank/platform/__main__.py
+++ b/src/carawaybank/platform/__main__.py
@@ -1,32 +1,64 @@
-"""Starts an entry VM with the settings file that the platform names."""
+"""The daemon of an entry VM on the platform.
+
+Usage:
+  carawaybank-node [--settings FILE]
+  carawaybank-node --check [--settings FILE]
+  carawaybank-node (-h | --help)
+  carawaybank-node --version
+
+Options:
+  --settings FILE  Settings in TOML; by default the file that CARAWAYBANK_SETTINGS names.
+  --check          Check the settings and exit.
+  -h --help        Show this text.
+  --version        Show the version.
+
+Exit codes:
+  0  stopped as planned, or the settings are right
+  1  failed, or an address is in use
+  2  the settings or arguments are wrong
+"""
 
 import asyncio
 import os
 import sys
 from pathlib import Path
 
+from docopt import docopt
+
+import carawaybank
 from carawaybank import deployment
-from carawaybank.exceptions import DocumentError
-from carawaybank.platform.node import Node
+from carawaybank.exceptions import DocumentError, ListenError
+from carawaybank.node import Node
+from carawaybank.platform.adapter import PlatformAdapter
 
 _SETTINGS_VARIABLE = "CARAWAYBANK_SETTINGS"
+_FAILED = 1
 _BAD_SETTINGS = 2
 
 
 def main() -> int:
     """Runs the entry VM; returns the exit code."""
-    path = Path(os.environ.get(_SETTINGS_VARIABLE, "/etc/carawaybank/node.yaml"))
+    arguments = docopt(__doc__, version=carawaybank.__version__)
+    path = Path(arguments["--settings"] or os.environ.get(_SETTINGS_VARIABLE, "settings.toml"))
     try:
         settings = deployment.load(path)
     except DocumentError as error:
         print(error, file=sys.stderr)
         return _BAD_SETTINGS
-    asyncio.run(_serve(settings, path))
+    if arguments["--check"]:
+        print(f"{path}: right")
+        return 0
+    try:
+        asyncio.run(_serve(settings, path))
+    except ListenError as error:
+        print(error, file=sys.stderr)
+        return _FAILED
     return 0
 
 
 async def _serve(settings: deployment.Deployment, path: Path) -> None:
-    await Node(deployment=settings, settings_path=path).run()
+    adapter = PlatformAdapter(store_address=settings.store_address, regions=settings.regions)
+    await Node(deployment=settings, adapter=adapter, settings_path=path).run()
 
 
 if __name__ == "__main__":
--- a/src/carawaybank/platform/decoding.py
+++ b/src/carawaybank/platform/decoding.py
@@ -1,14 +1,23 @@
 """Rows of the platform's store as the project's types."""
 
+from collections.abc import Mapping
 from typing import Any, TypedDict
 
 import msgspec
 
 from carawaybank.exceptions import DocumentError
-from carawaybank.routing.catalogue import Configuration, Limits, Route, RoutePart, Service
+from carawaybank.routing.catalogue import (
+    Configuration,
+    Evacuation,
+    Limits,
+    Route,
+    RoutePart,
+    Service,
+)
 from carawaybank.routing.fleet import TargetEntry
+from carawaybank.rows import Row
 
-CONFIGURATION_KEY = "config"
+_CONFIGURATION_KEY = "config"
 _EVACUATION_PREFIX = "evacuate/"
 
 
@@ -70,6 +79,19 @@
     born: int
 
 
+def read_order(row: Row) -> Configuration | Evacuation | None:
+    """Returns what a row of the operators orders, or None if it orders nothing.
+
+    Raises:
+        DocumentError: If it cannot be read.
+    """
+    if row.key.startswith(_EVACUATION_PREFIX):
+        return Evacuation(row.key.removeprefix(_EVACUATION_PREFIX))
+    if row.key == _CONFIGURATION_KEY and not row.removed:
+        return read_configuration(row.value)
+    return None
+
+
 def read_configuration(value: bytes) -> Configuration:
     """Returns the configuration in a row.
 
@@ -83,22 +105,22 @@
         raise DocumentError(source="configuration", faults=(str(error),)) from None
 
 
-def read_target(key: str, value: bytes, *, regions: dict[str, str]) -> TargetEntry:
+def read_target(row: Row, *, regions: Mapping[str, str]) -> TargetEntry:
     """Returns the target that a row announces.
 
     Raises:
         DocumentError: If it announces no target that can be used.
     """
-    source = f"entry {key}"
+    source = f"entry {row.key}"
     try:
-        beat = msgspec.json.decode(value, type=_Beat)
+        beat = msgspec.json.decode(row.value, type=_Beat)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise DocumentError(source=source, faults=(str(error),)) from None
     faults = _beat_faults(beat, regions)
     if faults:
         raise DocumentError(source=source, faults=tuple(faults))
     return TargetEntry(
-        target_id=key,
+        target_id=row.key,
         service=beat["service"],
         address=beat["addr"],
         failure_domain=beat["zone"],
@@ -111,11 +133,6 @@
     )
 
 
-def read_evacuation(key: str) -> str | None:
-    """Returns the failure domain that a row evacuates, or None if it is another row."""
-    return key.removeprefix(_EVACUATION_PREFIX) if key.startswith(_EVACUATION_PREFIX) else None
-
-
 def _configuration(document: _Document) -> Configuration:
     routes: list[Route] = []
     services: dict[str, Service] = {}
@@ -165,7 +182,7 @@
     )
 
 
-def _beat_faults(beat: _Beat, regions: dict[str, str]) -> list[str]:
+def _beat_faults(beat: _Beat, regions: Mapping[str, str]) -> list[str]:
     missing = [name for name in ("service", "addr", "zone", "slots", "state") if name not in beat]
     if missing:
         return [f"without {', '.join(missing)}"]
--- a/src/carawaybank/platform/dialect.py
+++ b/src/carawaybank/platform/dialect.py
@@ -1,12 +1,11 @@
 """How callers and targets speak on the platform: headers, statuses and what they mean."""
 
-from typing import NamedTuple
-
 from carawaybank.callers.front import CallerRequest
 from carawaybank.client import Headers, HttpCall, HttpReply
 from carawaybank.routing.fleet import LoadReport
 from carawaybank.routing.messages import Request
 from carawaybank.steering import hashing
+from carawaybank.targets.checks import Health
 from carawaybank.targets.sender import TargetReply
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason
 
@@ -41,22 +40,6 @@
 _SUCCESS = range(200, 300)
 
 
-class Health(NamedTuple):
-    """A target's answer to a health check.
-
-    Attributes:
-        is_healthy: Whether it considers itself healthy and is not leaving.
-        target_id: Which target answered; empty if it did not say.
-        cold_left_s: Seconds for which it stays cold.
-        load: Its load, if it reports it.
-    """
-
-    is_healthy: bool
-    target_id: str
-    cold_left_s: float
-    load: LoadReport | None
-
-
 class PlatformDialect:
     """Speaks to targets of the platform."""
 
@@ -109,7 +92,6 @@
             is_healthy=reply.status == 200,
             target_id=reply.header(_INSTANCE_ID) or "",
             cold_left_s=int(cold_ms) / 1000 if cold_ms.isdigit() else 0.0,
-            load=read_load(reply),
         )
 
     def encode(self, call: HttpCall, *, target_id: str, left_s: float) -> HttpCall:
--- a/src/carawaybank/platform/store.py
+++ b/src/carawaybank/platform/store.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import base64
-from typing import NamedTuple, TypedDict
+from typing import TypedDict
 from urllib.parse import urlencode
 
 import msgspec
 
 from carawaybank.client import ClientConnection, ClientPool, ExchangeError, HttpCall, HttpReply
-from carawaybank.exceptions import CarawaybankError
+from carawaybank.rows import HistoryGoneError, Row, Rows, StoreError
 
 #: Longest time in seconds for a call that does not wait for news.
 _CALL_TIMEOUT_S = 2.0
@@ -16,46 +16,6 @@
 _PAGE = 500
 
 
-class StoreError(CarawaybankError):
-    """The store did not perform a call, or nobody knows whether it did.
-
-    Attributes:
-        status: HTTP status; 0 without an answer.
-    """
-
-    def __init__(self, *, message: str, status: int = 0) -> None:
-        """Describes the failure."""
-        super().__init__(message)
-        self.status = status
-
-
-class HistoryGoneError(StoreError):
-    """The store no longer knows the changes since the version asked for."""
-
-
-class Row(NamedTuple):
-    """A row of a table.
-
-    Attributes:
-        key: Its key.
-        value: Its bytes; empty if it was removed.
-        version: Its version.
-        removed: Whether it was removed.
-    """
-
-    key: str
-    value: bytes
-    version: int
-    removed: bool
-
-
-class Rows(NamedTuple):
-    """Rows of a table as of a version of the store."""
-
-    rows: list[Row]
-    version: int
-
-
 class _WireRow(TypedDict, total=False):
     key: str
     #: Base64.
--- a/src/carawaybank/routing/catalogue.py
+++ b/src/carawaybank/routing/catalogue.py
@@ -75,6 +75,12 @@
     idle_timeout_s: float = 15.0
 
 
+class Evacuation(NamedTuple):
+    """A failure domain whose targets must not get requests."""
+
+    failure_domain: str
+
+
 class Configuration(NamedTuple):
     """A whole configuration; a higher version replaces a lower one.
 
--- /dev/null
+++ b/src/carawaybank/rows.py
@@ -0,0 +1,78 @@
+"""Rows of the shared store, which entry VMs read, follow and write."""
+
+from typing import NamedTuple, Protocol
+
+from carawaybank.exceptions import CarawaybankError
+
+
+class StoreError(CarawaybankError):
+    """The store did not perform a call, or nobody knows whether it did.
+
+    Attributes:
+        status: HTTP status; 0 without an answer.
+    """
+
+    def __init__(self, *, message: str, status: int = 0) -> None:
+        """Describes the failure."""
+        super().__init__(message)
+        self.status = status
+
+
+class HistoryGoneError(StoreError):
+    """The store no longer knows the changes since the version asked for."""
+
+
+class Row(NamedTuple):
+    """A row of a table.
+
+    Attributes:
+        key: Its key.
+        value: Its bytes; empty if it was removed.
+        version: Its version.
+        removed: Whether it was removed.
+    """
+
+    key: str
+    value: bytes
+    version: int
+    removed: bool
+
+
+class Rows(NamedTuple):
+    """Rows of a table as of a version of the store."""
+
+    rows: list[Row]
+    version: int
+
+
+class RowStore(Protocol):
+    """A store of tables whose rows have versions."""
+
+    async def read(self, table: str) -> Rows:
+        """Returns all rows of a table.
+
+        Raises:
+            StoreError: If the store does not answer.
+        """
+
+    async def watch(self, table: str, *, after: int, wait_s: float) -> Rows:
+        """Returns the rows that changed after a version, once there are any.
+
+        Raises:
+            HistoryGoneError: If the changes since then are not known any more.
+            StoreError: If the store does not answer.
+        """
+
+    async def put(self, table: str, key: str, value: bytes) -> None:
+        """Writes a row.
+
+        Raises:
+            StoreError: If the store did not confirm it.
+        """
+
+    async def remove(self, table: str, key: str) -> None:
+        """Removes a row.
+
+        Raises:
+            StoreError: If the store did not confirm it.
+        """
--- a/src/carawaybank/platform/handover.py
+++ b/src/carawaybank/siblings/handover.py
@@ -14,8 +14,8 @@
 from carawaybank.callers.front import CallerRequest
 from carawaybank.client import ClientConnection, ExchangeError, HttpCall, HttpReply
 from carawaybank.journal import Journal
-from carawaybank.platform.store import Row, Rows
-from carawaybank.platform.watch import TableWatch
+from carawaybank.rows import Row, Rows
+from carawaybank.watch import TableWatch
 
 _PATH = "/tables"
 #: Seconds for which a start waits for the store before it asks siblings.
--- a/src/carawaybank/platform/checks.py
+++ b/src/carawaybank/targets/checks.py
@@ -2,11 +2,10 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, NamedTuple, Protocol
 
-from carawaybank.client import ClientConnection, ExchangeError
+from carawaybank.client import ClientConnection, ExchangeError, HttpCall, HttpReply
 from carawaybank.journal import Journal
-from carawaybank.platform.dialect import PlatformDialect
 from carawaybank.routing.fleet import Target
 from carawaybank.routing.router import Router
 from carawaybank.steering.quarantine import CrashReport
@@ -17,6 +16,30 @@
 _TIMEOUT_S = 0.8
 
 
+class Health(NamedTuple):
+    """A target's answer to a health check.
+
+    Attributes:
+        is_healthy: Whether it considers itself healthy and is not leaving.
+        target_id: Which target answered; empty if it did not say.
+        cold_left_s: Seconds for which it stays cold.
+    """
+
+    is_healthy: bool
+    target_id: str
+    cold_left_s: float
+
+
+class HealthDialect(Protocol):
+    """How targets are asked for their health."""
+
+    def health_call(self, path: str, *, address: str) -> HttpCall:
+        """Returns a health check of a target."""
+
+    def read_health(self, reply: HttpReply) -> Health:
+        """Returns what a target says of itself in a health check."""
+
+
 class HealthChecks:
     """Checks failed targets; healthy ones are judged by their answers alone."""
 
@@ -24,6 +47,7 @@
         self,
         *,
         router: Router,
+        dialect: HealthDialect,
         journal: Journal,
         on_crash: Callable[[CrashReport], None],
     ) -> None:
@@ -31,13 +55,14 @@
 
         Args:
             router: Knows the targets.
+            dialect: How targets are asked.
             journal: Where changes are noted.
             on_crash: Called with each request that was under way at a target that crashed.
         """
         self._on_crash = on_crash
         self._router = router
         self._journal = journal
-        self._dialect = PlatformDialect()
+        self._dialect = dialect
         self._running: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
--- a/src/carawaybank/platform/crashes.py
+++ b/src/carawaybank/targets/crashes.py
@@ -8,10 +8,10 @@
 import msgspec
 
 from carawaybank.journal import Journal
-from carawaybank.platform.store import StoreClient, StoreError
-from carawaybank.platform.watch import Changes
 from carawaybank.routing.router import Router
+from carawaybank.rows import RowStore, StoreError
 from carawaybank.steering.quarantine import CrashReport
+from carawaybank.watch import Changes
 
 TABLE = "crash-reports"
 #: Seconds after which a row counts no longer and may be removed.
@@ -21,7 +21,7 @@
 class CrashReports:
     """Writes own reports and passes those of all VMs to the router."""
 
-    def __init__(self, *, router: Router, store: StoreClient, journal: Journal) -> None:
+    def __init__(self, *, router: Router, store: RowStore, journal: Journal) -> None:
         """Takes the parts.
 
         Args:
--- a/src/carawaybank/platform/registry.py
+++ b/src/carawaybank/targets/registry.py
@@ -1,13 +1,14 @@
-"""Keeps the router's targets in step with the rows of the platform's registry."""
+"""Keeps the router's targets in step with what they announce in the store."""
 
 import asyncio
+from collections.abc import Callable
 
 from carawaybank.exceptions import DocumentError
 from carawaybank.journal import Journal
-from carawaybank.platform import decoding
-from carawaybank.platform.store import Row
-from carawaybank.platform.watch import Changes
+from carawaybank.routing.fleet import TargetEntry
 from carawaybank.routing.router import Router
+from carawaybank.rows import Row
+from carawaybank.watch import Changes
 
 #: Share of a service's rows beyond which rows that are missing after an outage are taken to have
 #: lapsed. Planned work replaces fewer targets within an outage.
@@ -24,18 +25,23 @@
     """
 
     def __init__(
-        self, *, router: Router, regions: dict[str, str], lapse_grace_s: float, journal: Journal
+        self,
+        *,
+        router: Router,
+        read_target: Callable[[Row], TargetEntry],
+        lapse_grace_s: float,
+        journal: Journal,
     ) -> None:
         """Starts without targets.
 
         Args:
             router: Takes the targets.
-            regions: Region by failure domain.
+            read_target: Returns the target that a row announces; raises ``DocumentError``.
             lapse_grace_s: Seconds after the store's return for which lapsed rows may reappear.
             journal: Where changes are noted.
         """
         self._router = router
-        self._regions = regions
+        self._read_target = read_target
         self._lapse_grace_s = lapse_grace_s
         self._journal = journal
         self._removals: dict[str, asyncio.TimerHandle] = {}
@@ -72,7 +78,7 @@
         if pending is not None:
             pending.cancel()
         try:
-            entry = decoding.read_target(row.key, row.value, regions=self._regions)
+            entry = self._read_target(row)
         except DocumentError as error:
             self._journal.note("registry", "entry passed over", target=row.key, reason=str(error))
             return
--- a/src/carawaybank/platform/watch.py
+++ b/src/carawaybank/watch.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 
 from carawaybank.journal import Journal
-from carawaybank.platform.store import HistoryGoneError, Row, Rows, StoreClient, StoreError
+from carawaybank.rows import HistoryGoneError, Row, Rows, RowStore, StoreError
 
 #: Seconds for which the store holds a call that has no news.
 _WAIT_S = 20.0
@@ -36,7 +36,7 @@
     def __init__(
         self,
         *,
-        store: StoreClient,
+        store: RowStore,
         table: str,
         on_changes: Callable[[Changes], None],
         journal: Journal,
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -4,11 +4,15 @@
 
 import pytest
 
+from carawaybank.adapters import Place
 from carawaybank.callers.front import CallerRequest
 from carawaybank.client import HttpReply
 from carawaybank.exceptions import DocumentError
 from carawaybank.platform import decoding
+from carawaybank.platform.adapter import PlatformAdapter
 from carawaybank.platform.dialect import PlatformDialect, read_load
+from carawaybank.routing.catalogue import Evacuation
+from carawaybank.rows import Row
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason
 
 REGIONS = {"regina": "sask"}
@@ -37,6 +41,10 @@
 }
 
 
+def row(value, *, key="i-1", removed=False):
+    return Row(key, value, 7, removed)
+
+
 def resource(kind, spec, name="n"):
     return {"resKind": kind, "metadata": {"name": name}, "spec": spec}
 
@@ -45,6 +53,25 @@
     return json.dumps({"version": version, "resources": resources}).encode()
 
 
+def test_orders_of_the_operators():
+    assert decoding.read_order(row(b"", key="evacuate/regina")) == Evacuation("regina")
+    assert decoding.read_order(row(b"?", key="something new")) is None
+    assert decoding.read_order(row(b"", key="config", removed=True)) is None
+    assert decoding.read_order(row(configuration(), key="config")).version == 12
+    with pytest.raises(DocumentError):
+        decoding.read_order(row(b"?", key="config"))
+
+
+def test_a_look_up_says_where_the_caller_is():
+    adapter = PlatformAdapter(store_address="127.0.0.1:1", regions=REGIONS)
+    request = CallerRequest("GET", "/resolve?name=a&zone=regina&region=sask", [], b"")
+    assert adapter.read_lookup(request) == Place("regina", "sask")
+    assert adapter.read_lookup(request._replace(path="/resolve")) == Place("", "")
+    assert adapter.lookup_reply([], ttl_s=2.0).status == 503
+    reply = adapter.lookup_reply(["10.0.0.1:80"], ttl_s=2.0)
+    assert json.loads(reply.body) == {"addrs": ["10.0.0.1:80"], "ttlS": 2.0}
+
+
 def test_a_configuration():
     found = decoding.read_configuration(
         configuration(
@@ -86,7 +113,7 @@
 
 
 def test_an_entry():
-    entry = decoding.read_target("i-1", json.dumps(BEAT).encode(), regions=REGIONS)
+    entry = decoding.read_target(row(json.dumps(BEAT).encode()), regions=REGIONS)
     assert entry.region == "sask"
     assert entry.cold_left_s == 1.5
     assert (entry.incarnation, entry.sequence) == (17, 4)
@@ -106,13 +133,13 @@
 )
 def test_an_entry_of_another_writer_names_no_target(changes):
     with pytest.raises(DocumentError):
-        decoding.read_target("i-1", json.dumps({**BEAT, **changes}).encode(), regions=REGIONS)
+        decoding.read_target(row(json.dumps({**BEAT, **changes}).encode()), regions=REGIONS)
 
 
 @pytest.mark.parametrize("value", [b"", b"\x00", b"[]", b'{"service":"s"}'])
 def test_bytes_that_cannot_be_read_name_no_target(value):
     with pytest.raises(DocumentError):
-        decoding.read_target("i-1", value, regions=REGIONS)
+        decoding.read_target(row(value), regions=REGIONS)
 
 
 def request(**headers):
--- /dev/null
+++ b/tests/store_world.py
@@ -0,0 +1,107 @@
+"""A store, and an entry VM's registry that follows it, for tests of what reads the store."""
+
+import asyncio
+import random
+
+from carawaybank.journal import Journal
+from carawaybank.platform.adapter import PlatformAdapter
+from carawaybank.targets.registry import Registry
+from carawaybank.watch import TableWatch
+from standins.rowstore import RowStore
+from tests.routing.builders import make_router
+
+REGIONS = {"a1": "a"}
+GRACE_S = 0.2
+
+
+def beat(number, **changes):
+    entry = {
+        "service": "ledger",
+        "addr": f"10.0.0.{number}:80",
+        "zone": "a1",
+        "slots": 4,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "seq": 1,
+        "born": 1,
+    }
+    return {**entry, **changes}
+
+
+async def until(condition, timeout_s=5.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def make_adapter(address):
+    return PlatformAdapter(store_address=address, regions=REGIONS)
+
+
+class World:
+    """A store, and a VM's registry that follows it."""
+
+    def __init__(self):
+        self.lines = []
+        self.journal = Journal(vm="vm-1", write=self.lines.append, lines_per_s=10_000)
+        self.router = make_router()
+        self.store = RowStore()
+
+    async def __aenter__(self):
+        self.address = await self.store.start()
+        self.adapter = make_adapter(self.address)
+        self.client = self.adapter.store
+        self.registry = self.make_registry(self.router)
+        self.watch = self.make_watch("servers", self.registry.take)
+        self.task = asyncio.create_task(self.watch.run())
+        return self
+
+    async def __aexit__(self, *_):
+        self.task.cancel()
+        await self.store.stop()
+
+    def make_registry(self, router):
+        return Registry(
+            router=router,
+            read_target=self.adapter.read_target,
+            lapse_grace_s=GRACE_S,
+            journal=self.journal,
+        )
+
+    def make_watch(self, table, on_changes, address=None):
+        store = make_adapter(address).store if address else self.client
+        return TableWatch(
+            store=store,
+            table=table,
+            on_changes=on_changes,
+            journal=self.journal,
+            rng=random.Random(1),
+        )
+
+    @property
+    def targets(self):
+        return set(self.router.targets.all)
+
+    def usable(self):
+        return {target.entry.target_id for target in self.router.targets.usable("ledger")}
+
+    def saw(self, text):
+        return any(text in line.decode() for line in self.lines)
+
+
+def play(scenario):
+    async def run():
+        async with World() as world:
+            await scenario(world)
+
+    asyncio.run(run())
+
+
+async def lose_while_down(world, names):
+    world.store.fail(503)
+    await world.store.put("op", "x", {})
+    await until(lambda: world.saw('"lost"'))
+    for name in names:
+        await world.store.drop("servers", name)
+    world.store.fail(0)
+    await until(lambda: world.saw('"regained"'))
--- a/tests/platform/test_checks.py
+++ b/tests/targets/test_checks.py
@@ -5,8 +5,9 @@
 from carawaybank.callers.listeners import listen, serve_text
 from carawaybank.client import HttpReply
 from carawaybank.journal import Journal
-from carawaybank.platform.checks import HealthChecks
+from carawaybank.platform.dialect import PlatformDialect
 from carawaybank.routing.messages import AttemptResult, Send
+from carawaybank.targets.checks import HealthChecks
 from carawaybank.verdicts import MayHaveRun, Reason
 from tests.routing.builders import make_request, make_router, make_target
 
@@ -32,7 +33,9 @@
         router = make_router(make_target(1, address=address))
         reports = []
         journal = Journal(vm="vm-1", write=lambda _: None)
-        checks = HealthChecks(router=router, journal=journal, on_crash=reports.append)
+        checks = HealthChecks(
+            router=router, dialect=PlatformDialect(), journal=journal, on_crash=reports.append
+        )
         task = asyncio.create_task(checks.run())
         await scenario(router, server, address, reports)
         task.cancel()
--- /dev/null
+++ b/tests/targets/test_crashes.py
@@ -0,0 +1,23 @@
+"""Crash reports that entry VMs share."""
+
+import asyncio
+
+from carawaybank.steering.quarantine import CrashReport
+from carawaybank.targets.crashes import TABLE as CRASHES
+from carawaybank.targets.crashes import CrashReports
+from tests.routing.builders import make_router
+from tests.store_world import play, until
+
+
+def test_crash_reports_reach_the_other_vms():
+    async def scenario(world):
+        others = make_router(vm="vm-2")
+        reader = CrashReports(router=others, store=world.client, journal=world.journal)
+        writer = CrashReports(router=world.router, store=world.client, journal=world.journal)
+        task = asyncio.create_task(world.make_watch(CRASHES, reader.take).run())
+        for number in range(3):
+            writer.report(CrashReport("bad", f"t{number}", "vm-1"))
+        await until(lambda: others.quarantine.is_refused("bad", now=0.0))
+        task.cancel()
+
+    play(scenario)
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,50 @@
+"""Watches of tables against a store that fails in its ways."""
+
+import asyncio
+
+import pytest
+
+from tests.store_world import beat, play, until
+
+
+def test_a_forgotten_history_is_read_anew():
+    async def scenario(world):
+        await world.store.put("servers", "t1", beat(1))
+        await until(lambda: world.targets == {"t1"})
+        world.store.rows.pop(("servers", "t1"))
+        world.store.fail(503)
+        await world.store.put("servers", "t2", beat(2))
+        world.store.forget_history()
+        world.store.fail(0)
+        await until(lambda: world.targets == {"t2"})
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_targets_stay_while_the_store_refuses_and_are_followed_again(status):
+    async def scenario(world):
+        await world.store.put("servers", "t1", beat(1))
+        await until(lambda: world.targets == {"t1"})
+        world.store.fail(status)
+        await world.store.put("servers", "t2", beat(2))
+        await until(lambda: world.saw('"lost"'))
+        assert world.targets == {"t1"}
+        world.store.fail(0)
+        await until(lambda: world.targets == {"t1", "t2"})
+        assert world.saw('"regained"')
+
+    play(scenario)
+
+
+def test_a_watch_that_went_silent_is_started_again_when_a_sibling_is_ahead():
+    async def scenario(world):
+        await world.store.put("servers", "t1", beat(1))
+        await until(lambda: world.targets == {"t1"})
+        calls = len(world.store.calls)
+        while len(world.store.calls) == calls:
+            world.watch.compare(99)
+            await asyncio.sleep(0.05)
+        assert world.saw("watch is behind")
+
+    play(scenario)
