Show a platform VM's state, and serve latencies as histograms

Cause: an entry VM on the platform had no state dump and no way to check its settings, and the metrics held percentiles where the users ask for histograms. A heartbeat port in use ended it with a traceback.

--- a/src/carawaybank/counters.py
+++ b/src/carawaybank/counters.py
@@ -4,8 +4,11 @@
 loading that library a third of an entry VM's start; see :mod:`carawaybank.metrics`.
 """
 
+import bisect
+import itertools
 import threading
 from collections import Counter
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from hdrh.histogram import HdrHistogram
@@ -24,6 +27,18 @@
     reason: str
 
 
+class Latencies(NamedTuple):
+    """How long requests took.
+
+    Attributes:
+        counts: Requests up to each bound, and all of them last.
+        sum_s: Seconds of all of them together.
+    """
+
+    counts: tuple[int, ...]
+    sum_s: float
+
+
 class Counters:
     """Counts of one daemon; safe to use from several threads."""
 
@@ -79,15 +94,29 @@
         with self._lock:
             return dict(self._attempts)
 
-    def latency_s(self, percentile: float) -> dict[str, float]:
-        """Returns a percentile of the latency in seconds, by service."""
+    def latencies(self, bounds_s: Sequence[float]) -> dict[str, Latencies]:
+        """Returns the latencies by service.
+
+        Args:
+            bounds_s: Upper bounds in seconds, ascending.
+        """
         with self._lock:
             return {
-                service: histogram.get_value_at_percentile(percentile) / 1e6
+                service: _summarize(histogram, bounds_s)
                 for service, histogram in self._latencies.items()
             }
 
 
+def _summarize(histogram: HdrHistogram, bounds_s: Sequence[float]) -> Latencies:
+    counts = [0] * (len(bounds_s) + 1)
+    total = 0.0
+    for item in histogram.get_recorded_iterator():
+        seconds = item.value_iterated_to / 1e6
+        counts[bisect.bisect_left(bounds_s, seconds)] += item.count_at_value_iterated_to
+        total += seconds * item.count_at_value_iterated_to
+    return Latencies(tuple(itertools.accumulate(counts)), total)
+
+
 def verdict_name(verdict: Verdict) -> str:
     """Returns the name of a verdict in headers, metrics and documents.
 
--- a/src/carawaybank/metrics.py
+++ b/src/carawaybank/metrics.py
@@ -1,18 +1,23 @@
 """Metrics by OpenTelemetry, scraped in the Prometheus format and pushed by OTLP if set."""
 
+from collections.abc import Iterator
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import MetricReader, PeriodicExportingMetricReader
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import REGISTRY, generate_latest
+from prometheus_client.metrics_core import HistogramMetricFamily, Metric
+from prometheus_client.registry import Collector
 
 from carawaybank.counters import Counters, verdict_name
 from carawaybank.verdicts import Verdict
 
 __all__ = ["Metrics", "scrape", "verdict_name"]
 
-_PERCENTILES = (50.0, 99.0)
+#: Upper bounds in seconds of the buckets of latencies, from a warm answer to the longest timeout.
+_LATENCY_BOUNDS_S = (0.01, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0, 15.0, 60.0)
 
 
 class Metrics:
@@ -41,6 +46,8 @@
         resource = Resource.create({"service.name": "carawaybankd", "service.instance.id": vm})
         self._provider = MeterProvider(metric_readers=readers, resource=resource)
         self._register()
+        self._latencies = _LatencyCollector(vm=vm, counters=self._counters)
+        REGISTRY.register(self._latencies)
 
     @property
     def counters(self) -> Counters:
@@ -69,6 +76,7 @@
 
     def close(self) -> None:
         """Flushes and stops the exporters."""
+        REGISTRY.unregister(self._latencies)
         self._provider.shutdown()
 
     def _register(self) -> None:
@@ -83,7 +91,6 @@
             "carawaybank.control.bytes", [lambda _: [Observation(counters.control_bytes)]], "By"
         )
         gauge("carawaybank.ticket", [lambda _: [Observation(counters.configuration)]])
-        gauge("carawaybank.request.duration", [self._observe_latencies], "s")
 
     def _observe_requests(self, _: CallbackOptions) -> list[Observation]:
         counts = self._counters.requests()
@@ -93,12 +100,30 @@
         counts = self._counters.attempts()
         return [Observation(count, {"service": service}) for service, count in counts.items()]
 
-    def _observe_latencies(self, _: CallbackOptions) -> list[Observation]:
-        return [
-            Observation(seconds, {"service": service, "percentile": str(percentile)})
-            for percentile in _PERCENTILES
-            for service, seconds in self._counters.latency_s(percentile).items()
-        ]
+
+class _LatencyCollector(Collector):
+    """Latencies of requests by service as histograms."""
+
+    def __init__(self, *, vm: str, counters: Counters) -> None:
+        self._vm = vm
+        self._counters = counters
+
+    def describe(self) -> list[Metric]:
+        """Claims no names: each daemon of a process has a collector."""
+        return []
+
+    def collect(self) -> Iterator[Metric]:
+        """Returns the histograms of all services."""
+        family = HistogramMetricFamily(
+            "carawaybank_request_duration_seconds",
+            "from a request's arrival to its answer",
+            labels=["vm", "service"],
+        )
+        for service, latencies in self._counters.latencies(_LATENCY_BOUNDS_S).items():
+            bounds = [*(str(bound) for bound in _LATENCY_BOUNDS_S), "+Inf"]
+            buckets = list(zip(bounds, latencies.counts, strict=True))
+            family.add_metric([self._vm, service], buckets, latencies.sum_s)
+        yield family
 
 
 def scrape() -> bytes:
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from carawaybank import deployment as deployments
 from carawaybank.adapters import Adapter
 from carawaybank.callers.front import CallerConnection, CallerRequest, Gate
@@ -15,13 +17,14 @@
 from carawaybank.client import HttpReply
 from carawaybank.counters import Counters
 from carawaybank.deployment import Deployment
+from carawaybank.dump import make_dump
 from carawaybank.entry import EntryVm
-from carawaybank.exceptions import DocumentError
+from carawaybank.exceptions import DocumentError, ListenError
 from carawaybank.journal import Journal
 from carawaybank.operators.rows import OperatorRows
 from carawaybank.routing.router import Router, RouterOptions
 from carawaybank.siblings import registration
-from carawaybank.siblings.handover import Handover
+from carawaybank.siblings.handover import TABLES_PATH, Handover
 from carawaybank.siblings.heartbeat import HeartbeatTask
 from carawaybank.siblings.registration import Registrations
 from carawaybank.siblings.vms import VmDirectory, VmRecord
@@ -44,6 +47,8 @@
 _METRICS_PORT = 9464
 #: Seconds after the start at which the metrics library is loaded.
 _METRICS_AFTER_S = 3.0
+DUMP_PATH = "/v1/dump"
+_JSON = [("content-type", "application/json")]
 
 
 class Node:
@@ -162,7 +167,10 @@
         deployment = self._deployment
         loop = asyncio.get_running_loop()
         sibling_address = (deployment.ip, deployment.sibling_port)
-        await loop.create_datagram_endpoint(lambda: self._heartbeat, local_addr=sibling_address)
+        try:
+            await loop.create_datagram_endpoint(lambda: self._heartbeat, local_addr=sibling_address)
+        except OSError as error:
+            raise ListenError(f"cannot listen on UDP {sibling_address}: {error}") from error
         gate = Gate(
             handle=self._vm.handle,
             limits=lambda: self._vm.limits,
@@ -179,8 +187,8 @@
             await listen(metrics_address, serve_text(self._answer_metrics)),
         ]
         if deployment.control_address:
-            answer = self._handover.answer
-            servers.append(await listen(deployment.control_address, serve_text(answer)))
+            control = serve_text(self._answer_control)
+            servers.append(await listen(deployment.control_address, control))
         return servers
 
     def _watch(self, table: str, on_changes: Callable[[Changes], None]) -> TableWatch:
@@ -273,6 +281,21 @@
             ttl_s=min(_LOOKUP_TTL_S, self._deployment.lookup_ttl_s),
         )
 
+    def _answer_control(self, request: CallerRequest) -> HttpReply:
+        """Answers siblings that start, and the command-line tool."""
+        if request.path == TABLES_PATH:
+            return self._handover.answer(request)
+        if request.path != DUMP_PATH:
+            return HttpReply(404, [], b"")
+        dump = make_dump(
+            router=self._router,
+            vms=self._vms,
+            watches=self._watches,
+            connections=len(self._connections),
+            now=asyncio.get_running_loop().time(),
+        )
+        return HttpReply(200, _JSON, msgspec.json.encode(dump))
+
     def _answer_metrics(self, request: CallerRequest) -> HttpReply:
         if self._scrape is None:
             return HttpReply(503, [], b"metrics are not loaded yet\n")
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -100,6 +100,11 @@
         """Bounds and place."""
         return self._options
 
+    @property
+    def requests_under_way(self) -> int:
+        """Requests that arrived and are not finished."""
+        return len(self._requests)
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is under way."""
--- a/src/carawaybank/siblings/handover.py
+++ b/src/carawaybank/siblings/handover.py
@@ -17,7 +17,7 @@
 from carawaybank.rows import Row, Rows
 from carawaybank.watch import TableWatch
 
-_PATH = "/tables"
+TABLES_PATH = "/tables"
 #: Seconds for which a start waits for the store before it asks siblings.
 _STORE_FIRST_S = 0.2
 #: Seconds between rounds of asking all seeds.
@@ -65,7 +65,7 @@
             await asyncio.sleep(_PAUSE_S)
 
     async def _fetch(self, seed: str) -> None:
-        call = HttpCall("GET", _PATH, [("Host", seed)])
+        call = HttpCall("GET", TABLES_PATH, [("Host", seed)])
         try:
             connection = await ClientConnection.open(seed, timeout_s=_TIMEOUT_S)
             try:
--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -129,6 +129,11 @@
         limit_s = SILENCE_LIMIT_S if self.is_near(record) else REMOTE_SILENCE_LIMIT_S
         return now - self._heard.get(vm, float("-inf")) <= limit_s
 
+    def silent_s(self, vm: str, *, now: float) -> float | None:
+        """Returns the seconds since a VM was heard, or None if it never was."""
+        heard_at = self._heard.get(vm)
+        return None if heard_at is None else now - heard_at
+
     def is_near(self, record: VmRecord) -> bool:
         """Returns whether a VM is of the own region."""
         return record.region == self._own.region
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -62,6 +62,17 @@
         self._behind_since: float | None = None
         self._call: asyncio.Task[Rows] | None = None
         self._rows: dict[str, Row] = {}
+        self._read_at: float | None = None
+
+    @property
+    def read_at(self) -> float | None:
+        """Time at which the store answered last; None if it never did."""
+        return self._read_at
+
+    @property
+    def failures(self) -> int:
+        """Calls that failed since the store answered last."""
+        return self._failures
 
     @property
     def rows(self) -> Rows:
@@ -130,6 +141,7 @@
         if after_outage:
             self._journal.note("store", "regained", table=self._table, failures=self._failures)
         self._failures = 0
+        self._read_at = asyncio.get_running_loop().time()
         self._take(found, whole=whole, after_outage=after_outage)
 
     def _take(self, found: Rows, *, whole: bool, after_outage: bool) -> None:
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -71,6 +71,12 @@
         return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
 
+async def run_process(path, *arguments, **streams):
+    command = [sys.executable, "-m", "carawaybank.platform", *arguments]
+    environment = {**os.environ, "CARAWAYBANK_SETTINGS": str(path)}
+    return await asyncio.create_subprocess_exec(*command, env=environment, **streams)
+
+
 class Node:
     """The process with its surroundings."""
 
@@ -90,8 +96,10 @@
         }
         await self.store.put("op", "config", CONFIGURATION)
         await self.store.put("servers", "t1", beat)
+        control = 'directory_address = "127.0.0.1:8102"\ncontrol_address = "127.0.0.1:8105"'
         text = SETTINGS.replace("127.0.0.1:8104", store_address)
-        self.ports = {old: free_port() for old in ("8100", "8101", "8102", "8103")}
+        text = text.replace('directory_address = "127.0.0.1:8102"', control)
+        self.ports = {old: free_port() for old in ("8100", "8101", "8102", "8103", "8105")}
         for old, new in self.ports.items():
             text = text.replace(old, str(new))
         self.text = text
@@ -107,15 +115,8 @@
     async def start(self, tmp_path):
         self.path = tmp_path / "node.toml"
         self.path.write_text(self.text)
-        environment = {**os.environ, "CARAWAYBANK_SETTINGS": str(self.path)}
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "carawaybank.platform",
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT,
-            env=environment,
-        )
+        pipe, same = asyncio.subprocess.PIPE, asyncio.subprocess.STDOUT
+        self.process = await run_process(self.path, stdout=pipe, stderr=same)
         async with asyncio.timeout(20):
             while await self.status("8101", "/readyz") != 200:
                 await asyncio.sleep(0.05)
@@ -170,6 +171,44 @@
     play(tmp_path, scenario)
 
 
+def test_the_control_address_tells_the_state(tmp_path):
+    async def scenario(node):
+        assert (await node.call("8100", "/x/1", method="POST")).status == 200
+        reply = await node.call("8105", "/v1/dump")
+        dump = json.loads(reply.body)
+        assert (dump["vm"], dump["configuration"], dump["requests"]) == ("regina-1", 2, 0)
+        assert [target["target_id"] for target in dump["targets"]] == ["t1"]
+        assert {table["table"] for table in dump["tables"]} >= {"op", "servers"}
+        assert all(table["read_s"] >= 0 for table in dump["tables"])
+        assert (await node.call("8105", "/none")).status == 404
+
+    play(tmp_path, scenario)
+
+
+def test_an_address_in_use_ends_the_process_with_a_reason(tmp_path):
+    async def run():
+        async with Node() as node:
+            await node.start(tmp_path)
+            other = await run_process(node.path, stderr=asyncio.subprocess.PIPE)
+            _, errors = await asyncio.wait_for(other.communicate(), 10)
+            assert other.returncode == 1
+            assert b"cannot listen on" in errors
+
+    asyncio.run(run())
+
+
+def test_checking_settings_starts_nothing(tmp_path):
+    async def run():
+        path = tmp_path / "node.toml"
+        path.write_text(SETTINGS)
+        process = await run_process(path, "--check", stdout=asyncio.subprocess.PIPE)
+        output, _ = await asyncio.wait_for(process.communicate(), 10)
+        assert process.returncode == 0
+        assert output.decode() == f"{path}: right\n"
+
+    asyncio.run(run())
+
+
 def test_a_stop_finishes_what_is_under_way_and_leaves_nothing_behind(tmp_path):
     async def scenario(node):
         node.target.gate.clear()
@@ -227,13 +266,7 @@
     async def run():
         path = tmp_path / "node.toml"
         path.write_text(SETTINGS.replace("retry_slack = 62", "retry_slack = -1"))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "carawaybank.platform",
-            stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "CARAWAYBANK_SETTINGS": str(path)},
-        )
+        process = await run_process(path, stderr=asyncio.subprocess.PIPE)
         _, errors = await process.communicate()
         assert process.returncode == 2
         assert b"retry_slack" in errors
