--- a/src/carawaybank/entry.py
+++ b/src/carawaybank/entry.py
@@ -7,7 +7,7 @@
 import asyncio
 import contextlib
 import itertools
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from carawaybank.callers.front import CallerRequest
 from carawaybank.client import Headers, HttpCall, HttpReply
@@ -37,6 +37,13 @@
         """Returns the headers of an answer that no target gave."""
 
 
+class Attempt(NamedTuple):
+    """An attempt at a target and how it ended."""
+
+    sent: Send
+    result: AttemptResult
+
+
 class EntryVm:
     """Serves callers' requests."""
 
@@ -109,19 +116,20 @@
         """Records that the first configuration and the targets are known."""
         self._configured.set()
 
-    async def _run(self, info: Request, call: HttpCall) -> tuple[Finish, Send | None]:
+    async def _run(self, info: Request, call: HttpCall) -> tuple[Finish, Attempt | None]:
         """Returns the outcome and the last attempt."""
         loop = asyncio.get_running_loop()
-        sent: Send | None = None
+        last: Attempt | None = None
         action: Action = self._router.arrive(info, loop.time())
         while isinstance(action, Send):
             sent = action
             result = await self._send(info, sent, call)
+            last = Attempt(sent, result)
             self._learn_distances()
             action = self._router.end_attempt(info.key, result, loop.time())
             if not isinstance(result.verdict, Answered) or isinstance(action, Send):
                 self._note_attempt(info, sent, result)
-        return action, sent
+        return action, last
 
     async def _send(self, info: Request, sent: Send, call: HttpCall) -> AttemptResult:
         region = self._router.region_of(sent.target_id)
@@ -157,7 +165,7 @@
             ms=round(result.latency_s * 1000),
         )
 
-    def _note(self, info: Request, finish: Finish, last: Send | None, latency_s: float) -> None:
+    def _note(self, info: Request, finish: Finish, last: Attempt | None, latency_s: float) -> None:
         verdict = finish.verdict
         self._counters.count_request(finish.service, verdict, latency_s)
         fields: dict[str, object] = {
@@ -174,9 +182,10 @@
         else:
             fields["target"] = finish.target_id
         if last is not None:
-            fields["expected_ms"] = round(last.expected_s * 1000)
-            fields["wait_ms"] = round(last.wait_s * 1000)
-            fields["warmth"] = last.warmth
+            fields["expected_ms"] = round(last.sent.expected_s * 1000)
+            fields["wait_ms"] = round(last.sent.wait_s * 1000)
+            fields["warmth"] = last.sent.warmth
+            fields["load"] = last.result.load
         configuration = self._router.configuration
         fields["config"] = configuration.version if configuration else None
         fields["ms"] = round(latency_s * 1000)
