Learn the work of a route only from runs at targets with free slots

Requests were refused for a wait that the work already held. Change: a run whose answer reports a full target does not move the estimates of work and pace. Test: test_runs_that_waited_for_a_slot_do_not_make_the_work_look_longer failed before.

--- a/src/carawaybank/routing/fleet.py
+++ b/src/carawaybank/routing/fleet.py
@@ -53,6 +53,11 @@
     waiting: int
     slots: int
 
+    @property
+    def is_full(self) -> bool:
+        """Whether a further request would wait."""
+        return self.running >= self.slots
+
 
 class Target:
     """A target as this entry VM sees it."""
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -306,7 +306,7 @@
             self.targets.remove(target.entry.target_id)
         verdict = result.verdict
         if isinstance(verdict, Answered) and verdict.status < 500:
-            self._learn_pace(progress, choice, result.latency_s)
+            self._learn_pace(progress, choice, result)
             target.note_result(failed=False)
             target.recover()
             return
@@ -331,13 +331,15 @@
             )
             self._suspected.append(report)
 
-    def _learn_pace(self, progress: Progress, choice: Choice, latency_s: float) -> None:
+    def _learn_pace(self, progress: Progress, choice: Choice, result: AttemptResult) -> None:
+        """Learns from a run how long the work takes, if the run hardly waited for a slot."""
         if not progress.object_key:
             return
         entry = choice.target.entry
         distance_s = self.distances.find(entry.failure_domain, entry.region)
-        work_s = max(0.001, latency_s - distance_s)
-        if choice.wait_s == 0:
+        work_s = max(0.001, result.latency_s - distance_s)
+        was_full = result.load is not None and result.load.is_full
+        if choice.wait_s == 0 and not was_full:
             slowness = choice.target.slowness
             ratio = self.estimate(progress).note(work_s / slowness)
             choice.target.note_pace(ratio * slowness)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -230,3 +230,16 @@
 
 def test_bookings_are_routed_by_their_own_kind():
     assert not BOOK.idempotent
+
+
+def test_runs_that_waited_for_a_slot_do_not_make_the_work_look_longer():
+    router = make_router(TARGETS[0])
+    expected = []
+    for key in range(1, 30):
+        now = 10.0 * key
+        action = router.arrive(make_request(key, path="/book/1"), now)
+        assert isinstance(action, Send)
+        expected.append(action.expected_s)
+        waited = AttemptResult(Answered(200), 0.35, load=LoadReport(4, 3, 4))
+        router.end_attempt(key, waited, now + 0.35)
+    assert expected[-1] <= expected[1]
