Let changes of targets and VMs gather for half a second

Change: after news of targets, registrations or crash reports the watch pauses for 0.5 s before it asks again. Configurations and evacuations are followed as before. A watch that pauses is not taken for one that fell behind. Also: the test of the silent watch failed once. It counted calls before the watch's next call had reached the store, so that this call, not the restart, ended its loop. It waits now until the store holds the watch.

--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -39,6 +39,9 @@
 _STOP_MARGIN_S = 0.5
 #: Seconds after the signal for which idle connections stay open: callers look up again meanwhile.
 _LINGER_S = 2.5
+#: Seconds for which changes of targets and VMs gather; a fifth of the time within which a target
+#: that leaves must get no more requests.
+_GATHER_S = 0.5
 #: Seconds between checks of idle and slow connections.
 _TIDY_S = 0.5
 #: Seconds for which callers may keep the answer to a look-up.
@@ -126,9 +129,9 @@
         )
         self._watches = [
             self._watch(adapter.orders_table, self._take_orders),
-            self._watch(adapter.targets_table, self._take_targets),
-            self._watch(registration.TABLE, self._registrations.take),
-            self._watch(crashes.TABLE, self._crashes.take),
+            self._watch(adapter.targets_table, self._take_targets, pause_s=_GATHER_S),
+            self._watch(registration.TABLE, self._registrations.take, pause_s=_GATHER_S),
+            self._watch(crashes.TABLE, self._crashes.take, pause_s=_GATHER_S),
         ]
         self._handover = Handover(
             watches=self._watches, seeds=self._deployment.seeds, journal=self._journal
@@ -191,13 +194,16 @@
             servers.append(await listen(deployment.control_address, control))
         return servers
 
-    def _watch(self, table: str, on_changes: Callable[[Changes], None]) -> TableWatch:
+    def _watch(
+        self, table: str, on_changes: Callable[[Changes], None], *, pause_s: float = 0.0
+    ) -> TableWatch:
         return TableWatch(
             store=self._adapter.store,
             table=table,
             on_changes=on_changes,
             journal=self._journal,
             rng=self._rng,
+            pause_s=pause_s,
         )
 
     def _compare_versions(self, versions: dict[str, int]) -> None:
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -41,6 +41,7 @@
         on_changes: Callable[[Changes], None],
         journal: Journal,
         rng: random.Random,
+        pause_s: float = 0.0,
     ) -> None:
         """Starts without having read anything.
 
@@ -50,7 +51,10 @@
             on_changes: Takes what the table said.
             journal: Where losses of the store are noted.
             rng: Source of the pauses' jitter.
+            pause_s: Seconds after a change for which further ones are left to gather, so that a
+                rush of changes takes few calls.
         """
+        self._pause_s = pause_s
         self._store = store
         self._table = table
         self._on_changes = on_changes
@@ -103,7 +107,8 @@
     def compare(self, version: int) -> None:
         """Takes the version that a sibling has read; starts a watch again that stays behind."""
         now = asyncio.get_running_loop().time()
-        if self._version is None or version <= self._version:
+        is_waiting = self._call is not None
+        if self._version is None or version <= self._version or not is_waiting:
             self._behind_since = None
         elif self._behind_since is None:
             self._behind_since = now
@@ -125,7 +130,7 @@
                 self._journal.note("store", "history gone", table=self._table, seen=self._version)
                 self._version = None
             except StoreError as error:
-                await self._pause(error)
+                await self._back_off(error)
 
     async def _step(self) -> None:
         whole = self._version is None
@@ -143,6 +148,8 @@
         self._failures = 0
         self._read_at = asyncio.get_running_loop().time()
         self._take(found, whole=whole, after_outage=after_outage)
+        if found.rows and not whole:
+            await asyncio.sleep(self._pause_s)
 
     def _take(self, found: Rows, *, whole: bool, after_outage: bool) -> None:
         self._version = found.version
@@ -166,7 +173,7 @@
             self._call.cancel()
             self._call = None
 
-    async def _pause(self, error: StoreError) -> None:
+    async def _back_off(self, error: StoreError) -> None:
         self._failures += 1
         if self._failures == 1:
             self._journal.note("store", "lost", table=self._table, reason=str(error))
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -28,11 +28,17 @@
         self.is_silent = False
         self.status = 0
         self.loses_answers = False
+        #: Paths with queries of the calls so far.
         self.calls: list[str] = []
         self._waiters: set[asyncio.Event] = set()
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
 
+    @property
+    def waiting(self) -> int:
+        """Watches that wait for news now."""
+        return len(self._waiters)
+
     async def start(self, address: str = "127.0.0.1:0") -> str:
         """Listens; returns the address."""
         gate = Gate(handle=self._answer, limits=Limits, is_closing=lambda: False)
@@ -93,7 +99,7 @@
 
     async def _answer(self, request: CallerRequest) -> HttpReply:
         url = urlsplit(request.path)
-        self.calls.append(url.path)
+        self.calls.append(request.path)
         if self.is_silent:
             await asyncio.sleep(3600)
         if self.status:
--- a/tests/store_world.py
+++ b/tests/store_world.py
@@ -68,7 +68,7 @@
             journal=self.journal,
         )
 
-    def make_watch(self, table, on_changes, address=None):
+    def make_watch(self, table, on_changes, address=None, pause_s=0.0):
         store = make_adapter(address).store if address else self.client
         return TableWatch(
             store=store,
@@ -76,6 +76,7 @@
             on_changes=on_changes,
             journal=self.journal,
             rng=random.Random(1),
+            pause_s=pause_s,
         )
 
     @property
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -41,6 +41,7 @@
     async def scenario(world):
         await world.store.put("servers", "t1", beat(1))
         await until(lambda: world.targets == {"t1"})
+        await until(lambda: world.store.waiting == 1)
         calls = len(world.store.calls)
         while len(world.store.calls) == calls:
             world.watch.compare(99)
@@ -48,3 +49,18 @@
         assert world.saw("watch is behind")
 
     play(scenario)
+
+
+def test_changes_that_come_in_a_rush_are_read_together():
+    async def scenario(world):
+        watch = world.make_watch("rush", lambda changes: None, pause_s=0.3)
+        task = asyncio.create_task(watch.run())
+        await until(lambda: watch.is_loaded)
+        for number in range(20):
+            await world.store.put("rush", f"t{number}", beat(number))
+            await asyncio.sleep(0.01)
+        await until(lambda: len(watch.rows.rows) == 20)
+        assert sum("table=rush" in call for call in world.store.calls) <= 5
+        task.cancel()
+
+    play(scenario)
