Let load reports fade by the length of the work

Cause: reports of other callers' requests lost half of their weight in 0.3 s whatever the service. Where work takes 0.7 s (Prairie's parts desk) a full target looks idle to a VM before its next request there; queues fill to the brim.

--- a/src/carawaybank/dump.py
+++ b/src/carawaybank/dump.py
@@ -18,7 +18,7 @@
 
     Attributes:
         in_flight: Requests that this VM has there.
-        busy: Requests of all callers that it probably has.
+        usual_load: Requests of all callers for each slot, averaged over its last reports.
         slowness: Its work in multiples of that of an ordinary target.
         failure_share: Average share of failed requests.
         cold_left_s: Seconds for which it stays cold.
@@ -31,7 +31,7 @@
     failure_domain: str
     draining: bool
     in_flight: int
-    busy: float
+    usual_load: float
     slowness: float
     failure_share: float
     cold_left_s: float
@@ -123,7 +123,7 @@
         failure_domain=entry.failure_domain,
         draining=entry.draining,
         in_flight=target.in_flight,
-        busy=round(target.busy(now=now), 1),
+        usual_load=round(target.usual_load, 2),
         slowness=round(target.slowness, 2),
         failure_share=round(target.failure_share, 2),
         cold_left_s=round(max(0.0, target.cold_until - now), 1),
--- a/src/carawaybank/routing/fleet.py
+++ b/src/carawaybank/routing/fleet.py
@@ -6,8 +6,10 @@
 
 #: Objects that a target is taken to remember; fewer than any site's targets keep.
 REMEMBERED_OBJECTS = 24
-#: Time in seconds in which a report of other callers' requests loses half of its weight.
-REPORT_HALF_LIFE_S = 0.3
+#: Time in which a report of other callers' requests loses half of its weight, in multiples of the
+#: work on a request: by then most of those requests are done (tests/routing/test_replay.py).
+REPORT_HALF_LIFE = 2.0
+SHORTEST_WORK_S = 0.001
 #: Weight of the newest sample in the moving averages of a target.
 SAMPLE_WEIGHT = 0.15
 #: Weight of the newest report in the average load of a target.
@@ -116,10 +118,15 @@
         """Returns whether the target is cold."""
         return now < self.cold_until
 
-    def busy(self, *, now: float) -> float:
-        """Returns the requests of all callers that it probably has, running or waiting."""
-        age_s = now - self._others_at
-        return self.in_flight + self._others * math.exp2(-age_s / REPORT_HALF_LIFE_S)
+    def busy(self, *, now: float, work_s: float) -> float:
+        """Returns the requests of all callers that it probably has, running or waiting.
+
+        Args:
+            now: Monotonic seconds.
+            work_s: Seconds that it works on a request.
+        """
+        age = (now - self._others_at) / max(SHORTEST_WORK_S, work_s)
+        return self.in_flight + self._others * math.exp2(-age / REPORT_HALF_LIFE)
 
     def is_warm(self, object_key: str) -> bool:
         """Returns whether this entry VM sent it a request on the object lately."""
--- a/src/carawaybank/routing/placement.py
+++ b/src/carawaybank/routing/placement.py
@@ -148,7 +148,7 @@
     """
     slots = max(1, target.entry.slots)
     work_s = work.expect(warmth) * target.slowness
-    ahead = max(0.0, target.busy(now=now) + 1 - slots)
+    ahead = max(0.0, target.busy(now=now, work_s=work.warm_s) + 1 - slots)
     wait_s = ahead / slots * work.expect(0.7) * target.slowness
     penalty_s = FAILURE_COST * target.failure_share * work.expect(0.7)
     return Choice(target, distance_s + wait_s + work_s + penalty_s, wait_s, warmth)
--- a/tests/routing/replay.py
+++ b/tests/routing/replay.py
@@ -45,7 +45,8 @@
 class ModelTarget:
     """A target with slots, a queue and a memory of objects."""
 
-    def __init__(self, *, keeps, slots=4, slowness=1.0):
+    def __init__(self, *, keeps, cold_s, slots=4, slowness=1.0):
+        self.cold_s = cold_s
         self.slots, self.keeps, self.slowness = slots, keeps, slowness
         self.running = 0
         self.waiting = deque()
@@ -59,7 +60,7 @@
         self.memory.move_to_end(key)
         if len(self.memory) > self.keeps:
             self.memory.popitem(last=False)
-        return COLD_S * (WARM_PART if warm else 1.0) * self.slowness
+        return self.cold_s * (WARM_PART if warm else 1.0) * self.slowness
 
 
 class Outcome(NamedTuple):
@@ -69,23 +70,35 @@
     region: str
     route: str
     latency_s: float | None
+    objective_s: float
 
 
 class Replay:
-    """Drives routers and model targets through a load."""
-
-    def __init__(self, *, site=SITE, seed=1, **options):
+    """Drives routers and model targets through a load.
+
+    All times of the service, its routes and its callers are multiplied by ``stretch``.
+    """
+
+    def __init__(self, *, site=SITE, seed=1, stretch=1.0, **options):
+        self.budget_s = BUDGET_S * stretch
+        self.routes = tuple(
+            route._replace(
+                parts=(RoutePart("ledger", 1.0),),
+                timeout_s=route.timeout_s * stretch,
+                objective_s=route.objective_s * stretch,
+            )
+            for route in ROUTES
+        )
         self.rng = random.Random(seed)
         self.events, self.numbers = [], itertools.count()
         self.targets, self.entries = {}, {}
         for region, count in site.targets.items():
             for number in range(count):
                 name = f"{region}{number}"
-                self.targets[name] = ModelTarget(keeps=site.keeps)
+                self.targets[name] = ModelTarget(keeps=site.keeps, cold_s=COLD_S * stretch)
                 self.entries[name] = TargetEntry(name, "ledger", name, region, region, 4)
         services = {"ledger": Service("ledger")}
-        routes = tuple(r._replace(parts=(RoutePart("ledger", 1.0),)) for r in ROUTES)
-        configuration = Configuration(1, routes, services)
+        configuration = Configuration(1, self.routes, services)
         self.vms = {}
         for region, count in site.vms.items():
             self.vms[region] = [
@@ -129,15 +142,15 @@
         heapq.heappush(self.events, (when, next(self.numbers), call, args))
 
     def _draw_request(self, region):
-        route = LOOK if self.rng.random() < 0.67 else BOOK
-        things = OBJECTS if route is LOOK else OBJECTS // 2
+        route = self.routes[self.rng.random() >= 0.67]
+        things = OBJECTS if route.name == LOOK.name else OBJECTS // 2
         return route, f"{region}{self.rng.randrange(things)}"
 
     def _ask(self, now, region, asked, first_at, tries):
         route, thing = asked
         router = self.rng.choice(self.vms[region])
         key = next(self.numbers)
-        left_s = BUDGET_S - (now - first_at)
+        left_s = self.budget_s - (now - first_at)
         path = f"{route.prefix}{first_at}"
         request = Request(key, str(key), HOST, path, thing, path, left_s)
         self._perform(now, router, router.arrive(request, now), (region, asked, first_at, tries))
@@ -150,12 +163,13 @@
             return
         region, asked, first_at, tries = origin
         if isinstance(action.verdict, NotRun) and tries == 0:
-            again_s = min(action.verdict.retry_after_s, (BUDGET_S - (now - first_at)) / 3)
+            again_s = min(action.verdict.retry_after_s, (self.budget_s - (now - first_at)) / 3)
             self._at(now + again_s, self._ask, region, asked, first_at, 1)
             return
         served = isinstance(action.verdict, Answered)
         latency_s = now - first_at if served else None
-        self.outcomes.append(Outcome(first_at, region, asked[0].name, latency_s))
+        route = asked[0]
+        self.outcomes.append(Outcome(first_at, region, route.name, latency_s, route.objective_s))
 
     def _reach(self, now, router, action, origin, way_s, sent_at):
         target = self.targets[action.target_id]
@@ -188,7 +202,6 @@
 
 def in_time(outcomes, *, after=0.0, region=None):
     """Returns the share of requests answered within their objective."""
-    objectives = {route.name: route.objective_s for route in ROUTES}
     chosen = [o for o in outcomes if o.asked_at >= after and region in (None, o.region)]
-    good = [o for o in chosen if o.latency_s is not None and o.latency_s <= objectives[o.route]]
+    good = [o for o in chosen if o.latency_s is not None and o.latency_s <= o.objective_s]
     return len(good) / len(chosen)
--- a/tests/routing/test_parts.py
+++ b/tests/routing/test_parts.py
@@ -7,12 +7,13 @@
 from carawaybank.routing import admission
 from carawaybank.routing.catalogue import RouteTable
 from carawaybank.routing.coldstart import MOST_TARGETS, ColdStartLimit
-from carawaybank.routing.fleet import REPORT_HALF_LIFE_S, LoadReport, Target
+from carawaybank.routing.fleet import REPORT_HALF_LIFE, LoadReport, Target
 from carawaybank.routing.placement import Choice, Distances, WorkEstimate, expect
 from carawaybank.routing.selection import ORDERS_WITHOUT_OBJECT
 from tests.routing.builders import BOOK, HOST, make_request, make_route, make_router, make_target
 
 RNG = random.Random(3)
+WORK_S = 0.12
 
 
 def make_choice(*, expected_s, wait_s):
@@ -57,9 +58,11 @@
 def test_a_report_of_others_fades():
     target = Target(entry=make_target(1), now=0.0)
     target.note_load(LoadReport(4, 4, 4), now=0.0)
-    assert target.busy(now=0.0) == 8
-    assert target.busy(now=REPORT_HALF_LIFE_S) == pytest.approx(4)
-    assert target.busy(now=10 * REPORT_HALF_LIFE_S) < 0.01
+    half_life_s = REPORT_HALF_LIFE * WORK_S
+    assert target.busy(now=0.0, work_s=WORK_S) == 8
+    assert target.busy(now=half_life_s, work_s=WORK_S) == pytest.approx(4)
+    assert target.busy(now=half_life_s, work_s=5 * WORK_S) > 6
+    assert target.busy(now=10 * half_life_s, work_s=WORK_S) < 0.01
 
 
 def test_waiting_and_distance_lengthen_what_is_expected():
--- a/tests/routing/test_replay.py
+++ b/tests/routing/test_replay.py
@@ -81,3 +81,13 @@
     restarted.restart_all(at)
     kept = in_time(steady.run(load, seconds=20), after=at)
     assert in_time(restarted.run(load, seconds=20), after=at) >= 0.9 * kept
+
+
+@pytest.mark.parametrize("stretch", [2.0, 6.0])
+def test_a_service_with_longer_work_is_served_as_well_at_the_same_load(stretch):
+    load = {"a": 130, "b": 110, "c": 190}
+    short = Replay(site=SHORT_SITE).run(load, seconds=16)
+    slow = Replay(site=SHORT_SITE, stretch=stretch).run(
+        times(load, 1 / stretch), seconds=16 * stretch
+    )
+    assert in_time(slow, after=WARM_UP_S * stretch) >= 0.95 * in_time(short, after=WARM_UP_S)
