Judge the pace of a full target by the queue that it reports

Change: a run at a full target tells its pace after the time for its queue is taken off; it still tells nothing of the work. Test: test_a_full_target_is_slow_if_its_queue_does_not_explain_the_time failed before.

--- a/src/carawaybank/routing/fleet.py
+++ b/src/carawaybank/routing/fleet.py
@@ -60,6 +60,11 @@
         """Whether a further request would wait."""
         return self.running >= self.slots
 
+    @property
+    def queued_works(self) -> float:
+        """Works that a further request would wait for, if it is full."""
+        return (self.waiting + 1) / max(1, self.slots)
+
 
 class Target:
     """A target as this entry VM sees it."""
--- a/src/carawaybank/routing/placement.py
+++ b/src/carawaybank/routing/placement.py
@@ -6,6 +6,7 @@
 not met an object yet agree on its target in each region by a hash.
 """
 
+import math
 from typing import NamedTuple
 
 from carawaybank.routing.fleet import Target
@@ -73,20 +74,27 @@
         """Returns the seconds of work at a probability that the object is known."""
         return warmth * self.warm_s + (1 - warmth) * self.cold_s
 
+    def compare(self, seconds: float) -> float:
+        """Returns a time in multiples of that of a warm or a cold request, whichever is nearer."""
+        usual_s = self.warm_s if self._is_warm(seconds) else self.cold_s
+        return seconds / max(0.001, usual_s)
+
     def note(self, seconds: float) -> float:
         """Takes the time of a request that did not wait, on a target of ordinary pace.
 
         Returns:
-            The time in multiples of that of a warm or a cold request, whichever is nearer.
+            What :meth:`compare` returned before.
         """
-        if seconds < (self.warm_s * self.cold_s) ** 0.5:
-            ratio = seconds / max(0.001, self.warm_s)
+        ratio = self.compare(seconds)
+        if self._is_warm(seconds):
             self.warm_s += WORK_SAMPLE_WEIGHT * (seconds - self.warm_s)
         else:
-            ratio = seconds / max(0.001, self.cold_s)
             self.cold_s += WORK_SAMPLE_WEIGHT * (min(seconds, 2 * self.cold_s) - self.cold_s)
         return ratio
 
+    def _is_warm(self, seconds: float) -> bool:
+        return seconds < math.sqrt(self.warm_s * self.cold_s)
+
 
 class Choice(NamedTuple):
     """A target for a request.
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -332,16 +332,22 @@
             self._suspected.append(report)
 
     def _learn_pace(self, progress: Progress, choice: Choice, result: AttemptResult) -> None:
-        """Learns from a run how long the work takes, if the run hardly waited for a slot."""
+        """Learns from a run that was not expected to wait how long the work takes.
+
+        A run at a full target did wait, for about as many others as wait there now. It tells the
+        target's pace, but nothing of the work.
+        """
         if not progress.object_key:
             return
         entry = choice.target.entry
         distance_s = self.distances.find(entry.failure_domain, entry.region)
         work_s = max(0.001, result.latency_s - distance_s)
-        was_full = result.load is not None and result.load.is_full
-        if choice.wait_s == 0 and not was_full:
-            slowness = choice.target.slowness
-            ratio = self.estimate(progress).note(work_s / slowness)
+        if choice.wait_s == 0:
+            slowness, estimate, load = choice.target.slowness, self.estimate(progress), result.load
+            if load is not None and load.is_full:
+                ratio = estimate.compare(work_s / slowness / (1 + load.queued_works))
+            else:
+                ratio = estimate.note(work_s / slowness)
             choice.target.note_pace(ratio * slowness)
         choice.target.note_run(progress.object_key)
 
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -243,3 +243,15 @@
         waited = AttemptResult(Answered(200), 0.35, load=LoadReport(4, 3, 4))
         router.end_attempt(key, waited, now + 0.35)
     assert expected[-1] <= expected[1]
+
+
+@pytest.mark.parametrize(("latency_s", "waiting", "is_slow"), [(1.2, 0, True), (1.2, 16, False)])
+def test_a_full_target_is_slow_if_its_queue_does_not_explain_the_time(latency_s, waiting, is_slow):
+    router = make_router(TARGETS[0])
+    for key in range(1, 30):
+        now = 10.0 * key
+        assert isinstance(router.arrive(make_request(key, path="/book/1"), now), Send)
+        run = AttemptResult(Answered(200), latency_s, load=LoadReport(4, waiting, 4))
+        router.end_attempt(key, run, now + latency_s)
+    target = router.targets.find(TARGETS[0].target_id)
+    assert (target.slowness > 1.2) is is_slow
