Serve the product's own interface on the one request path

Cause: the daemon of the own interface had threads, connections, pool and server of its own (cheroot, urllib3), beside the asyncio path of the platform: two servers and two clients for the same work, each with its own faults. Control exchanges and the platform's client stay in threads, where they may block. client.py bounds an answer's body; the front refuses a body by its declared length, and tells the caller's IP number.

--- a/src/carawaybank/callers/app.py
+++ b/src/carawaybank/callers/app.py
@@ -80,13 +80,13 @@
         domain = self._domain_of(request)
         return WebResponse(200, _ENTRIES_HEADERS, self._host.find_entries(domain))
 
-    def forward(self, request: WebRequest) -> WebResponse:
+    async def forward(self, request: WebRequest) -> WebResponse:
         """Runs a caller's request and answers with its verdict."""
         service, path = split_service(request, FORWARD_PREFIX)
         info, forwarded = self.read_request(request, service, path)
         if not self._host.is_ready:
             return self._respond(self._host.refuse(info, not_ready()), info.request_id)
-        ended = self._limit.run(lambda: self._forwarder.run(info, forwarded))
+        ended = await self._limit.run(lambda: self._forwarder.run(info, forwarded))
         verdict = ended.verdict if ended else self._host.refuse(info, too_many())
         return self._respond(verdict, info.request_id)
 
@@ -157,10 +157,8 @@
 
     def _respond(self, verdict: Verdict, request_id: str) -> WebResponse:
         response = verdict_response(verdict, request_id=request_id)
-        marks = [*response.headers, (headers.TICKET, str(self._host.state.number))]
-        if self.stopping:
-            marks.append(("Connection", "close"))
-        return response._replace(headers=tuple(marks))
+        ticket = (headers.TICKET, str(self._host.state.number))
+        return response._replace(headers=(*response.headers, ticket))
 
 
 def not_ready() -> NotRun:
@@ -169,7 +167,7 @@
 
 
 def too_many() -> NotRun:
-    """Returns the verdict while most threads wait for targets or siblings."""
+    """Returns the verdict while too many requests wait for targets or siblings."""
     detail = "too many requests are under way at this entry VM"
     return NotRun(Reason.NO_CAPACITY, random.uniform(0.5, 1.0), detail)
 
--- a/src/carawaybank/callers/forwarding.py
+++ b/src/carawaybank/callers/forwarding.py
@@ -1,7 +1,7 @@
 """Forwarding: performs what the decision core says until the request has a verdict."""
 
+import asyncio
 import itertools
-import threading
 import time
 from typing import NamedTuple, Protocol
 
@@ -72,14 +72,13 @@
         self._metrics = metrics
         self._keys = itertools.count(1)
         self._in_flight = 0
-        self._lock = threading.Lock()
 
     @property
     def in_flight(self) -> int:
         """Requests under way."""
         return self._in_flight
 
-    def run(
+    async def run(
         self,
         info: RequestInfo,
         request: HttpRequest,
@@ -98,16 +97,16 @@
             tried: Targets that it was at before.
         """
         started = time.monotonic()
-        self._count(1)
+        self._in_flight += 1
         try:
             arrived = RequestArrived(next(self._keys), info, relayed, passed_on, tried)
-            ended = self._perform(arrived, request, info)
+            ended = await self._perform(arrived, request, info)
         finally:
-            self._count(-1)
+            self._in_flight -= 1
         self._metrics.count_request(info.service, ended.verdict, time.monotonic() - started)
         return ended
 
-    def _perform(self, arrived: Message, request: HttpRequest, info: RequestInfo) -> Ended:
+    async def _perform(self, arrived: Message, request: HttpRequest, info: RequestInfo) -> Ended:
         tried: list[str] = []
         message = arrived
         while True:
@@ -116,22 +115,20 @@
                 return Ended(action.verdict, tuple(tried))
             if isinstance(action, Dispatch):
                 tried.append(action.target)
-            message = self._perform_step(action, request, info)
+            message = await self._perform_step(action, request, info)
 
-    def _perform_step(self, action: Action, request: HttpRequest, info: RequestInfo) -> Message:
+    async def _perform_step(
+        self, action: Action, request: HttpRequest, info: RequestInfo
+    ) -> Message:
         match action:
             case Dispatch():
                 self._metrics.count_attempt(info.service)
-                return self._targets.dispatch(action, request)
+                return await self._targets.dispatch(action, request)
             case Relay():
-                return self._siblings.relay(action, request, info)
+                return await self._siblings.relay(action, request, info)
             case PassOn():
-                return self._siblings.pass_on(action, request, info)
+                return await self._siblings.pass_on(action, request, info)
             case AnnounceCrash():
-                self._announcer.announce_crash()
+                await asyncio.to_thread(self._announcer.announce_crash)
                 return CrashAnnounced(action.key)
         raise TypeError(action)
-
-    def _count(self, change: int) -> None:
-        with self._lock:
-            self._in_flight += change
--- a/src/carawaybank/callers/front.py
+++ b/src/carawaybank/callers/front.py
@@ -27,12 +27,14 @@
         path: Path with query, as it was sent.
         headers: Headers with names in lower case.
         body: The whole body.
+        peer: IP number of the caller; empty if it is not known.
     """
 
     method: str
     path: str
     headers: Headers
     body: bytes
+    peer: str = ""
 
     def header(self, name: str) -> str | None:
         """Returns the value of a header, or None."""
@@ -88,6 +90,7 @@
         self._queue: deque[_Exchange] = deque()
         self._ended = False
         self._unread = b""
+        self._peer = ""
         self._head_since: float | None = None
         self._idle_since = self._loop.time()
 
@@ -100,6 +103,7 @@
         """Takes the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._peer = (transport.get_extra_info("peername") or ("",))[0]
         self._connections.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -165,6 +169,8 @@
             self._head_since = None
             if _head_size(event) > self._gate.limits().header_bytes:
                 self._refuse(431, "the request head is too large")
+            elif _declared_size(event) > self._gate.limits().body_bytes:
+                self._refuse(413, "the request body is too large")
         elif isinstance(event, h11.Data):
             self._size += len(event.data)
             if self._size > self._gate.limits().body_bytes:
@@ -182,6 +188,7 @@
             self._request.target.decode("latin-1"),
             [(k.decode("latin-1"), v.decode("latin-1")) for k, v in self._request.headers],
             b"".join(self._body),
+            self._peer,
         )
         self._request, self._body = None, []
         exchange = _Exchange(parser=self._parser)
@@ -258,3 +265,9 @@
     """Returns the bytes of a request head, without the blanks between its parts."""
     fields = sum(len(name) + len(value) + 4 for name, value in request.headers)
     return len(request.method) + len(request.target) + fields
+
+
+def _declared_size(request: h11.Request) -> int:
+    """Returns the length that a request head gives for its body; 0 if it gives none."""
+    lengths = (value for name, value in request.headers if name == b"content-length")
+    return int(next(lengths, b"0"))
--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import socket
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -92,6 +93,8 @@
         self._waiter: asyncio.Future[HttpReply] | None = None
         self._reply: HttpReply | None = None
         self._body: list[bytes] = []
+        self._size = 0
+        self._max_body_bytes = math.inf
         self._strays = 0
         self._heard = False
         self.is_reusable = True
@@ -146,9 +149,16 @@
                 sock.setsockopt(socket.IPPROTO_TCP, option, _KEEPALIVE_S)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
 
-    async def exchange(self, call: HttpCall, *, timeout_s: float) -> HttpReply:
+    async def exchange(
+        self, call: HttpCall, *, timeout_s: float, max_body_bytes: float = math.inf
+    ) -> HttpReply:
         """Sends a request and returns the whole answer.
 
+        Args:
+            call: The request.
+            timeout_s: Longest time in seconds until the whole answer is there.
+            max_body_bytes: Largest body accepted.
+
         Raises:
             ExchangeError: If there is no whole answer in time. The connection is then closed.
         """
@@ -156,6 +166,7 @@
             message = "the connection was closed while idle"
             raise ExchangeError(reason=Reason.CONNECTION_LOST, message=message, sent=False)
         self._begin(call)
+        self._max_body_bytes = max_body_bytes
         self._transport.write(_encode(call))
         assert self._waiter is not None
         try:
@@ -211,7 +222,7 @@
         self._call = call
         self._parser = _new_parser(call)
         self._waiter = asyncio.get_running_loop().create_future()
-        self._reply, self._body = None, []
+        self._reply, self._body, self._size = None, [], 0
         self._strays = 0
         self._heard = False
         self.exchanges += 1
@@ -242,6 +253,10 @@
             headers = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers]
             self._reply = HttpReply(event.status_code, headers, b"")
         elif isinstance(event, h11.Data):
+            self._size += len(event.data)
+            if self._size > self._max_body_bytes:
+                self._fail(Reason.ANSWER_TOO_LARGE, "the answer is too large")
+                return
             self._body.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._finish()
@@ -274,7 +289,7 @@
         if self._strays > _MOST_STRAY_ANSWERS or ended:
             self._fail(Reason.ANSWER_CROSSED, "the answer carries another request's id")
             return
-        self._reply, self._body = None, []
+        self._reply, self._body, self._size = None, [], 0
         self._parser = _new_parser(self._call)
         if trailing:
             self._parser.receive_data(trailing)
--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -18,20 +18,20 @@
   2  the settings or arguments are wrong
 """
 
+import asyncio
 import random
 import signal
 import sys
-import threading
 import time
 from pathlib import Path
 
-from cheroot.wsgi import Server
 from docopt import docopt
 
 import carawaybank
 from carawaybank import logs
 from carawaybank.callers.app import CallersApp
 from carawaybank.callers.forwarding import Forwarder
+from carawaybank.callers.front import CallerConnection
 from carawaybank.exceptions import DocumentError, ListenError
 from carawaybank.host import Host
 from carawaybank.metrics import Metrics
@@ -47,11 +47,15 @@
 from carawaybank.storage.tickets import TicketStore
 from carawaybank.targets.client import TargetClient
 from carawaybank.targets.tasks import ProbeTask
-from carawaybank.transport import ConnectionPool
-from carawaybank.web import Router, make_server
-
-_CONTROL_THREADS = 48
-_THREADS_FOR_CONTROL = 8
+from carawaybank.transport import Transport
+from carawaybank.web import Router, serve
+
+#: Requests of siblings under way at once.
+_MOST_RELAYS = 40
+#: Smallest limit of bodies on the control address, where siblings exchange records.
+_CONTROL_BODY_BYTES = 8 * 1024 * 1024
+#: Seconds between checks of idle and slow connections.
+_TIDY_S = 0.5
 _JOIN_LIMIT_S = 1.2
 _JOIN_POLL_S = 0.02
 _DRAIN_MARGIN_S = 1.0
@@ -62,24 +66,27 @@
     """One entry VM's process: servers, tasks and the decision core between them."""
 
     def __init__(self, *, settings: Settings, incarnation: int | None = None) -> None:
-        """Builds everything; nothing is started.
+        """Builds everything; nothing is started. Must be called on the loop that runs it.
 
         Args:
             settings: Checked settings.
             incarnation: Process start; by default the wall-clock milliseconds.
         """
         self._settings = settings
+        self._loop = asyncio.get_running_loop()
         self._log = logs.part("daemon")
         start = incarnation or int(time.time() * 1000)
         seed = random.SystemRandom().getrandbits(64)
         self.host = Host(settings=settings, incarnation=start, seed=seed)
         self._metrics = Metrics(vm=settings.vm, otlp_endpoint=settings.otlp_endpoint)
-        pool = ConnectionPool(
+        self._transport = Transport(
             connect_timeout_s=settings.connect_timeout_s, max_body_bytes=settings.max_body_bytes
         )
-        self._siblings = SiblingClient(pool=pool, metrics=self._metrics)
+        self._siblings = SiblingClient(
+            transport=self._transport, metrics=self._metrics, loop=self._loop
+        )
         self._sibling_task = SiblingTask(host=self.host, client=self._siblings, settings=settings)
-        targets = TargetClient(pool=pool)
+        targets = TargetClient(transport=self._transport)
         self._forwarder = Forwarder(
             host=self.host,
             targets=targets,
@@ -90,35 +97,32 @@
         self._probe_task = ProbeTask(
             host=self.host, client=targets, interval_s=settings.probe_interval_s
         )
-        self._stopping = threading.Event()
+        self._stopping = asyncio.Event()
+        self._connections: set[CallerConnection] = set()
         self._build_platform()
-        self._build_servers()
+        self._build_routers()
 
-    def run(self) -> None:
+    async def run(self) -> None:
         """Serves until a planned stop ends.
 
         Raises:
             ListenError: If an address to serve is in use; nothing was started then.
         """
-        self._listen()
-        self._serve(self._control_server, "control")
+        servers = await self._listen()
         self._sibling_task.start()
         self._platform_task.start()
-        self._serve(self._callers_server, "callers")
-        self._join()
-        self._probe_task.start()
+        await self._join()
+        tasks = [asyncio.create_task(job) for job in (self._probe_task.run(), self._tidy())]
         own = self._settings
         self._log.info("Serving callers on {} with ticket {}", own.callers_address, self._ticket())
-        while not self._stopping.wait(0.5):
-            self._metrics.set_ticket(self._ticket())
-            if self.host.membership.declared_dead:
-                self._log.error("Siblings hold this process for dead. Stopping")
-                self.stop()
-        self._drain()
+        await self._stopping.wait()
+        await self._drain(servers)
+        for task in tasks:
+            task.cancel()
 
     def stop(self) -> None:
-        """Begins a planned stop."""
-        self._stopping.set()
+        """Begins a planned stop; may be called from any thread."""
+        self._loop.call_soon_threadsafe(self._stopping.set)
 
     def _build_platform(self) -> None:
         settings = self._settings
@@ -133,21 +137,22 @@
             rng=random.Random(self.host.membership.own.incarnation),
         )
 
-    def _build_servers(self) -> None:
-        settings = self._settings
-        callers_router = Router(max_body_bytes=settings.max_body_bytes)
-        control_router = Router(max_body_bytes=max(settings.max_body_bytes, 8 * 1024 * 1024))
+    def _build_routers(self) -> None:
+        self._callers_router, self._control_router = Router(), Router()
         self._callers = CallersApp(
-            host=self.host, forwarder=self._forwarder, metrics=self._metrics, settings=settings
+            host=self.host,
+            forwarder=self._forwarder,
+            metrics=self._metrics,
+            settings=self._settings,
         )
-        self._callers.mount(callers_router)
+        self._callers.mount(self._callers_router)
         siblings = SiblingsApp(
             host=self.host,
             forwarder=self._forwarder,
             callers=self._callers,
-            most_relays=_CONTROL_THREADS - _THREADS_FOR_CONTROL,
+            most_relays=_MOST_RELAYS,
         )
-        siblings.mount(control_router)
+        siblings.mount(self._control_router)
         operators = OperatorsApp(
             host=self.host,
             read_back=ReadBack(host=self.host, client=self._siblings),
@@ -155,39 +160,47 @@
             platform=self._platform_task,
             stop=self.stop,
         )
-        operators.mount(control_router)
-        self._callers_server = make_server(
-            settings.callers_address, callers_router, threads=settings.threads
+        operators.mount(self._control_router)
+
+    async def _listen(self) -> tuple[asyncio.Server, asyncio.Server]:
+        """Takes both addresses before anything starts: half a daemon would be taken for a whole."""
+        settings = self._settings
+        control = await serve(
+            settings.control_address,
+            self._control_router,
+            max_body_bytes=max(settings.max_body_bytes, _CONTROL_BODY_BYTES),
+            connections=self._connections,
         )
-        self._control_server = make_server(
-            settings.control_address, control_router, threads=_CONTROL_THREADS
+        callers = await serve(
+            settings.callers_address,
+            self._callers_router,
+            max_body_bytes=settings.max_body_bytes,
+            connections=self._connections,
+            is_closing=lambda: self._callers.stopping,
         )
+        return control, callers
 
-    def _listen(self) -> None:
-        """Takes both addresses before anything starts: half a daemon would be taken for a whole."""
-        servers = (self._control_server, self._callers_server)
-        for server in servers:
-            try:
-                server.prepare()
-            except OSError as error:
-                for prepared in servers:
-                    prepared.stop()
-                host, port = server.bind_addr
-                raise ListenError(f"cannot listen on {host}:{port}: {error}") from error
-
-    def _serve(self, server: Server, name: str) -> None:
-        threading.Thread(target=server.serve, name=name, daemon=True).start()
-
-    def _join(self) -> None:
+    async def _join(self) -> None:
         """Waits until siblings and platform were asked, or the join limit has passed."""
         deadline = time.monotonic() + _JOIN_LIMIT_S
         while time.monotonic() < deadline and not self._stopping.is_set():
             if self._platform_task.first_read_done and self._sibling_task.contacts_tried:
                 break
-            time.sleep(_JOIN_POLL_S)
+            await asyncio.sleep(_JOIN_POLL_S)
         self.host.join()
 
-    def _drain(self) -> None:
+    async def _tidy(self) -> None:
+        while True:
+            await asyncio.sleep(_TIDY_S)
+            self._metrics.set_ticket(self._ticket())
+            self._transport.close_idle()
+            for connection in list(self._connections):
+                connection.check_timeouts(self._loop.time())
+            if self.host.membership.declared_dead and not self._stopping.is_set():
+                self._log.error("Siblings hold this process for dead. Stopping")
+                self.stop()
+
+    async def _drain(self, servers: tuple[asyncio.Server, asyncio.Server]) -> None:
         """Stops without cutting off a request."""
         self._log.info("Leaving. {} requests in flight", self._forwarder.in_flight)
         self.host.leave()
@@ -198,13 +211,14 @@
         while time.monotonic() < limit:
             if time.monotonic() >= quiet_from and self._forwarder.in_flight == 0:
                 break
-            time.sleep(0.05)
-        self._callers_server.stop()
+            await asyncio.sleep(0.05)
+        for server in servers:
+            server.close()
         self._platform_task.stop()
-        self._platform_task.unregister()
+        await asyncio.to_thread(self._platform_task.unregister)
         self._sibling_task.stop()
-        self._probe_task.stop()
-        self._control_server.stop()
+        for connection in list(self._connections):
+            connection.close()
         self._log.info("Stopped. {} requests cut off", self._forwarder.in_flight)
 
     def _ticket(self) -> int:
@@ -224,18 +238,18 @@
         return
     logs.configure(level=settings.log_level, as_json=settings.log_json)
     try:
-        daemon = Daemon(settings=settings)
-    except OSError as error:
-        sys.stderr.write(f"carawaybankd: {error}\n")
-        sys.exit(1)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: daemon.stop())
-    try:
-        daemon.run()
+        asyncio.run(_serve(settings))
     except ListenError as error:
         sys.stderr.write(f"carawaybankd: {error}\n")
         sys.exit(1)
 
 
+async def _serve(settings: Settings) -> None:
+    daemon = Daemon(settings=settings)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, daemon.stop)
+    await daemon.run()
+
+
 if __name__ == "__main__":
     main()
--- a/src/carawaybank/operators/app.py
+++ b/src/carawaybank/operators/app.py
@@ -16,6 +16,7 @@
     Router,
     WebRequest,
     WebResponse,
+    in_thread,
     json_response,
 )
 
@@ -59,16 +60,16 @@
 
     def mount(self, router: Router) -> None:
         """Mounts the handlers."""
-        router.mount(TICKETS_PATH, self.submit_or_list, methods=("GET", "POST"))
-        router.mount(EFFECT_PATH, self.show_effect, methods=("POST",))
-        router.mount(STATUS_PATH, self.show_status)
-        router.mount(FLEET_PATH, self.show_fleet)
-        router.mount(INCIDENTS_PATH, self.show_incidents)
-        router.mount(DUMP_PATH, self.show_dump)
-        router.mount(STATE_PATH, self.show_state)
-        router.mount(DRAIN_PATH, self.drain, methods=("POST",))
-        router.mount(METRICS_PATH, self.show_metrics)
-        router.mount_prefix(TICKETS_PATH + "/", self.show_ticket)
+        router.mount(TICKETS_PATH, in_thread(self.submit_or_list), methods=("GET", "POST"))
+        router.mount(EFFECT_PATH, in_thread(self.show_effect), methods=("POST",))
+        router.mount(STATUS_PATH, in_thread(self.show_status))
+        router.mount(FLEET_PATH, in_thread(self.show_fleet))
+        router.mount(INCIDENTS_PATH, in_thread(self.show_incidents))
+        router.mount(DUMP_PATH, in_thread(self.show_dump))
+        router.mount(STATE_PATH, in_thread(self.show_state))
+        router.mount(DRAIN_PATH, in_thread(self.drain), methods=("POST",))
+        router.mount(METRICS_PATH, in_thread(self.show_metrics))
+        router.mount_prefix(TICKETS_PATH + "/", in_thread(self.show_ticket))
 
     def submit_or_list(self, request: WebRequest) -> WebResponse:
         """Accepts a ticket, or lists those kept in memory."""
--- a/src/carawaybank/siblings/app.py
+++ b/src/carawaybank/siblings/app.py
@@ -61,14 +61,14 @@
         """Answers with the state in force."""
         return json_response(self._host.log.state)
 
-    def relay(self, request: WebRequest) -> WebResponse:
+    async def relay(self, request: WebRequest) -> WebResponse:
         """Runs a request on a target that this entry VM owns."""
         service, path = split_service(request, RELAY_PREFIX)
         info, forwarded = self._callers.read_request(request, service, path)
         if not self._host.is_ready:
             return verdict_response(not_ready(), request_id=info.request_id)
         tried = tuple(filter(None, request.headers.get(headers.TRIED.lower(), "").split(",")))
-        ended = self._limit.run(
+        ended = await self._limit.run(
             lambda: self._forwarder.run(info, forwarded, relayed=True, tried=tried)
         )
         if ended is None:
@@ -80,13 +80,13 @@
         )
         return response._replace(headers=(*response.headers, *marks))
 
-    def run_bound(self, request: WebRequest) -> WebResponse:
+    async def run_bound(self, request: WebRequest) -> WebResponse:
         """Runs a request whose id is bound here, for a sibling."""
         service, path = split_service(request, BOUND_PREFIX)
         info, forwarded = self._callers.read_request(request, service, path)
         if not self._host.is_ready:
             verdict = self._host.refuse(info, not_ready())
             return verdict_response(verdict, request_id=info.request_id)
-        ended = self._limit.run(lambda: self._forwarder.run(info, forwarded, passed_on=True))
+        ended = await self._limit.run(lambda: self._forwarder.run(info, forwarded, passed_on=True))
         verdict = ended.verdict if ended else self._host.refuse(info, too_many())
         return verdict_response(verdict, request_id=info.request_id)
--- a/src/carawaybank/siblings/client.py
+++ b/src/carawaybank/siblings/client.py
@@ -1,17 +1,16 @@
 """Sends requests and exchanges to siblings."""
 
+import asyncio
 import time
 from collections.abc import Mapping
 
-from urllib3.util import SKIP_HEADER
-
 from carawaybank import documents, headers
 from carawaybank.exceptions import DocumentError
 from carawaybank.metrics import Metrics
 from carawaybank.steering.exchange import Exchange
 from carawaybank.steering.messages import PassOn, Relay, RelayEnded, RequestInfo
 from carawaybank.steering.tickets import State
-from carawaybank.transport import ConnectionPool, HttpRequest
+from carawaybank.transport import HttpRequest, Outcome, Transport
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
 
 RELAY_PREFIX = "/v1/relay/"
@@ -19,29 +18,35 @@
 EXCHANGE_PATH = "/v1/exchange"
 SNAPSHOT_PATH = "/v1/snapshot"
 
-_TERSE = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
 _HTTP_OVERHEAD_BYTES = 220
 _RELAY_MARGIN_S = 0.05
 
 
 class SiblingClient:
-    """Talks to other entry VMs."""
+    """Talks to other entry VMs.
+
+    Requests are awaited on the loop; control exchanges are called from threads.
+    """
 
-    def __init__(self, *, pool: ConnectionPool, metrics: Metrics) -> None:
+    def __init__(
+        self, *, transport: Transport, metrics: Metrics, loop: asyncio.AbstractEventLoop
+    ) -> None:
         """Takes the connections to use.
 
         Args:
-            pool: Connections to siblings.
+            transport: Connections to siblings.
             metrics: Counts the bytes of exchanges.
+            loop: Runs the exchanges that threads call for.
         """
-        self._pool = pool
+        self._transport = transport
+        self._loop = loop
         self._metrics = metrics
 
-    def relay(self, action: Relay, request: HttpRequest, info: RequestInfo) -> RelayEnded:
+    async def relay(self, action: Relay, request: HttpRequest, info: RequestInfo) -> RelayEnded:
         """Sends a request to a sibling that owns targets; returns how it ended."""
         marks = {headers.TRIED: ",".join(action.tried)}
         sent = _forwarded(request, RELAY_PREFIX, info, marks, action.deadline)
-        outcome = self._pool.send(
+        outcome = await self._transport.send(
             action.address,
             sent,
             deadline=action.deadline + _RELAY_MARGIN_S,
@@ -49,11 +54,11 @@
         )
         return _end(action.key, action.vm, outcome.verdict)
 
-    def pass_on(self, action: PassOn, request: HttpRequest, info: RequestInfo) -> RelayEnded:
+    async def pass_on(self, action: PassOn, request: HttpRequest, info: RequestInfo) -> RelayEnded:
         """Sends a request to the entry VM that its id is bound to; returns how it ended."""
         sent = _forwarded(request, BOUND_PREFIX, info, {}, action.deadline)
         deadline = action.deadline + _RELAY_MARGIN_S
-        outcome = self._pool.send(action.address, sent, deadline=deadline, fresh=True)
+        outcome = await self._transport.send(action.address, sent, deadline=deadline, fresh=True)
         return _end(action.key, action.vm, outcome.verdict)
 
     def exchange(self, address: str, message: Exchange, *, timeout_s: float) -> Exchange | NotRun:
@@ -62,9 +67,9 @@
         A ``NotRun`` with ``CONNECT_FAILED`` says that the address refused or did not answer.
         """
         body = documents.encode_json(message)
-        request = HttpRequest("POST", EXCHANGE_PATH, _TERSE, body)
+        request = HttpRequest("POST", EXCHANGE_PATH, {}, body)
         deadline = time.monotonic() + timeout_s
-        verdict = self._pool.send(address, request, deadline=deadline).verdict
+        verdict = self._send(address, request, deadline).verdict
         if isinstance(verdict, NotRun):
             return verdict
         if not isinstance(verdict, Answered) or verdict.status != 200:
@@ -79,7 +84,7 @@
         """Returns the state in force at a sibling, or None."""
         deadline = time.monotonic() + timeout_s
         request = HttpRequest("GET", SNAPSHOT_PATH)
-        verdict = self._pool.send(address, request, deadline=deadline).verdict
+        verdict = self._send(address, request, deadline).verdict
         if not isinstance(verdict, Answered) or verdict.status != 200:
             return None
         try:
@@ -90,9 +95,14 @@
     def get(self, address: str, path: str, *, timeout_s: float) -> Answered | None:
         """Returns the answer to a plain request, or None."""
         deadline = time.monotonic() + timeout_s
-        verdict = self._pool.send(address, HttpRequest("GET", path), deadline=deadline).verdict
+        verdict = self._send(address, HttpRequest("GET", path), deadline).verdict
         return verdict if isinstance(verdict, Answered) else None
 
+    def _send(self, address: str, request: HttpRequest, deadline: float) -> Outcome:
+        """Performs an exchange for another thread than the loop's."""
+        exchange = self._transport.send(address, request, deadline=deadline)
+        return asyncio.run_coroutine_threadsafe(exchange, self._loop).result()
+
 
 def _forwarded(
     request: HttpRequest,
--- a/src/carawaybank/targets/client.py
+++ b/src/carawaybank/targets/client.py
@@ -6,7 +6,7 @@
 from carawaybank.steering.messages import AttemptEnded, Dispatch, ProbeEnded
 from carawaybank.steering.pools import PoolTarget
 from carawaybank.steering.standing import Health
-from carawaybank.transport import ConnectionPool, HttpRequest, Outcome
+from carawaybank.transport import HttpRequest, Outcome, Transport
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason
 
 _PROBE_TIMEOUT_S = 0.5
@@ -18,18 +18,18 @@
 class TargetClient:
     """Dispatches requests to targets."""
 
-    def __init__(self, *, pool: ConnectionPool) -> None:
+    def __init__(self, *, transport: Transport) -> None:
         """Takes the connections to use.
 
         Args:
-            pool: Connections to targets.
+            transport: Connections to targets.
         """
-        self._pool = pool
+        self._transport = transport
 
-    def dispatch(self, action: Dispatch, request: HttpRequest) -> AttemptEnded:
+    async def dispatch(self, action: Dispatch, request: HttpRequest) -> AttemptEnded:
         """Sends a request to the chosen target; returns how the attempt ended."""
         started = time.monotonic()
-        outcome = self._pool.send(
+        outcome = await self._transport.send(
             action.address,
             _with_deadline(request, action.deadline),
             deadline=action.deadline,
@@ -37,14 +37,15 @@
             fresh=action.fresh_connection,
         )
         latency_s = time.monotonic() - started
-        return self._judge(action, outcome, latency_s)
+        return await self._judge(action, outcome, latency_s)
 
-    def probe(self, target: PoolTarget) -> ProbeEnded:
+    async def probe(self, target: PoolTarget) -> ProbeEnded:
         """Asks a target how it is, on a connection opened for it."""
         request = HttpRequest("GET", _PROBE_PATH, {"Connection": "close"})
         started = time.monotonic()
         deadline = started + _PROBE_TIMEOUT_S
-        verdict = self._pool.send(target.address, request, deadline=deadline, fresh=True).verdict
+        outcome = await self._transport.send(target.address, request, deadline=deadline, fresh=True)
+        verdict = outcome.verdict
         if not isinstance(verdict, Answered):
             return ProbeEnded(target.name, Health.UNREACHABLE)
         busy = _find_header(verdict, headers.BUSY)
@@ -53,7 +54,7 @@
         latency_s = time.monotonic() - started
         return ProbeEnded(target.name, health, int(busy) if busy.isdecimal() else None, latency_s)
 
-    def _judge(self, action: Dispatch, outcome: Outcome, latency_s: float) -> AttemptEnded:
+    async def _judge(self, action: Dispatch, outcome: Outcome, latency_s: float) -> AttemptEnded:
         verdict = outcome.verdict
         if isinstance(verdict, Answered):
             draining = _find_header(verdict, headers.DRAINING) == "true"
@@ -65,16 +66,16 @@
             return AttemptEnded(action.key, answered, latency_s, draining=draining)
         if isinstance(verdict, NotRun):
             return AttemptEnded(action.key, verdict, latency_s)
-        crashed = outcome.broken and (not outcome.reused or not self._accepts(action.address))
+        crashed = outcome.broken and (not outcome.reused or not await self._accepts(action.address))
         if crashed:
             verdict = MayHaveRun(Reason.TARGET_CRASHED, 1.0, "the target was lost while it ran")
         may_linger = verdict.reason in _LINGERING
         return AttemptEnded(action.key, verdict, latency_s, crashed, may_linger)
 
-    def _accepts(self, address: str) -> bool:
+    async def _accepts(self, address: str) -> bool:
         probe = HttpRequest("GET", _PROBE_PATH, {"Connection": "close"})
         deadline = time.monotonic() + _RECONNECT_TIMEOUT_S
-        outcome = self._pool.send(address, probe, deadline=deadline, fresh=True)
+        outcome = await self._transport.send(address, probe, deadline=deadline, fresh=True)
         return isinstance(outcome.verdict, Answered)
 
 
--- a/src/carawaybank/targets/tasks.py
+++ b/src/carawaybank/targets/tasks.py
@@ -1,7 +1,6 @@
 """The task that probes owned targets, new ones at once."""
 
-import threading
-from concurrent.futures import ThreadPoolExecutor
+import asyncio
 
 from carawaybank import logs
 from carawaybank.host import Host
@@ -9,9 +8,11 @@
 from carawaybank.targets.client import TargetClient
 
 _WORKERS = 4
+#: Seconds between looks for targets that came into ownership.
+_LOOK_S = 0.05
 
 
-class ProbeTask(threading.Thread):
+class ProbeTask:
     """Asks each owned target how it is, once an interval."""
 
     def __init__(self, *, host: Host, client: TargetClient, interval_s: float) -> None:
@@ -22,28 +23,29 @@
             client: Probes targets.
             interval_s: Seconds between probes of the same target.
         """
-        super().__init__(name="probes", daemon=True)
         self._host = host
         self._client = client
         self._interval_s = interval_s
-        self._stopping = False
+        self._limit = asyncio.Semaphore(_WORKERS)
         self._log = logs.part("targets")
 
-    def run(self) -> None:
-        """Runs until stopped."""
-        with ThreadPoolExecutor(max_workers=_WORKERS) as workers:
-            while not self._stopping:
-                self._host.targets_changed.wait(self._interval_s)
-                self._host.targets_changed.clear()
-                list(workers.map(self._probe, self._host.owned_targets()))
-
-    def stop(self) -> None:
-        """Ends the task."""
-        self._stopping = True
-        self._host.targets_changed.set()
-
-    def _probe(self, target: PoolTarget) -> None:
-        try:
-            self._host.handle(self._client.probe(target))
-        except Exception:
-            self._log.exception("Probe of {} failed", target.name)
+    async def run(self) -> None:
+        """Probes until cancelled."""
+        while True:
+            await self._wait()
+            await asyncio.gather(*map(self._probe, self._host.owned_targets()))
+
+    async def _wait(self) -> None:
+        """Waits for the interval, or until owned targets may have changed."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self._interval_s
+        while loop.time() < end and not self._host.targets_changed.is_set():
+            await asyncio.sleep(_LOOK_S)
+        self._host.targets_changed.clear()
+
+    async def _probe(self, target: PoolTarget) -> None:
+        async with self._limit:
+            try:
+                self._host.handle(await self._client.probe(target))
+            except Exception:
+                self._log.exception("Probe of {} failed", target.name)
--- a/src/carawaybank/web.py
+++ b/src/carawaybank/web.py
@@ -1,22 +1,25 @@
-"""HTTP serving: typed requests and responses over cheroot, with a route for each path."""
+"""HTTP serving: typed requests and responses, with a route for each path."""
 
+import asyncio
+import inspect
 import math
-import threading
-from collections.abc import Callable, Iterable, Mapping
-from http import HTTPStatus
-from typing import Any, NamedTuple, TypeVar
-
-from cheroot.wsgi import Server
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import NamedTuple, TypeVar
 
 from carawaybank import documents, headers
+from carawaybank.callers.front import CallerConnection, CallerRequest, Gate
+from carawaybank.callers.listeners import listen
+from carawaybank.client import HttpReply
 from carawaybank.metrics import verdict_name
+from carawaybank.routing.catalogue import Limits
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
 
 _T = TypeVar("_T")
 
 _MAX_HEADER_BYTES = 16_384
-_SOCKET_TIMEOUT_S = 5
-_QUEUE_SIZE = 512
+#: Longest time in seconds for a request's head, and for a connection without a request.
+_HEADER_TIMEOUT_S = 5.0
+_IDLE_TIMEOUT_S = 5.0
 _STATUS_OF_REASON = {
     Reason.BAD_REQUEST: 400,
     Reason.UNBOUND_REQUEST_ID: 400,
@@ -29,9 +32,6 @@
 _NOT_RUN_STATUS = 503
 _MAY_HAVE_RUN_STATUS = 504
 
-StartResponse = Callable[[str, list[tuple[str, str]]], Any]
-Environ = dict[str, Any]
-
 
 class WebRequest(NamedTuple):
     """A request that a server received.
@@ -76,17 +76,19 @@
         self.status = status
 
 
-Handler = Callable[[WebRequest], WebResponse]
+Handler = Callable[[WebRequest], WebResponse | Awaitable[WebResponse]]
 
 
 class ConcurrencyLimit:
-    """Bounds the requests that wait for others, so that some threads are always free to refuse.
+    """Bounds the requests that wait for others, so that the rest is refused at once.
 
     Usage::
 
-        >>> ConcurrencyLimit(most=1).run(lambda: "done")
+        >>> async def work():
+        ...     return "done"
+        >>> asyncio.run(ConcurrencyLimit(most=1).run(work))
         'done'
-        >>> ConcurrencyLimit(most=0).run(lambda: "done") is None
+        >>> asyncio.run(ConcurrencyLimit(most=0).run(work)) is None
         True
     """
 
@@ -98,31 +100,28 @@
         """
         self._most = most
         self._count = 0
-        self._lock = threading.Lock()
-
-    def run(self, work: Callable[[], _T]) -> _T | None:
-        """Returns the result of the work, or None at once when too much is under way."""
-        with self._lock:
-            if self._count >= self._most:
-                return None
-            self._count += 1
-        try:
-            return work()
-        finally:
-            with self._lock:
-                self._count -= 1
+
+    async def run(self, work: Callable[[], Awaitable[_T]]) -> _T | None:
+        """Returns the result of the work, or None at once when too much is under way.
+
+        The work goes on when its caller leaves: its outcome is remembered for the request's id.
+        """
+        if self._count >= self._most:
+            return None
+        self._count += 1
+        task = asyncio.ensure_future(work())
+        task.add_done_callback(self._release)
+        return await asyncio.shield(task)
+
+    def _release(self, _: "asyncio.Future[_T]") -> None:
+        self._count -= 1
 
 
 class Router:
     """Finds the handler of a request by method and path prefix."""
 
-    def __init__(self, *, max_body_bytes: int) -> None:
-        """Starts without routes.
-
-        Args:
-            max_body_bytes: Largest request body accepted.
-        """
-        self._max_body_bytes = max_body_bytes
+    def __init__(self) -> None:
+        """Starts without routes."""
         self._routes: dict[str, tuple[frozenset[str], Handler]] = {}
         self._prefixes: list[tuple[str, Handler]] = []
 
@@ -134,79 +133,68 @@
         """Serves all methods and paths below a prefix by a handler."""
         self._prefixes.append((prefix, handler))
 
-    def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
-        """Answers a WSGI request."""
+    async def handle(self, request: CallerRequest) -> HttpReply:
+        """Answers a request."""
         try:
-            response = self._dispatch(environ)
+            response = await self._dispatch(request)
         except BadRequestError as error:
             verdict = NotRun(Reason.BAD_REQUEST, 0.0, error.detail)
             response = verdict_response(verdict)._replace(status=error.status)
-        status = f"{response.status} {_phrase(response.status)}"
-        length = ("Content-Length", str(len(response.body)))
-        start_response(status, [*response.headers, length])
-        return [response.body]
-
-    def _dispatch(self, environ: Environ) -> WebResponse:
-        path = _raw_path(environ)
-        method = environ["REQUEST_METHOD"]
+        return HttpReply(response.status, list(response.headers), response.body)
+
+    async def _dispatch(self, request: CallerRequest) -> WebResponse:
+        path, _, query = request.path.partition("?")
+        found = WebRequest(
+            request.method, path, query, dict(request.headers), request.body, request.peer
+        )
         route = self._routes.get(path)
         if route is not None:
-            if method not in route[0]:
+            if request.method not in route[0]:
                 raise BadRequestError(detail=f"{path} takes {', '.join(route[0])}", status=405)
-            return route[1](self._read(environ))
+            return await _call(route[1], found)
         for prefix, handler in self._prefixes:
             if path.startswith(prefix):
-                return handler(self._read(environ))
+                return await _call(handler, found)
         raise BadRequestError(detail=f"there is no {path}", status=404)
 
-    def _read(self, environ: Environ) -> WebRequest:
-        return WebRequest(
-            method=environ["REQUEST_METHOD"],
-            path=_raw_path(environ),
-            query=environ.get("QUERY_STRING", ""),
-            headers=_request_headers(environ),
-            body=self._read_body(environ),
-            peer=environ.get("REMOTE_ADDR", ""),
-        )
 
-    def _read_body(self, environ: Environ) -> bytes:
-        stream = environ["wsgi.input"]
-        declared = environ.get("CONTENT_LENGTH") or ""
-        if declared:
-            if not declared.isdecimal():
-                raise BadRequestError(detail="Content-Length is not a number")
-            size = int(declared)
-            if size > self._max_body_bytes:
-                raise BadRequestError(detail="the body is too large", status=413)
-            body: bytes = stream.read(size) if size else b""
-            if len(body) != size:
-                raise BadRequestError(detail="the body is shorter than its Content-Length")
-            return body
-        if "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower():
-            try:
-                body = stream.read(self._max_body_bytes + 1)
-            except (ValueError, OSError) as error:
-                raise BadRequestError(detail=f"the chunked body is malformed: {error}") from None
-            if len(body) > self._max_body_bytes:
-                raise BadRequestError(detail="the body is too large", status=413)
-            return body
-        return b""
-
-
-def make_server(address: str, router: Router, *, threads: int) -> Server:
-    """Returns a server for an address, not yet started."""
-    host, _, port = address.rpartition(":")
-    server = Server(
-        (host.strip("[]"), int(port)),
-        router,
-        numthreads=threads,
-        request_queue_size=_QUEUE_SIZE,
-        timeout=_SOCKET_TIMEOUT_S,
-        shutdown_timeout=1,
-    )
-    server.max_request_header_size = _MAX_HEADER_BYTES
-    server.error_log = _drop_server_log  # type: ignore[method-assign]
-    return server
+async def _call(handler: Handler, request: WebRequest) -> WebResponse:
+    response = handler(request)
+    return await response if inspect.isawaitable(response) else response
+
+
+def in_thread(handler: Callable[[WebRequest], WebResponse]) -> Handler:
+    """Returns a handler that runs in a thread, because it waits for the platform or siblings."""
+
+    async def handle(request: WebRequest) -> WebResponse:
+        return await asyncio.to_thread(handler, request)
+
+    return handle
+
+
+async def serve(
+    address: str,
+    router: Router,
+    *,
+    max_body_bytes: int,
+    connections: set[CallerConnection],
+    is_closing: Callable[[], bool] = lambda: False,
+) -> asyncio.Server:
+    """Returns a server that answers by a router.
+
+    Args:
+        address: ``IP:PORT``.
+        router: Finds the handlers.
+        max_body_bytes: Largest request body accepted.
+        connections: Takes the open connections.
+        is_closing: Whether connections end with their next answer.
+
+    Raises:
+        ListenError: If the address is in use or not one of this VM.
+    """
+    limits = Limits(_MAX_HEADER_BYTES, max_body_bytes, _HEADER_TIMEOUT_S, _IDLE_TIMEOUT_S)
+    gate = Gate(handle=router.handle, limits=lambda: limits, is_closing=is_closing)
+    return await listen(address, lambda: CallerConnection(gate=gate, connections=connections))
 
 
 def json_response(value: object, *, status: int = 200) -> WebResponse:
@@ -255,31 +243,3 @@
 def _status_of(verdict: NotRun | MayHaveRun) -> int:
     default = _NOT_RUN_STATUS if isinstance(verdict, NotRun) else _MAY_HAVE_RUN_STATUS
     return _STATUS_OF_REASON.get(verdict.reason, default)
-
-
-def _phrase(status: int) -> str:
-    try:
-        return HTTPStatus(status).phrase
-    except ValueError:
-        return "Unknown"
-
-
-def _raw_path(environ: Environ) -> str:
-    """Returns the path with its percent-encoding as sent."""
-    uri: str = environ.get("REQUEST_URI") or environ["PATH_INFO"]
-    return uri.partition("?")[0]
-
-
-def _request_headers(environ: Environ) -> dict[str, str]:
-    found = {
-        key[5:].replace("_", "-").lower(): value
-        for key, value in environ.items()
-        if key.startswith("HTTP_")
-    }
-    if environ.get("CONTENT_TYPE"):
-        found["content-type"] = environ["CONTENT_TYPE"]
-    return found
-
-
-def _drop_server_log(*_: object, **__: object) -> None:
-    """Ignores what the server library reports of broken connections."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -8,6 +8,7 @@
 bytes).
 """
 
+import asyncio
 import sys
 import threading
 import time
@@ -16,7 +17,14 @@
 
 import msgspec
 
-from carawaybank.web import Router, WebRequest, WebResponse, json_response, make_server
+from carawaybank.web import (
+    Router,
+    WebRequest,
+    WebResponse,
+    in_thread,
+    json_response,
+    serve,
+)
 
 _DROPPED_ANSWER_S = 3.0
 
@@ -140,15 +148,19 @@
                 time.sleep(_DROPPED_ANSWER_S)
             return response
 
-        return handle
+        return in_thread(handle)
 
 
 def main() -> None:
     """Serves a platform until ended."""
-    router = Router(max_body_bytes=64 * 1024 * 1024)
+    asyncio.run(_serve(sys.argv[1]))
+
+
+async def _serve(address: str) -> None:
+    router = Router()
     PlatformApp(platform=Platform()).mount(router)
-    server = make_server(sys.argv[1], router, threads=16)
-    server.safe_start()
+    server = await serve(address, router, max_body_bytes=64 * 1024 * 1024, connections=set())
+    await server.serve_forever()
 
 
 if __name__ == "__main__":
--- a/tests/callers/test_front.py
+++ b/tests/callers/test_front.py
@@ -123,6 +123,7 @@
         (b"nonsense\r\n\r\n", "400"),
         (b"GET /x HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 5000 + b"\r\n\r\n", "431"),
         (b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 200\r\n\r\n" + b"z" * 200, "413"),
+        (b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 200\r\n\r\n", "413"),
     ],
 )
 def test_improper_requests_get_a_clear_error_and_the_connection_ends(data, status):
