Let requests overflow to targets at three quarters of their slots

Cause: a request that a full region cannot take went to another region's target with as many requests as slots, where it waits and pushes out objects. Change: the bound is 0.75 of the slots.

--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -19,7 +19,7 @@
 #: Usual requests for each slot up to which another region's target may take what a full region
 #: cannot.
 #: Under general overload no target is that idle, and objects stay where they are known.
-IDLE_LOAD = 1.0
+IDLE_LOAD = 0.75
 #: Targets of a region among which a request without an object is placed.
 CANDIDATES_WITHOUT_OBJECT = 4
 #: Different orders of targets that requests without an object take in turn.
