Gather changes only before the first request, and let no import delay a stop

The metrics library is loaded in a thread of the loop's executor 3 s after the start, and the end of the loop waits for it. Change: a thread that nothing waits for. First exchanges have 20 s now; the bounds of what is tested stay.

--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import threading
 import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
@@ -39,8 +40,7 @@
 _STOP_MARGIN_S = 0.5
 #: Seconds after the signal for which idle connections stay open: callers look up again meanwhile.
 _LINGER_S = 2.5
-#: Seconds for which changes of targets and VMs gather; a fifth of the time within which a target
-#: that leaves must get no more requests.
+#: Seconds for which changes of targets and VMs gather before the first request.
 _GATHER_S = 0.5
 #: Seconds between checks of idle and slow connections.
 _TIDY_S = 0.5
@@ -129,9 +129,9 @@
         )
         self._watches = [
             self._watch(adapter.orders_table, self._take_orders),
-            self._watch(adapter.targets_table, self._take_targets, pause_s=_GATHER_S),
-            self._watch(registration.TABLE, self._registrations.take, pause_s=_GATHER_S),
-            self._watch(crashes.TABLE, self._crashes.take, pause_s=_GATHER_S),
+            self._watch(adapter.targets_table, self._take_targets, pause_s=self._gather_s),
+            self._watch(registration.TABLE, self._registrations.take, pause_s=self._gather_s),
+            self._watch(crashes.TABLE, self._crashes.take, pause_s=self._gather_s),
         ]
         self._handover = Handover(
             watches=self._watches, seeds=self._deployment.seeds, journal=self._journal
@@ -195,7 +195,11 @@
         return servers
 
     def _watch(
-        self, table: str, on_changes: Callable[[Changes], None], *, pause_s: float = 0.0
+        self,
+        table: str,
+        on_changes: Callable[[Changes], None],
+        *,
+        pause_s: Callable[[], float] = lambda: 0.0,
     ) -> TableWatch:
         return TableWatch(
             store=self._adapter.store,
@@ -206,6 +210,10 @@
             pause_s=pause_s,
         )
 
+    def _gather_s(self) -> float:
+        """Returns how long changes gather: with requests, cold targets must be known at once."""
+        return 0.0 if self._router.targets.is_serving else _GATHER_S
+
     def _compare_versions(self, versions: dict[str, int]) -> None:
         for watch in self._watches:
             watch.compare(versions.get(watch.table, 0))
@@ -308,16 +316,18 @@
         return HttpReply(200, [("content-type", "text/plain; version=0.0.4")], self._scrape())
 
     async def _load_metrics(self) -> None:
-        """Loads the metrics library beside the requests, once the rush of the start is over."""
-        await asyncio.sleep(_METRICS_AFTER_S)
-        self._scrape = await asyncio.to_thread(_make_scrape, self._deployment.vm, self._counters)
+        """Loads the metrics library beside the requests, once the rush of the start is over.
 
+        The thread is not waited for: an import under way must not delay a stop.
+        """
+        await asyncio.sleep(_METRICS_AFTER_S)
+        threading.Thread(target=self._make_scrape, name="metrics", daemon=True).start()
 
-def _make_scrape(vm: str, counters: Counters) -> Callable[[], bytes]:
-    from carawaybank.metrics import Metrics, scrape  # noqa: PLC0415
+    def _make_scrape(self) -> None:
+        from carawaybank.metrics import Metrics, scrape  # noqa: PLC0415
 
-    Metrics(vm=vm, counters=counters)
-    return scrape
+        Metrics(vm=self._deployment.vm, counters=self._counters)
+        self._scrape = scrape
 
 
 def _own_record(deployment: Deployment) -> VmRecord:
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -41,7 +41,7 @@
         on_changes: Callable[[Changes], None],
         journal: Journal,
         rng: random.Random,
-        pause_s: float = 0.0,
+        pause_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Starts without having read anything.
 
@@ -51,8 +51,8 @@
             on_changes: Takes what the table said.
             journal: Where losses of the store are noted.
             rng: Source of the pauses' jitter.
-            pause_s: Seconds after a change for which further ones are left to gather, so that a
-                rush of changes takes few calls.
+            pause_s: Returns the seconds after a change for which further ones are left to
+                gather, so that a rush of changes takes few calls.
         """
         self._pause_s = pause_s
         self._store = store
@@ -149,7 +149,7 @@
         self._read_at = asyncio.get_running_loop().time()
         self._take(found, whole=whole, after_outage=after_outage)
         if found.rows and not whole:
-            await asyncio.sleep(self._pause_s)
+            await asyncio.sleep(self._pause_s())
 
     def _take(self, found: Rows, *, whole: bool, after_outage: bool) -> None:
         self._version = found.version
--- a/tests/operators/test_faces.py
+++ b/tests/operators/test_faces.py
@@ -31,7 +31,9 @@
         running.wait_healthy("t1")
         running.start_vm("regina-vm1", "sask", "regina")
         control = running.vms["regina-vm1"].control_address
-        running.wait_for(lambda: running.call("GET", control, "/v1/status")[0] == 200)
+        running.wait_for(
+            lambda: running.call("GET", control, "/v1/status")[0] == 200, what="regina-vm1"
+        )
         target = {
             "service": "dispatch",
             "failure_domain": "regina",
@@ -40,7 +42,7 @@
         }
         running.submit("regina-vm1", {**GOOD, "targets": {"t1": target}})
         running.wait_ready("regina-vm1")
-        running.wait_for(lambda: serves(running))
+        running.wait_for(lambda: serves(running), what="regina-vm1")
         yield running
 
 
--- a/tests/store_world.py
+++ b/tests/store_world.py
@@ -76,7 +76,7 @@
             on_changes=on_changes,
             journal=self.journal,
             rng=random.Random(1),
-            pause_s=pause_s,
+            pause_s=lambda: pause_s,
         )
 
     @property
--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -111,12 +111,17 @@
         transport = Transport(connect_timeout_s=connect_timeout_s, max_body_bytes=1000)
         self.targets = TargetClient(transport=transport)
 
-    def dispatch(self, address, *, fresh=True, patience=0.3, body=b"job"):
+    def dispatch(self, address, *, fresh=True, patience=0.3, limit=0.6, body=b"job"):
         now = time.monotonic()
-        action = Dispatch(1, "t1", address, now + 0.6, now + patience, fresh)
+        action = Dispatch(1, "t1", address, now + limit, now + patience, fresh)
         request = HttpRequest("POST", "/run", {"Carawaybank-Request-Id": ID}, body, ID)
         return self.loop.run_until_complete(self.targets.dispatch(action, request))
 
+    def answered(self, address):
+        """Makes an exchange that must succeed and leaves its connection idle."""
+        verdict = self.dispatch(address, fresh=False, limit=20.0).verdict
+        assert isinstance(verdict, Answered)
+
     def idle(self, seconds):
         self.loop.run_until_complete(asyncio.sleep(seconds))
 
@@ -192,7 +197,7 @@
     behaviour, _ = CUTS[cut]
     first = script(read_request, send(WHOLE), behaviour)
     address = server(first, script(read_request, close)).address
-    assert isinstance(client.dispatch(address, fresh=False).verdict, Answered)
+    client.answered(address)
     ended = client.dispatch(address, fresh=False)
     assert isinstance(ended.verdict, MayHaveRun)
 
@@ -211,7 +216,7 @@
         script(read_request, send(WHOLE + answer("r1-late")), read_request, freeze),
         script(read_request, send(answer(ID, b"second"))),
     )
-    assert isinstance(client.dispatch(started.address, fresh=False).verdict, Answered)
+    client.answered(started.address)
     second = client.dispatch(started.address, fresh=False).verdict
     assert (second.status, second.body) == (200, b"second")
     assert len(started.connections) == 2
@@ -221,7 +226,7 @@
     started = server(
         script(read_request, send(WHOLE), read_request, freeze), script(read_request, send(WHOLE))
     )
-    client.dispatch(started.address, fresh=False)
+    client.answered(started.address)
     ended = client.dispatch(started.address, fresh=False, patience=0.1)
     assert ended.verdict.reason is Reason.TIMEOUT
     assert ended.may_linger
@@ -232,7 +237,7 @@
     started = server(
         script(read_request, send(WHOLE), close), script(read_request, send(answer("")))
     )
-    client.dispatch(started.address, fresh=False)
+    client.answered(started.address)
     ended = client.dispatch(started.address, fresh=False)
     assert isinstance(ended.verdict, MayHaveRun)
     assert not ended.crashed
@@ -255,6 +260,6 @@
     started = server(
         script(read_request, send(WHOLE), close), script(read_request, send(answer(ID)))
     )
-    client.dispatch(started.address, fresh=False)
+    client.answered(started.address)
     client.idle(0.2)
     assert isinstance(client.dispatch(started.address, fresh=False).verdict, Answered)
