Test that a killed VM serves again

Ruled out: a fault; the test passed on its first run, so it was not seen failing. Change: the process is killed, started again and must serve a request with the configuration and target of the store.

--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -231,6 +231,19 @@
     play(tmp_path, scenario)
 
 
+def test_a_vm_that_was_killed_serves_again_with_what_the_store_holds(tmp_path):
+    async def scenario(node):
+        node.process.kill()
+        await node.process.wait()
+        assert await node.status("8101", "/readyz") is None
+        await node.start(tmp_path)
+        assert (await node.call("8100", "/x/1", method="POST")).status == 200
+        dump = json.loads((await node.call("8105", "/v1/dump")).body)
+        assert (dump["configuration"], len(dump["targets"])) == (2, 1)
+
+    play(tmp_path, scenario)
+
+
 def test_changed_settings_and_a_signal_end_nothing(tmp_path):
     async def scenario(node):
         node.path.write_text(node.text.replace("retry_slack = 62", "retry_slack = 17"))
