Stop a daemon whose background task failed

Cause: the own daemon started its probe and tidy tasks without looking at how they end. Seen when reading: an exception in one of them left a daemon that probed no target, or closed no idle connection, and said nothing until its end. The node on the platform looked, but ended with 0, as after a planned stop.

Ruled out: asyncio.TaskGroup, which cancels the siblings of a failed task at once, while requests under way must still end.

Change: BackgroundTasks runs them for both daemons; a failure is logged, stops the daemon as planned and makes it exit with 1. tests/test_daemon.py failed before (no end within 10 s).

--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -19,6 +19,7 @@
 """
 
 import asyncio
+import os
 import random
 import signal
 import sys
@@ -29,10 +30,11 @@
 
 import carawaybank
 from carawaybank import logs
+from carawaybank.background import BackgroundTasks
 from carawaybank.callers.app import CallersApp
 from carawaybank.callers.forwarding import Forwarder
 from carawaybank.callers.front import CallerConnection
-from carawaybank.exceptions import DocumentError, ListenError
+from carawaybank.exceptions import DocumentError, ListenError, TaskError
 from carawaybank.host import Host
 from carawaybank.metrics import Metrics
 from carawaybank.operators.app import OperatorsApp
@@ -107,23 +109,30 @@
 
         Raises:
             ListenError: If an address to serve is in use; nothing was started then.
+            TaskError: If a background task failed; what was under way has ended then.
         """
+        self._log.info("Starting as process {}", os.getpid())
         servers = await self._listen()
         self._sibling_task.start()
         self._platform_task.start()
         await self._join()
-        tasks = [asyncio.create_task(job) for job in (self._probe_task.run(), self._tidy())]
+        tasks = BackgroundTasks(on_failure=self._stop_on_failure)
+        tasks.start(self._probe_task.run())
+        tasks.start(self._tidy())
         own = self._settings
         self._log.info("Serving callers on {} with ticket {}", own.callers_address, self._ticket())
         await self._stopping.wait()
         await self._drain(servers)
-        for task in tasks:
-            task.cancel()
+        tasks.cancel()
 
     def stop(self) -> None:
         """Begins a planned stop; may be called from any thread."""
         self._loop.call_soon_threadsafe(self._stopping.set)
 
+    def _stop_on_failure(self, failure: TaskError) -> None:
+        self._log.opt(exception=failure).error("Stopping: {}", failure)
+        self.stop()
+
     def _build_platform(self) -> None:
         settings = self._settings
         client = PlatformClient(url=settings.platform_url, timeout_s=settings.platform_timeout_s)
@@ -239,7 +248,7 @@
     logs.configure(level=settings.log_level, as_json=settings.log_json)
     try:
         asyncio.run(_serve(settings))
-    except ListenError as error:
+    except (ListenError, TaskError) as error:
         sys.stderr.write(f"carawaybankd: {error}\n")
         sys.exit(1)
 
--- a/src/carawaybank/exceptions.py
+++ b/src/carawaybank/exceptions.py
@@ -51,3 +51,7 @@
 
 class ListenError(CarawaybankError):
     """An address to serve cannot be listened on."""
+
+
+class TaskError(CarawaybankError):
+    """A background task of the process failed, and the process stopped for it."""
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -13,6 +13,7 @@
 
 from carawaybank import deployment as deployments
 from carawaybank.adapters import Adapter
+from carawaybank.background import BackgroundTasks
 from carawaybank.callers.front import CallerConnection, CallerRequest, Gate
 from carawaybank.callers.listeners import listen, serve_text
 from carawaybank.client import HttpReply
@@ -20,7 +21,7 @@
 from carawaybank.deployment import Deployment
 from carawaybank.dump import make_dump
 from carawaybank.entry import EntryVm
-from carawaybank.exceptions import DocumentError, ListenError
+from carawaybank.exceptions import DocumentError, ListenError, TaskError
 from carawaybank.journal import Journal
 from carawaybank.operators.rows import OperatorRows
 from carawaybank.routing.router import Router, RouterOptions
@@ -138,7 +139,12 @@
         )
 
     async def run(self) -> None:
-        """Serves until a signal to stop, and ends what is under way."""
+        """Serves until a signal to stop, and ends what is under way.
+
+        Raises:
+            ListenError: If an address to serve is in use.
+            TaskError: If a background task failed; what was under way has ended then.
+        """
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopped.set)
         loop.add_signal_handler(signal.SIGINT, self._stopped.set)
@@ -153,18 +159,16 @@
             self._tidy(),
         ]
         jobs += [self._handover.run(), self._load_metrics()]
-        tasks = [asyncio.create_task(job) for job in jobs]
-        for task in tasks:
-            task.add_done_callback(self._end_on_failure)
+        tasks = BackgroundTasks(on_failure=self._stop_on_failure)
+        for job in jobs:
+            tasks.start(job)
         await self._stopped.wait()
         await self._stop(servers)
-        for task in tasks:
-            task.cancel()
+        tasks.cancel()
 
-    def _end_on_failure(self, task: "asyncio.Task[None]") -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self._journal.note("daemon", "task failed", reason=repr(task.exception()))
-            self._stopped.set()
+    def _stop_on_failure(self, failure: TaskError) -> None:
+        self._journal.note("daemon", "task failed", reason=str(failure))
+        self._stopped.set()
 
     async def _listen(self) -> list[asyncio.Server]:
         deployment = self._deployment
--- a/src/carawaybank/platform/__main__.py
+++ b/src/carawaybank/platform/__main__.py
@@ -27,7 +27,7 @@
 
 import carawaybank
 from carawaybank import deployment
-from carawaybank.exceptions import DocumentError, ListenError
+from carawaybank.exceptions import DocumentError, ListenError, TaskError
 from carawaybank.node import Node
 from carawaybank.platform.adapter import PlatformAdapter
 
@@ -50,7 +50,7 @@
         return 0
     try:
         asyncio.run(_serve(settings, path))
-    except ListenError as error:
+    except (ListenError, TaskError) as error:
         print(error, file=sys.stderr)
         return _FAILED
     return 0
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -18,7 +18,9 @@
 from carawaybank.steering.tickets import TicketDocument
 
 _START_LIMIT_S = 15.0
-_LOG_TAIL_LINES = 40
+_LOG_TAIL_LINES = 80
+#: Seconds that an aborted process has for its last words.
+_ABORT_LIMIT_S = 5.0
 #: A loopback IP number for each process of the kernel's default range of process ids.
 _OWN_IP = f"127.{1 + os.getpid() // 62_500}.{os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
 _ports = itertools.count(10_000)
@@ -146,11 +148,12 @@
 
         Raises:
             TimeoutError: If it does not come true in time; says how the log of the process that
-                ``what`` names ends.
+                ``what`` names ends, and where its threads were.
         """
         started = time.monotonic()
         while not condition():
             if time.monotonic() - started > limit_s:
+                self._dump_stacks(what)
                 tail = "\n".join(self.log_tail(what))
                 raise TimeoutError(f"{what or condition} took more than {limit_s} s\n{tail}")
             time.sleep(0.02)
@@ -163,7 +166,17 @@
 
     def _start(self, name: str, command: list[str]) -> None:
         log = (self.directory / f"{name}.log").open("ab")
-        self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
+        # With the fault handler, an aborted process logs the stacks of its threads.
+        environment = {**os.environ, "PYTHONFAULTHANDLER": "1"}
+        self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log, env=environment)
+
+    def _dump_stacks(self, name: str) -> None:
+        """Ends a process so that it logs where its threads were."""
+        process = self.processes.get(name)
+        if process is not None and process.poll() is None:
+            process.send_signal(signal.SIGABRT)
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait(_ABORT_LIMIT_S)
 
 
 @contextlib.contextmanager
