Keep one list of the headers of a connection

Cause: the own interface and the platform's dialect each listed the headers that concern one connection; duplicates showed the same eight lines twice.

Ruled out: one list for both. The own transport also drops host and proxy credentials, which the platform passes on unchanged; the platform drops expect, which the front answers itself.

Change: headers.CONNECTION holds what both share; each adds its own.

Conclusion: one list; both pass on and drop the same headers as before.

--- a/src/carawaybank/headers.py
+++ b/src/carawaybank/headers.py
@@ -17,18 +17,18 @@
 DRAINING = "Carawaybank-Draining"
 BUSY = "Carawaybank-Busy"
 
-HOP_BY_HOP = frozenset(
+#: Headers that concern one connection (RFC 9110, section 7.6.1) or frame the body on it.
+CONNECTION = frozenset(
     {
         "connection",
         "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
         "proxy-connection",
         "te",
         "trailer",
         "transfer-encoding",
         "upgrade",
         "content-length",
-        "host",
     }
 )
+#: Headers that are not passed on to the next hop.
+HOP_BY_HOP = CONNECTION | {"proxy-authenticate", "proxy-authorization", "host"}
--- a/src/carawaybank/platform/dialect.py
+++ b/src/carawaybank/platform/dialect.py
@@ -2,6 +2,7 @@
 
 from carawaybank.callers.front import CallerRequest
 from carawaybank.client import Headers, HttpCall, HttpReply
+from carawaybank.headers import CONNECTION
 from carawaybank.routing.fleet import LoadReport
 from carawaybank.routing.messages import Request
 from carawaybank.steering import hashing
@@ -22,19 +23,7 @@
 _SERVER_LOAD = "X-Carawaybank-Server-Load"
 _COLD_MS = "X-Carawaybank-Cold-Ms"
 
-_CONNECTION_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-    }
-)
+_CONNECTION_HEADERS = CONNECTION | {"expect"}
 _OWN_HEADERS = frozenset({_DEADLINE_MS.lower(), _EXPECT_INSTANCE.lower()})
 _MISDIRECTED = 421
 _SUCCESS = range(200, 300)
