Load the metrics library after the start of both daemons

The kernel's own account of the starts (time on a core, time waiting for one) shows no lock and no peer: beside 24 busy processes a start ran 0.56 s and waited 2.2 s for a core before its first line, of 2.7 s.

Ruled out: a deadlock of the core's lock (no call to the loop is made under it), a hung exchange (the silence ends before the first listener), the disk (no pressure by the kernel's account).

Change: a third of a start went into loading the metrics library, which the node on the platform already put off. Exposition does so for both daemons; counting goes to Counters without a detour. tests/test_daemon.py (no daemon loads the library before it serves) failed for the own daemon before.

--- a/src/carawaybank/callers/app.py
+++ b/src/carawaybank/callers/app.py
@@ -7,8 +7,8 @@
 
 from carawaybank import headers
 from carawaybank.callers.forwarding import Forwarder
+from carawaybank.counters import Counters
 from carawaybank.host import Host
-from carawaybank.metrics import Metrics
 from carawaybank.settings import Settings
 from carawaybank.steering import hashing
 from carawaybank.steering.deduplication import RequestId
@@ -49,19 +49,19 @@
     """Handlers of the callers' address."""
 
     def __init__(
-        self, *, host: Host, forwarder: Forwarder, metrics: Metrics, settings: Settings
+        self, *, host: Host, forwarder: Forwarder, counters: Counters, settings: Settings
     ) -> None:
         """Takes what requests are answered with.
 
         Args:
             host: The decision core.
             forwarder: Runs requests.
-            metrics: Counts look-ups.
+            counters: Counts look-ups.
             settings: Deadlines and the own failure domain.
         """
         self._host = host
         self._forwarder = forwarder
-        self._metrics = metrics
+        self._counters = counters
         self._settings = settings
         self._limit = ConcurrencyLimit(most=settings.threads - settings.threads // 4)
         self.stopping = False
@@ -74,7 +74,7 @@
 
     def find_entries(self, request: WebRequest) -> WebResponse:
         """Answers which entry VMs a caller should use."""
-        self._metrics.count_lookup()
+        self._counters.count_lookup()
         if not self._host.is_ready:
             return verdict_response(not_ready())
         domain = self._domain_of(request)
--- a/src/carawaybank/callers/forwarding.py
+++ b/src/carawaybank/callers/forwarding.py
@@ -5,8 +5,8 @@
 import time
 from typing import NamedTuple, Protocol
 
+from carawaybank.counters import Counters
 from carawaybank.host import Host
-from carawaybank.metrics import Metrics
 from carawaybank.siblings.client import SiblingClient
 from carawaybank.steering.messages import (
     Action,
@@ -54,7 +54,7 @@
         targets: TargetClient,
         siblings: SiblingClient,
         announcer: CrashAnnouncer,
-        metrics: Metrics,
+        counters: Counters,
     ) -> None:
         """Takes what requests are performed with.
 
@@ -63,13 +63,13 @@
             targets: Dispatches to targets.
             siblings: Relays to siblings.
             announcer: Tells siblings of crashes.
-            metrics: Counts requests and attempts.
+            counters: Counts requests and attempts.
         """
         self._host = host
         self._targets = targets
         self._siblings = siblings
         self._announcer = announcer
-        self._metrics = metrics
+        self._counters = counters
         self._keys = itertools.count(1)
         self._in_flight = 0
 
@@ -103,7 +103,7 @@
             ended = await self._perform(arrived, request, info)
         finally:
             self._in_flight -= 1
-        self._metrics.count_request(info.service, ended.verdict, time.monotonic() - started)
+        self._counters.count_request(info.service, ended.verdict, time.monotonic() - started)
         return ended
 
     async def _perform(self, arrived: Message, request: HttpRequest, info: RequestInfo) -> Ended:
@@ -122,7 +122,7 @@
     ) -> Message:
         match action:
             case Dispatch():
-                self._metrics.count_attempt(info.service)
+                self._counters.count_attempt(info.service)
                 return await self._targets.dispatch(action, request)
             case Relay():
                 return await self._siblings.relay(action, request, info)
--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -34,9 +34,10 @@
 from carawaybank.callers.app import CallersApp
 from carawaybank.callers.forwarding import Forwarder
 from carawaybank.callers.front import CallerConnection
+from carawaybank.counters import Counters
 from carawaybank.exceptions import DocumentError, ListenError, TaskError
+from carawaybank.exposition import Exposition
 from carawaybank.host import Host
-from carawaybank.metrics import Metrics
 from carawaybank.operators.app import OperatorsApp
 from carawaybank.operators.readback import ReadBack
 from carawaybank.settings import Settings, load
@@ -80,12 +81,15 @@
         start = incarnation or int(time.time() * 1000)
         seed = random.SystemRandom().getrandbits(64)
         self.host = Host(settings=settings, incarnation=start, seed=seed)
-        self._metrics = Metrics(vm=settings.vm, otlp_endpoint=settings.otlp_endpoint)
+        self._counters = Counters()
+        self._metrics = Exposition(
+            vm=settings.vm, counters=self._counters, otlp_endpoint=settings.otlp_endpoint
+        )
         self._transport = Transport(
             connect_timeout_s=settings.connect_timeout_s, max_body_bytes=settings.max_body_bytes
         )
         self._siblings = SiblingClient(
-            transport=self._transport, metrics=self._metrics, loop=self._loop
+            transport=self._transport, counters=self._counters, loop=self._loop
         )
         self._sibling_task = SiblingTask(host=self.host, client=self._siblings, settings=settings)
         targets = TargetClient(transport=self._transport)
@@ -94,7 +98,7 @@
             targets=targets,
             siblings=self._siblings,
             announcer=self._sibling_task,
-            metrics=self._metrics,
+            counters=self._counters,
         )
         self._probe_task = ProbeTask(
             host=self.host, client=targets, interval_s=settings.probe_interval_s
@@ -119,6 +123,7 @@
         tasks = BackgroundTasks(on_failure=self._stop_on_failure)
         tasks.start(self._probe_task.run())
         tasks.start(self._tidy())
+        tasks.start(self._metrics.load_later())
         own = self._settings
         self._log.info("Serving callers on {} with ticket {}", own.callers_address, self._ticket())
         await self._stopping.wait()
@@ -151,7 +156,7 @@
         self._callers = CallersApp(
             host=self.host,
             forwarder=self._forwarder,
-            metrics=self._metrics,
+            counters=self._counters,
             settings=self._settings,
         )
         self._callers.mount(self._callers_router)
@@ -167,6 +172,7 @@
             read_back=ReadBack(host=self.host, client=self._siblings),
             tickets=self._tickets,
             platform=self._platform_task,
+            metrics=self._metrics,
             stop=self.stop,
         )
         operators.mount(self._control_router)
@@ -201,7 +207,7 @@
     async def _tidy(self) -> None:
         while True:
             await asyncio.sleep(_TIDY_S)
-            self._metrics.set_ticket(self._ticket())
+            self._counters.configuration = self._ticket()
             self._transport.close_idle()
             for connection in list(self._connections):
                 connection.check_timeouts(self._loop.time())
--- a/src/carawaybank/metrics.py
+++ b/src/carawaybank/metrics.py
@@ -11,10 +11,7 @@
 from prometheus_client.metrics_core import HistogramMetricFamily, Metric
 from prometheus_client.registry import Collector
 
-from carawaybank.counters import Counters, verdict_name
-from carawaybank.verdicts import Verdict
-
-__all__ = ["Metrics", "scrape", "verdict_name"]
+from carawaybank.counters import Counters
 
 #: Upper bounds in seconds of the buckets of latencies, from a warm answer to the longest timeout.
 _LATENCY_BOUNDS_S = (0.01, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0, 15.0, 60.0)
@@ -23,17 +20,15 @@
 class Metrics:
     """The instruments of a daemon, which observe its counters when metrics are collected."""
 
-    def __init__(
-        self, *, vm: str, otlp_endpoint: str = "", counters: Counters | None = None
-    ) -> None:
+    def __init__(self, *, vm: str, counters: Counters, otlp_endpoint: str = "") -> None:
         """Registers the instruments.
 
         Args:
             vm: Name of the entry VM.
+            counters: What is observed.
             otlp_endpoint: URL that metrics are pushed to; empty for none.
-            counters: What is observed; new counters if left out.
         """
-        self._counters = counters or Counters()
+        self._counters = counters
         readers: list[MetricReader] = [PrometheusMetricReader()]
         if otlp_endpoint:
             # Imported here because it costs every other daemon start-up time and memory.
@@ -49,31 +44,6 @@
         self._latencies = _LatencyCollector(vm=vm, counters=self._counters)
         REGISTRY.register(self._latencies)
 
-    @property
-    def counters(self) -> Counters:
-        """What is observed."""
-        return self._counters
-
-    def count_request(self, service: str, verdict: Verdict, latency_s: float) -> None:
-        """Counts a request that ended."""
-        self._counters.count_request(service, verdict, latency_s)
-
-    def count_attempt(self, service: str) -> None:
-        """Counts a dispatch to a target."""
-        self._counters.count_attempt(service)
-
-    def count_control_bytes(self, count: int) -> None:
-        """Counts bytes of exchanges with siblings."""
-        self._counters.count_control_bytes(count)
-
-    def count_lookup(self) -> None:
-        """Counts a look-up of entry VMs."""
-        self._counters.count_lookup()
-
-    def set_ticket(self, number: int) -> None:
-        """Records the ticket in force."""
-        self._counters.configuration = number
-
     def close(self) -> None:
         """Flushes and stops the exporters."""
         REGISTRY.unregister(self._latencies)
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import signal
-import threading
 import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
@@ -12,6 +11,7 @@
 import msgspec
 
 from carawaybank import deployment as deployments
+from carawaybank import exposition
 from carawaybank.adapters import Adapter
 from carawaybank.background import BackgroundTasks
 from carawaybank.callers.front import CallerConnection, CallerRequest, Gate
@@ -22,6 +22,7 @@
 from carawaybank.dump import make_dump
 from carawaybank.entry import EntryVm
 from carawaybank.exceptions import DocumentError, ListenError, TaskError
+from carawaybank.exposition import Exposition
 from carawaybank.journal import Journal
 from carawaybank.operators.rows import OperatorRows
 from carawaybank.routing.router import Router, RouterOptions
@@ -49,8 +50,6 @@
 _LOOKUP_TTL_S = 2.0
 #: Port of the metrics, as in the deploy file.
 _METRICS_PORT = 9464
-#: Seconds after the start at which the metrics library is loaded.
-_METRICS_AFTER_S = 3.0
 DUMP_PATH = "/v1/dump"
 _JSON = [("content-type", "application/json")]
 
@@ -72,7 +71,7 @@
         self._settings_fault = ""
         self._journal = Journal(vm=deployment.vm)
         self._counters = Counters()
-        self._scrape: Callable[[], bytes] | None = None
+        self._metrics = Exposition(vm=deployment.vm, counters=self._counters)
         self._rng = random.Random(f"{deployment.vm}.{time.time_ns()}")
         self._router = Router(options=_options(deployment), rng=self._rng)
         self._vms = VmDirectory(own=_own_record(deployment))
@@ -158,7 +157,7 @@
             self._checks.run(),
             self._tidy(),
         ]
-        jobs += [self._handover.run(), self._load_metrics()]
+        jobs += [self._handover.run(), self._metrics.load_later()]
         tasks = BackgroundTasks(on_failure=self._stop_on_failure)
         for job in jobs:
             tasks.start(job)
@@ -315,23 +314,10 @@
         return HttpReply(200, _JSON, msgspec.json.encode(dump))
 
     def _answer_metrics(self, request: CallerRequest) -> HttpReply:
-        if self._scrape is None:
+        text = self._metrics.text()
+        if text is None:
             return HttpReply(503, [], b"metrics are not loaded yet\n")
-        return HttpReply(200, [("content-type", "text/plain; version=0.0.4")], self._scrape())
-
-    async def _load_metrics(self) -> None:
-        """Loads the metrics library beside the requests, once the rush of the start is over.
-
-        The thread is not waited for: an import under way must not delay a stop.
-        """
-        await asyncio.sleep(_METRICS_AFTER_S)
-        threading.Thread(target=self._make_scrape, name="metrics", daemon=True).start()
-
-    def _make_scrape(self) -> None:
-        from carawaybank.metrics import Metrics, scrape  # noqa: PLC0415
-
-        Metrics(vm=self._deployment.vm, counters=self._counters)
-        self._scrape = scrape
+        return HttpReply(200, [("content-type", exposition.CONTENT_TYPE)], text)
 
 
 def _own_record(deployment: Deployment) -> VmRecord:
--- a/src/carawaybank/operators/app.py
+++ b/src/carawaybank/operators/app.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from carawaybank import documents, metrics
+from carawaybank import documents, exposition
+from carawaybank.counters import verdict_name
 from carawaybank.exceptions import DocumentError, PlatformError
+from carawaybank.exposition import Exposition
 from carawaybank.host import Host
 from carawaybank.operators.documents import SubmissionResult
 from carawaybank.operators.readback import STATUS_PATH, ReadBack
@@ -41,6 +43,7 @@
         read_back: ReadBack,
         tickets: TicketStore,
         platform: PlatformTask,
+        metrics: Exposition,
         stop: Callable[[], None],
     ) -> None:
         """Takes what operators may use.
@@ -50,12 +53,14 @@
             read_back: Answers questions.
             tickets: Accepts tickets.
             platform: Knows when the platform was last reached.
+            metrics: Serves the metrics.
             stop: Begins a planned stop of this daemon.
         """
         self._host = host
         self._read_back = read_back
         self._tickets = tickets
         self._platform = platform
+        self._metrics = metrics
         self._stop = stop
 
     def mount(self, router: Router) -> None:
@@ -119,7 +124,9 @@
 
     def show_metrics(self, _: WebRequest) -> WebResponse:
         """Answers with metrics in the Prometheus format."""
-        return WebResponse(200, (("Content-Type", "text/plain; version=0.0.4"),), metrics.scrape())
+        self._metrics.load()
+        text = self._metrics.text() or b""
+        return WebResponse(200, (("Content-Type", exposition.CONTENT_TYPE),), text)
 
     def drain(self, _: WebRequest) -> WebResponse:
         """Begins a planned stop of this daemon."""
@@ -168,7 +175,7 @@
             retry_after_s=0.0,
         )
     result: dict[str, Any] = {
-        "verdict": metrics.verdict_name(submission),
+        "verdict": verdict_name(submission),
         "number": 0,
         "reason": str(submission.reason),
         "detail": submission.detail,
--- a/src/carawaybank/siblings/client.py
+++ b/src/carawaybank/siblings/client.py
@@ -5,8 +5,8 @@
 from collections.abc import Mapping
 
 from carawaybank import documents, headers
+from carawaybank.counters import Counters
 from carawaybank.exceptions import DocumentError
-from carawaybank.metrics import Metrics
 from carawaybank.steering.exchange import Exchange
 from carawaybank.steering.messages import PassOn, Relay, RelayEnded, RequestInfo
 from carawaybank.steering.tickets import State
@@ -29,18 +29,18 @@
     """
 
     def __init__(
-        self, *, transport: Transport, metrics: Metrics, loop: asyncio.AbstractEventLoop
+        self, *, transport: Transport, counters: Counters, loop: asyncio.AbstractEventLoop
     ) -> None:
         """Takes the connections to use.
 
         Args:
             transport: Connections to siblings.
-            metrics: Counts the bytes of exchanges.
+            counters: Counts the bytes of exchanges.
             loop: Runs the exchanges that threads call for.
         """
         self._transport = transport
         self._loop = loop
-        self._metrics = metrics
+        self._counters = counters
 
     async def relay(self, action: Relay, request: HttpRequest, info: RequestInfo) -> RelayEnded:
         """Sends a request to a sibling that owns targets; returns how it ended."""
@@ -74,7 +74,7 @@
             return verdict
         if not isinstance(verdict, Answered) or verdict.status != 200:
             return NotRun(Reason.TIMEOUT, detail="no answer to the exchange")
-        self._metrics.count_control_bytes(len(body) + len(verdict.body) + _HTTP_OVERHEAD_BYTES)
+        self._counters.count_control_bytes(len(body) + len(verdict.body) + _HTTP_OVERHEAD_BYTES)
         try:
             return documents.decode_json(verdict.body, Exchange, source=address)
         except DocumentError as error:
--- a/src/carawaybank/web.py
+++ b/src/carawaybank/web.py
@@ -10,7 +10,7 @@
 from carawaybank.callers.front import CallerConnection, CallerRequest, Gate
 from carawaybank.callers.listeners import listen
 from carawaybank.client import HttpReply
-from carawaybank.metrics import verdict_name
+from carawaybank.counters import verdict_name
 from carawaybank.routing.catalogue import Limits
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,6 +1,8 @@
 """The wiring of the daemon of the own interface, in this process."""
 
 import asyncio
+import subprocess
+import sys
 
 import pytest
 
@@ -24,11 +26,15 @@
             entries_ttl_s=0.1,
         )
         daemon = Daemon(settings=settings)
-        try:
-            with pytest.raises(TaskError, match="probes ended"):
-                await asyncio.wait_for(daemon.run(), 10.0)
-        finally:
-            daemon._metrics.close()
+        with pytest.raises(TaskError, match="probes ended"):
+            await asyncio.wait_for(daemon.run(), 10.0)
 
     monkeypatch.setattr(ProbeTask, "run", break_down)
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("module", ["carawaybank.daemon", "carawaybank.platform.__main__"])
+def test_no_daemon_loads_the_metrics_library_before_it_serves(module):
+    code = f"import sys, {module}; print([m for m in sys.modules if m.startswith('opentelemetry')])"
+    run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert run.stdout.strip() == "[]"
