--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -134,7 +134,10 @@
             self._watch(crashes.TABLE, self._crashes.take, pause_s=self._gather_s),
         ]
         self._handover = Handover(
-            watches=self._watches, seeds=self._deployment.seeds, journal=self._journal
+            watches=self._watches,
+            seeds=self._deployment.seeds,
+            own_address=self._deployment.control_address,
+            journal=self._journal,
         )
 
     async def run(self) -> None:
