Load the metrics library on the loop when metrics are first asked for

Cause: a VM ended by itself with code 132 within 0.3 s of the thread that imported the metrics library; the thread was the only one of the process, and the library started two more by looking for the machine's attributes (Resource.create). Ruled out: importing earlier in the thread (the start is when requests wait), and in a smaller thread (any thread beside the requests is the condition that the ends have in common). Change: the first scrape has the library imported on the loop in six steps of a few milliseconds; the resource is made without detectors. VMs that nobody scrapes never load it. test_loading_starts_no_thread and test_the_first_scrape_has_the_library_loaded_on_the_loop failed before.

--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -123,7 +123,7 @@
         tasks = BackgroundTasks(on_failure=self._stop_on_failure)
         tasks.start(self._probe_task.run())
         tasks.start(self._tidy())
-        tasks.start(self._metrics.load_later())
+        tasks.start(self._metrics.load_when_asked())
         own = self._settings
         self._log.info("Serving callers on {} with ticket {}", own.callers_address, self._ticket())
         await self._stopping.wait()
--- a/src/carawaybank/exposition.py
+++ b/src/carawaybank/exposition.py
@@ -1,16 +1,25 @@
 """The text that a metrics scrape gets, from a library that is loaded when it is needed.
 
-Loading the metrics library takes a third of a daemon's start, in which it serves nobody.
+Loading the metrics library takes a third of a daemon's start, in which it serves nobody, and a
+good part of its memory. It is loaded when metrics are first asked for, in steps between requests.
 """
 
 import asyncio
+import importlib
 import threading
 
 from carawaybank.counters import Counters
 
 CONTENT_TYPE = "text/plain; version=0.0.4"
-#: Seconds after the start at which the library is loaded: the rush of the start is over by then.
-_LOAD_AFTER_S = 3.0
+#: Modules of the library in the order in which they are loaded, a few milliseconds each.
+_STEPS = (
+    "prometheus_client",
+    "opentelemetry.metrics",
+    "opentelemetry.sdk.resources",
+    "opentelemetry.sdk.metrics.export",
+    "opentelemetry.exporter.prometheus",
+    "carawaybank.metrics",
+)
 
 
 class Exposition:
@@ -29,17 +38,23 @@
         self._otlp_endpoint = otlp_endpoint
         self._lock = threading.Lock()
         self._is_loaded = False
+        self._asked = asyncio.Event()
+        if otlp_endpoint:
+            self._asked.set()
 
-    async def load_later(self) -> None:
-        """Loads the library beside the requests, once the rush of the start is over.
+    async def load_when_asked(self) -> None:
+        """Loads the library on the loop once somebody asked for metrics, or pushes are set.
 
-        The thread is not waited for: an import under way must not delay a stop.
+        No thread is started: an import must neither delay a stop nor run beside the requests.
         """
-        await asyncio.sleep(_LOAD_AFTER_S)
-        threading.Thread(target=self.load, name="metrics", daemon=True).start()
+        await self._asked.wait()
+        for module in _STEPS:
+            importlib.import_module(module)
+            await asyncio.sleep(0)
+        self.load()
 
     def load(self) -> None:
-        """Loads the library, unless it is; takes a good part of a second."""
+        """Loads the library, unless it is."""
         with self._lock:
             if self._is_loaded:
                 return
@@ -49,8 +64,9 @@
             self._is_loaded = True
 
     def text(self) -> bytes | None:
-        """Returns all metrics, or None while the library is not loaded."""
+        """Returns all metrics, or None while the library is not loaded, which this asks for."""
         if not self._is_loaded:
+            self._asked.set()
             return None
         from carawaybank.metrics import scrape  # noqa: PLC0415
 
--- a/src/carawaybank/metrics.py
+++ b/src/carawaybank/metrics.py
@@ -38,7 +38,8 @@
 
             exporter = OTLPMetricExporter(endpoint=otlp_endpoint)
             readers.append(PeriodicExportingMetricReader(exporter))
-        resource = Resource.create({"service.name": "carawaybankd", "service.instance.id": vm})
+        # Resource.create would start threads that look for attributes of the machine.
+        resource = Resource({"service.name": "carawaybankd", "service.instance.id": vm})
         self._provider = MeterProvider(metric_readers=readers, resource=resource)
         self._register()
         self._latencies = _LatencyCollector(vm=vm, counters=self._counters)
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -161,7 +161,7 @@
             self._checks.run(),
             self._tidy(),
         ]
-        jobs += [self._handover.run(), self._metrics.load_later()]
+        jobs += [self._handover.run(), self._metrics.load_when_asked()]
         tasks = BackgroundTasks(on_failure=self._stop_on_failure)
         for job in jobs:
             tasks.start(job)
--- a/tests/test_exposition.py
+++ b/tests/test_exposition.py
@@ -1,5 +1,9 @@
 """The text that a metrics scrape gets."""
 
+import asyncio
+import subprocess
+import sys
+
 from carawaybank.counters import Counters
 from carawaybank.exposition import Exposition
 from carawaybank.verdicts import Answered
@@ -22,3 +26,36 @@
     exposition.load()
     exposition.load()
     assert [options["vm"] for options in made] == ["vm-o"]
+
+
+def test_the_first_scrape_has_the_library_loaded_on_the_loop():
+    async def scenario():
+        exposition = Exposition(vm="vm-l", counters=Counters())
+        loading = asyncio.create_task(exposition.load_when_asked())
+        await asyncio.sleep(0.05)
+        assert not loading.done()
+        assert exposition.text() is None
+        await asyncio.wait_for(loading, 5.0)
+        assert b"target_info" in exposition.text()
+
+    asyncio.run(scenario())
+
+
+def test_loading_starts_no_thread():
+    """A thread that imported beside the requests ended processes with SIGILL."""
+    code = """
+import asyncio, threading
+from carawaybank.counters import Counters
+from carawaybank.exposition import Exposition
+
+started = []
+start = threading.Thread.start
+threading.Thread.start = lambda self: (started.append(self.name), start(self))
+exposition = Exposition(vm="vm-t", counters=Counters())
+exposition.text()
+asyncio.run(exposition.load_when_asked())
+exposition.text()
+print(started)
+"""
+    run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert run.stdout.strip() == "[]"
