Send nothing more to a target that says that it leaves, or that it wants a pause

A leaving target says so in its answers (Server-Leaving), before or without its entry in the store; a 503 with Retry-After asks for a pause. Both were passed on and not read. An entry that vanished and came back within the same incarnation also brought a target back that had left. Ruled out: going by "Connection: close" (targets send it for other reasons too), and by the health check (it costs a slot). Change: the adapter decodes both; routing/departures.py remembers which incarnation of a target left, for longer than the target itself is known; a paused target is no candidate until the pause ends, its load goes to others or is refused with the time until the first pause ends. A health check's answer counts alike. Tests failed before: test_a_target_that_says_that_it_leaves_gets_nothing_more_whatever_the_store_says and three others.

--- a/src/carawaybank/platform/dialect.py
+++ b/src/carawaybank/platform/dialect.py
@@ -23,10 +23,16 @@
 #: ``running,waiting,slots``.
 _SERVER_LOAD = "X-Carawaybank-Server-Load"
 _COLD_MS = "X-Carawaybank-Cold-Ms"
+#: In all answers of a target that leaves, whatever its entry in the store says.
+_LEAVING = "Server-Leaving"
+_RETRY_AFTER = "Retry-After"
 
 _CONNECTION_HEADERS = CONNECTION | {"expect"}
 _OWN_HEADERS = frozenset({_DEADLINE_MS.lower(), _EXPECT_INSTANCE.lower()})
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+#: Longest pause in seconds that a target may ask for; beyond it the header is taken for a mistake.
+_LONGEST_PAUSE_S = 120.0
 _SUCCESS = range(200, 300)
 
 
@@ -68,7 +74,7 @@
         if request_id:
             headers.append((_REQUEST_ID, request_id))
         if retry_after_s is not None:
-            headers.append(("Retry-After", f"{retry_after_s:.2f}"))
+            headers.append((_RETRY_AFTER, f"{retry_after_s:.2f}"))
         return headers
 
     def health_call(self, path: str, *, address: str) -> HttpCall:
@@ -82,6 +88,7 @@
             is_healthy=reply.status == 200,
             target_id=reply.header(_INSTANCE_ID) or "",
             cold_left_s=int(cold_ms) / 1000 if cold_ms.isdigit() else 0.0,
+            is_leaving=reply.header(_LEAVING) == "1",
         )
 
     def encode(self, call: HttpCall, *, target_id: str, left_s: float) -> HttpCall:
@@ -99,16 +106,19 @@
         if reply.status == _MISDIRECTED:
             verdict = NotRun(Reason.NOT_OWNER, 0.0, "another target has the address")
             return TargetReply(verdict, load, other_target=True)
+        leaving = reply.header(_LEAVING) == "1"
+        pause_s = read_pause(reply)
         if reply.header(_NOT_RUN) is not None:
-            return TargetReply(NotRun(Reason.TARGET_SHED, 0.5, "the target is full"), load)
+            shed = NotRun(Reason.TARGET_SHED, pause_s or 0.5, "the target is full")
+            return TargetReply(shed, load, leaving=leaving, pause_s=pause_s)
         problem = _find_problem(call, reply)
         if problem is not None:
-            return TargetReply(problem, load)
+            return TargetReply(problem, load, leaving=leaving, pause_s=pause_s)
         headers = tuple(
             (name, value) for name, value in reply.headers if name not in _CONNECTION_HEADERS
         )
         answer = Answered(reply.status, headers, reply.body)
-        return TargetReply(answer, load, draining=reply.closes)
+        return TargetReply(answer, load, leaving=leaving, pause_s=pause_s)
 
 
 def read_load(reply: HttpReply) -> LoadReport | None:
@@ -120,6 +130,17 @@
     return LoadReport(running, waiting, slots)
 
 
+def read_pause(reply: HttpReply) -> float:
+    """Returns the seconds for which a target that turned a request away wants nothing more."""
+    if reply.status != _UNAVAILABLE:
+        return 0.0
+    try:
+        pause_s = float(reply.header(_RETRY_AFTER) or 0.0)
+    except ValueError:
+        return 0.0
+    return pause_s if 0.0 < pause_s <= _LONGEST_PAUSE_S else 0.0
+
+
 def _find_problem(call: HttpCall, reply: HttpReply) -> MayHaveRun | None:
     """Returns why an answer cannot be the target's answer to the call."""
     _, request_id = call.echo
--- a/src/carawaybank/routing/directory.py
+++ b/src/carawaybank/routing/directory.py
@@ -1,5 +1,6 @@
 """The targets that an entry VM knows, by service and place."""
 
+from carawaybank.routing.departures import Departures
 from carawaybank.routing.fleet import Target, TargetEntry
 from carawaybank.routing.placement import HashPool
 
@@ -13,6 +14,7 @@
         self._usable: dict[str, list[Target]] = {}
         self._pools = HashPool()
         self._evacuated: frozenset[str] = frozenset()
+        self.departures = Departures()
         #: Whether any request was routed yet.
         self.is_serving = False
 
@@ -41,6 +43,10 @@
 
     def update(self, entry: TargetEntry, *, now: float) -> bool:
         """Takes an announcement; returns whether it changed anything but its number."""
+        if entry.draining:
+            self.departures.note(entry.target_id, entry.incarnation)
+        elif self.departures.has_left(entry.target_id, entry.incarnation):
+            entry = entry._replace(draining=True)
         known = self._targets.get(entry.target_id)
         if known is None:
             target = Target(entry=entry, now=now, is_newcomer=self.is_serving)
@@ -57,6 +63,16 @@
             self._reindex()
         return changed
 
+    def note_leaving(self, target: Target) -> bool:
+        """Takes a target's own word that it is leaving; returns whether that was news."""
+        entry = target.entry
+        if entry.draining or self._targets.get(entry.target_id) is not target:
+            return False
+        self.departures.note(entry.target_id, entry.incarnation)
+        target.entry = entry._replace(draining=True)
+        self._reindex()
+        return True
+
     def remove(self, target_id: str) -> bool:
         """Forgets a target; returns whether it was known."""
         if self._targets.pop(target_id, None) is None:
--- a/src/carawaybank/routing/fleet.py
+++ b/src/carawaybank/routing/fleet.py
@@ -85,6 +85,7 @@
         #: Requests for each slot, averaged over reports of the last seconds.
         self.usual_load = 0.0
         self.cold_until = 0.0
+        self._paused_until = 0.0
         self.down_since: float | None = None
         self.next_check = 0.0
         self._check_pause_s = CHECK_PAUSES_S[0]
@@ -123,6 +124,14 @@
         """Returns whether the target is cold."""
         return now < self.cold_until
 
+    def pause(self, seconds: float, *, now: float) -> None:
+        """Records that it wants nothing from this entry VM for some time."""
+        self._paused_until = max(self._paused_until, now + seconds)
+
+    def paused_s(self, *, now: float) -> float:
+        """Returns the seconds for which it still wants nothing from this entry VM."""
+        return max(0.0, self._paused_until - now)
+
     def busy(self, *, now: float, work_s: float) -> float:
         """Returns the requests of all callers that it probably has, running or waiting.
 
@@ -186,5 +195,5 @@
         self._others, self._others_at = 0.0, now
         self._is_reported = False
         self.slowness, self.failure_share, self.usual_load = 1.0, 0.0, 0.0
-        self.cold_until = 0.0
+        self.cold_until = self._paused_until = 0.0
         self.recover()
--- a/src/carawaybank/routing/messages.py
+++ b/src/carawaybank/routing/messages.py
@@ -35,7 +35,8 @@
         verdict: What is known of it.
         latency_s: Seconds from sending to the end.
         load: The target's report of its load, if any.
-        draining: Whether the target announced that it closes connections.
+        leaving: Whether the target said that it is leaving.
+        pause_s: Seconds for which the target wants nothing from this entry VM.
         other_target: Whether the address belongs to another target now.
         lost_target: Whether the connection broke in a way that a crash would explain.
     """
@@ -43,7 +44,8 @@
     verdict: Verdict
     latency_s: float
     load: LoadReport | None = None
-    draining: bool = False
+    leaving: bool = False
+    pause_s: float = 0.0
     other_target: bool = False
     lost_target: bool = False
 
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -247,7 +247,8 @@
     def _place(self, progress: Progress, now: float) -> Action:
         choice = selection.choose(self, progress, now)
         if choice is None:
-            refusal = admission.refuse(progress.route.objective_s, rng=self._rng)
+            wait_s = selection.paused_s(self, progress, now) or progress.route.objective_s
+            refusal = admission.refuse(wait_s, rng=self._rng)
             return self._give_up(progress, refusal, "no target can take it")
         judged = self._judge(progress, choice, now)
         if judged is not None:
@@ -302,6 +303,10 @@
         target = choice.target
         if result.load is not None:
             target.note_load(result.load, now=now)
+        if result.pause_s:
+            target.pause(result.pause_s, now=now)
+        if result.leaving:
+            self.targets.note_leaving(target)
         if result.other_target:
             self.targets.remove(target.entry.target_id)
         verdict = result.verdict
--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -91,7 +91,7 @@
 
 def _may_get(router: "Router", progress: Progress, target: Target, now: float) -> bool:
     target_id = target.entry.target_id
-    if target.is_down or target_id in progress.tried:
+    if target.is_down or target_id in progress.tried or target.paused_s(now=now):
         return False
     rate = router.cold_rate(progress.service)
     if not rate or not target.is_cold(now=now):
@@ -99,6 +99,12 @@
     return router.cold_starts.may_send(target_id, vms=router.vms, rate=rate, now=now)
 
 
+def paused_s(router: "Router", progress: Progress, now: float) -> float:
+    """Returns the seconds until the first target that turned requests away wants some again."""
+    pauses = (target.paused_s(now=now) for target in router.targets.usable(progress.service))
+    return min((pause for pause in pauses if pause), default=0.0)
+
+
 def _find_newcomer(router: "Router", progress: Progress, now: float) -> Target | None:
     """Returns a target of the own region that joined lately and got nothing from here yet.
 
--- a/src/carawaybank/targets/checks.py
+++ b/src/carawaybank/targets/checks.py
@@ -24,11 +24,13 @@
         is_healthy: Whether it considers itself healthy and is not leaving.
         target_id: Which target answered; empty if it did not say.
         cold_left_s: Seconds for which it stays cold.
+        is_leaving: Whether it said that it is leaving.
     """
 
     is_healthy: bool
     target_id: str
     cold_left_s: float
+    is_leaving: bool = False
 
 
 class HealthDialect(Protocol):
@@ -129,6 +131,9 @@
         if health.target_id and health.target_id != target.entry.target_id:
             self._note(target, "address taken", health.target_id)
             self._router.targets.remove(target.entry.target_id)
+        elif health.is_leaving:
+            self._note(target, "leaving", "as its answer to a check says")
+            self._router.targets.note_leaving(target)
         elif health.is_healthy:
             if health.cold_left_s:
                 target.set_cold(health.cold_left_s, now=now)
--- a/src/carawaybank/targets/sender.py
+++ b/src/carawaybank/targets/sender.py
@@ -23,13 +23,15 @@
         verdict: Whether it answers the request, or says that it did not run.
         load: The target's load, if it reports it.
         other_target: Whether another target has the address now.
-        draining: Whether the target said that it is leaving.
+        leaving: Whether the target said that it is leaving.
+        pause_s: Seconds for which the target wants nothing from this entry VM.
     """
 
     verdict: Verdict
     load: LoadReport | None = None
     other_target: bool = False
-    draining: bool = False
+    leaving: bool = False
+    pause_s: float = 0.0
 
 
 class TargetDialect(Protocol):
@@ -85,7 +87,8 @@
             meaning.verdict,
             loop.time() - started,
             load=meaning.load,
-            draining=meaning.draining,
+            leaving=meaning.leaving,
+            pause_s=meaning.pause_s,
             other_target=meaning.other_target,
         )
 
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -203,6 +203,26 @@
     assert other.other_target
 
 
+def test_a_target_that_leaves_says_so_in_any_answer():
+    dialect = PlatformDialect()
+    own = {"X_Carawaybank_Request_Id": "r1", "X_Carawaybank_Server_Seal": "s"}
+    assert dialect.decode(CALL, reply(Server_Leaving="1", **own)).leaving
+    assert dialect.decode(CALL, reply(503, Server_Leaving="1", X_Carawaybank_Not_Run="1")).leaving
+    assert not dialect.decode(CALL, reply(**own)).leaving
+    other = dialect.decode(CALL, reply(421, Server_Leaving="1", X_Carawaybank_Instance_Id="i-2"))
+    assert not other.leaving
+    assert dialect.read_health(reply(503, Server_Leaving="1")).is_leaving
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "pause_s"),
+    [(503, "1.5", 1.5), (503, "soon", 0), (503, "-2", 0), (503, "nan", 0), (200, "2", 0)],
+)
+def test_only_a_target_that_turned_a_request_away_asks_for_a_pause(status, text, pause_s):
+    shed = reply(status, Retry_After=text, X_Carawaybank_Not_Run="1")
+    assert PlatformDialect().decode(CALL, shed).pause_s == pause_s
+
+
 @pytest.mark.parametrize("text", ["", "1,2", "a,b,c", "1,2,3,4", "-1,0,4"])
 def test_a_load_that_cannot_be_read_is_none(text):
     assert read_load(reply(X_Carawaybank_Server_Load=text)) is None
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -255,3 +255,44 @@
         router.end_attempt(key, run, now + latency_s)
     target = router.targets.find(TARGETS[0].target_id)
     assert (target.slowness > 1.2) is is_slow
+
+
+def test_a_target_that_says_that_it_leaves_gets_nothing_more_whatever_the_store_says():
+    router = make_router(*TARGETS)
+    sent = router.arrive(make_request(1), 0.0)
+    router.end_attempt(1, answered()._replace(leaving=True), 0.1)
+    leaving = next(entry for entry in TARGETS if entry.target_id == sent.target_id)
+    router.targets.update(leaving._replace(sequence=9), now=0.2)
+    router.targets.remove(leaving.target_id)
+    router.targets.update(leaving._replace(sequence=10), now=0.3)
+    for key in range(2, 60):
+        action = router.arrive(make_request(key, object_key=f"o{key}"), 0.4)
+        assert action.target_id != leaving.target_id
+    router.targets.update(leaving._replace(incarnation=1), now=0.5)
+    assert any(target.entry.target_id == leaving.target_id for target in usable(router))
+
+
+def test_a_target_that_asked_for_a_pause_gets_nothing_until_it_ends():
+    router = make_router(TARGETS[0])
+    router.arrive(make_request(1), 0.0)
+    turned_away = shed()._replace(pause_s=2.0)
+    assert isinstance(router.end_attempt(1, turned_away, 0.1), Finish)
+    for key, now in enumerate((0.2, 1.0, 2.0), start=2):
+        refused = router.arrive(make_request(key), now)
+        assert isinstance(refused, Finish)
+        assert refused.verdict.retry_after_s >= 2.1 - now
+    assert isinstance(router.arrive(make_request(9), 2.2), Send)
+
+
+def test_the_load_that_a_paused_target_spared_goes_elsewhere():
+    router = make_router(*TARGETS)
+    first = router.arrive(make_request(1), 0.0)
+    second = router.end_attempt(1, shed()._replace(pause_s=1.0), 0.1)
+    assert isinstance(second, Send)
+    for key in range(2, 40):
+        action = router.arrive(make_request(key, object_key=f"o{key}"), 0.5)
+        assert action.target_id != first.target_id
+
+
+def usable(router):
+    return router.targets.usable("ledger")
