--- a/src/carawaybank/callers/listeners.py
+++ b/src/carawaybank/callers/listeners.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from carawaybank.callers.front import CallerConnection, Gate
+from carawaybank.callers.front import CallerConnection, Gate, Handler
 from carawaybank.callers.requests import CallerRequest
 from carawaybank.exceptions import ListenError
 from carawaybank.replies import HttpReply
@@ -22,6 +22,15 @@
     async def handle(request: CallerRequest) -> HttpReply:
         return answer(request)
 
+    return serve(handle)
+
+
+def serve(handle: Handler) -> Callable[[], CallerConnection]:
+    """Returns a maker of connections whose requests are answered by a coroutine.
+
+    Args:
+        handle: Answers a request.
+    """
     gate = Gate(handle=handle, limits=Limits, is_closing=lambda: False)
     connections: set[CallerConnection] = set()
     return lambda: CallerConnection(gate=gate, connections=connections)
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -15,7 +15,7 @@
 from carawaybank.adapters import Adapter
 from carawaybank.background import BackgroundTasks
 from carawaybank.callers.front import CallerConnection, Gate
-from carawaybank.callers.listeners import listen, serve_text
+from carawaybank.callers.listeners import listen, serve, serve_text
 from carawaybank.callers.requests import CallerRequest
 from carawaybank.counters import Counters
 from carawaybank.deployment import Deployment
@@ -28,9 +28,11 @@
 from carawaybank.replies import HttpReply
 from carawaybank.routing.router import Router, RouterOptions
 from carawaybank.siblings import registration
-from carawaybank.siblings.handover import TABLES_PATH, Handover
+from carawaybank.siblings.handover import DEPARTURES_PATH, Handover
 from carawaybank.siblings.heartbeat import HeartbeatTask
 from carawaybank.siblings.registration import Registrations
+from carawaybank.siblings.sources import TableSource
+from carawaybank.siblings.tables import CHANGES_PATH, TABLE_PATH, TableServer
 from carawaybank.siblings.vms import VmDirectory, VmRecord
 from carawaybank.targets import crashes
 from carawaybank.targets.checks import HealthChecks
@@ -85,6 +87,7 @@
             versions=lambda: {watch.table: watch.changed_at for watch in self._watches},
             on_change=self._registrations.note_change,
             on_versions=self._compare_versions,
+            on_sent=self._review_sources,
         )
 
     def _make_request_path(self) -> None:
@@ -128,6 +131,9 @@
             journal=self._journal,
             rng=self._rng,
         )
+        self._source = TableSource(
+            vms=self._vms, store=adapter.store, journal=self._journal, rng=self._rng
+        )
         self._watches = [
             self._watch(adapter.orders_table, self._take_orders),
             self._watch(adapter.targets_table, self._take_targets, pause_s=self._gather_s),
@@ -136,10 +142,12 @@
         ]
         self._handover = Handover(
             watches=self._watches,
+            departures=self._router.targets.departures,
             seeds=self._deployment.seeds,
             own_address=self._deployment.control_address,
             journal=self._journal,
         )
+        self._tables = TableServer(watches=self._watches)
 
     async def run(self) -> None:
         """Serves until a signal to stop, and ends what is under way.
@@ -197,7 +205,7 @@
             await listen(metrics_address, serve_text(self._answer_metrics)),
         ]
         if deployment.control_address:
-            control = serve_text(self._answer_control)
+            control = serve(self._answer_control)
             servers.append(await listen(deployment.control_address, control))
         return servers
 
@@ -209,11 +217,10 @@
         pause_s: Callable[[], float] = lambda: 0.0,
     ) -> TableWatch:
         return TableWatch(
-            store=self._adapter.store,
+            source=self._source,
             table=table,
             on_changes=on_changes,
             journal=self._journal,
-            rng=self._rng,
             pause_s=pause_s,
         )
 
@@ -225,6 +232,10 @@
         for watch in self._watches:
             watch.compare(versions.get(watch.table, 0))
 
+    def _review_sources(self) -> None:
+        for watch in self._watches:
+            watch.review()
+
     def _take_orders(self, changes: Changes) -> None:
         self._orders.take(changes)
         self._note_loaded()
@@ -253,7 +264,7 @@
         self._journal.note("daemon", "stopping", connections=len(self._connections))
         self._vm.is_stopping = True
         self._vms.stop()
-        self._heartbeat.send(everywhere=True)
+        self._heartbeat.send_stop()
         deregistration = asyncio.create_task(self._registrations.deregister())
         end = started + self._deployment.stop_within_s - _STOP_MARGIN_S
         while loop.time() < end:
@@ -302,9 +313,11 @@
             ttl_s=min(_LOOKUP_TTL_S, self._deployment.lookup_ttl_s),
         )
 
-    def _answer_control(self, request: CallerRequest) -> HttpReply:
+    async def _answer_control(self, request: CallerRequest) -> HttpReply:
         """Answers siblings that start, and the command-line tool."""
-        if request.path == TABLES_PATH:
+        if request.path.startswith((TABLE_PATH, CHANGES_PATH)):
+            return await self._tables.answer(request)
+        if request.path == DEPARTURES_PATH:
             return self._handover.answer(request)
         if request.path != DUMP_PATH:
             return HttpReply(404, [], b"")
@@ -332,6 +345,7 @@
         failure_domain=deployment.failure_domain,
         region=deployment.region,
         incarnation=time.time_ns() // 1_000_000,
+        control_address=deployment.control_address,
     )
 
 
--- a/src/carawaybank/rows.py
+++ b/src/carawaybank/rows.py
@@ -39,14 +39,21 @@
 
 
 class Rows(NamedTuple):
-    """Rows of a table as of a version of the store."""
+    """Rows of a table as of a version of the store.
+
+    Attributes:
+        rows: Rows, or changed rows.
+        version: The store's version when they were read.
+        after_outage: Whether the store was out of reach just before they were read.
+    """
 
     rows: list[Row]
     version: int
+    after_outage: bool = False
 
 
-class RowStore(Protocol):
-    """A store of tables whose rows have versions."""
+class RowReader(Protocol):
+    """Something that tells the rows of tables: the store, or a sibling that reads it."""
 
     async def read(self, table: str) -> Rows:
         """Returns all rows of a table.
@@ -63,6 +70,10 @@
             StoreError: If the store does not answer.
         """
 
+
+class RowStore(RowReader, Protocol):
+    """A store of tables whose rows have versions."""
+
     async def put(self, table: str, key: str, value: bytes) -> None:
         """Writes a row.
 
--- a/src/carawaybank/siblings/heartbeat.py
+++ b/src/carawaybank/siblings/heartbeat.py
@@ -1,8 +1,10 @@
 """Heartbeats among entry VMs, as datagrams.
 
-Siblings of the own region hear each heartbeat, those of other regions every third, because traffic
-between regions is dear. Heartbeats also say how far a VM has read the watched tables, so that one
-whose watch went silent notices that it is behind.
+Each VM sends its heartbeat to the two readers of its failure domain. A reader sends its own, with
+the reports that it knows, to all VMs of its failure domain, and with its own report to the readers
+of the others; to those of other regions every third time, because traffic between regions is dear.
+Heartbeats also say how far a VM has read the watched tables, so that one whose watch went silent
+notices that it is behind.
 """
 
 import asyncio
@@ -16,7 +18,8 @@
 
 #: Seconds between heartbeats; four fit into the limit of silence.
 INTERVAL_S = 0.6
-#: Heartbeats of which siblings in other regions hear one.
+#: Heartbeats of which readers of other failure domains hear one, in the own and in other regions.
+NEAR_EVERY = 2
 REMOTE_EVERY = 3
 
 
@@ -30,6 +33,7 @@
         versions: Callable[[], dict[str, int]],
         on_change: Callable[[VmRecord], None],
         on_versions: Callable[[dict[str, int]], None],
+        on_sent: Callable[[], None] = lambda: None,
     ) -> None:
         """Starts without a socket.
 
@@ -38,11 +42,13 @@
             versions: Returns the newest version read of each watched table.
             on_change: Called when a heartbeat said something new of a VM.
             on_versions: Called with the versions that another VM has read.
+            on_sent: Called after each round, when readers may have changed.
         """
         self._vms = vms
         self._versions = versions
         self._on_change = on_change
         self._on_versions = on_versions
+        self._on_sent = on_sent
         self._transport: asyncio.DatagramTransport | None = None
         self._count = 0
 
@@ -64,18 +70,42 @@
     async def run(self) -> None:
         """Sends heartbeats until cancelled."""
         while True:
-            self.send(everywhere=self._count % REMOTE_EVERY == 0)
-            self._count += 1
+            self.send()
+            self._on_sent()
             await asyncio.sleep(INTERVAL_S)
 
-    def send(self, *, everywhere: bool) -> None:
-        """Sends a heartbeat to the siblings of the own region, or to all."""
-        if self._transport is None:
+    def send(self) -> None:
+        """Sends a heartbeat to those whose turn it is."""
+        now = asyncio.get_running_loop().time()
+        self._count += 1
+        own = self._vms.own
+        readers = self._vms.readers(now=now)
+        if own not in readers:
+            self._send(self._vms.beat(self._versions()), readers)
             return
-        data = msgspec.json.encode(self._vms.beat(self._versions()))
-        for record in self._vms.others:
-            if not everywhere and not self._vms.is_near(record):
-                continue
+        domain = own.failure_domain
+        report = {domain: [self._vms.own_report(now=now)]}
+        known = self._vms.known_reports(now=now)
+        whole = {**known, domain: [*known.get(domain, ()), *report[domain]]}
+        self._send(self._vms.beat(self._versions(), whole), self._vms.mates)
+        remote = [record for record in self._vms.remote_readers(now=now) if self._is_turn(record)]
+        self._send(self._vms.beat(self._versions(), report), remote)
+
+    def send_stop(self) -> None:
+        """Tells the own failure domain and the readers of the others that this VM stops."""
+        now = asyncio.get_running_loop().time()
+        beat = self._vms.beat(self._versions())
+        self._send(beat, [*self._vms.mates, *self._vms.remote_readers(now=now)])
+
+    def _is_turn(self, record: VmRecord) -> bool:
+        every = NEAR_EVERY if self._vms.is_near(record) else REMOTE_EVERY
+        return self._count % every == 0
+
+    def _send(self, beat: Heartbeat, records: list[VmRecord]) -> None:
+        if self._transport is None or not records:
+            return
+        data = msgspec.json.encode(beat)
+        for record in records:
             host, _, port = record.sibling_address.rpartition(":")
             with contextlib.suppress(OSError):  # a full socket buffer; the next one follows
                 self._transport.sendto(data, (host, int(port)))
--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -1,15 +1,13 @@
 """The entry VMs that are known, and which of them callers are told to use.
 
-A VM is listed while its heartbeats arrive, or for a short time after it registered. A VM that
-hears nobody cannot tell its own isolation from the loss of the others and lists them all.
+A VM is listed while it is heard or a report has it, or for a short time after it registered. A VM
+that hears nobody cannot tell its own isolation from the loss of the others and lists them all.
 """
 
 from typing import NamedTuple
 
-#: Seconds without a heartbeat after which a VM of the own region is not listed any more.
-SILENCE_LIMIT_S = 2.5
-#: The same for VMs of other regions, whose heartbeats come less often.
-REMOTE_SILENCE_LIMIT_S = 5.0
+from carawaybank.siblings.liveness import SILENCE_LIMIT_S, DomainReport, Liveness
+
 #: Fewest VMs that a look-up names, if there are so many in the caller's region.
 FEWEST_LISTED = 2
 #: Most VMs that a look-up names.
@@ -27,6 +25,7 @@
         region: Its region.
         incarnation: Start of its process; a higher one replaces a lower one.
         stopping: Whether it is shutting down.
+        control_address: Where siblings read the tables that it has read; empty if nowhere.
     """
 
     vm: str
@@ -36,6 +35,7 @@
     region: str
     incarnation: int
     stopping: bool = False
+    control_address: str = ""
 
 
 class Heartbeat(NamedTuple):
@@ -46,16 +46,20 @@
         incarnation: Start of its process.
         stopping: Whether it is shutting down.
         versions: Newest version that it read of each watched table.
+        reaches_store: Whether the store answered its last call.
+        reports: What readers say of the VMs of each failure domain.
     """
 
     vm: str
     incarnation: int
     stopping: bool
     versions: dict[str, int]
+    reaches_store: bool = True
+    reports: dict[str, list[DomainReport]] | None = None
 
 
 class VmDirectory:
-    """Entry VMs by name, with the time at which each was heard last."""
+    """Entry VMs by name, and which of them are alive."""
 
     def __init__(self, *, own: VmRecord) -> None:
         """Starts with this VM alone.
@@ -65,7 +69,10 @@
         """
         self._own = own
         self._records: dict[str, VmRecord] = {}
-        self._heard: dict[str, float] = {}
+        self._registered: dict[str, float] = {}
+        self._liveness = Liveness(own=own.vm)
+        #: Whether the store answered this VM's last call.
+        self.reaches_store = True
 
     @property
     def own(self) -> VmRecord:
@@ -82,13 +89,56 @@
         """Names of all known VMs, this one included."""
         return (self._own.vm, *self._records)
 
+    @property
+    def mates(self) -> list[VmRecord]:
+        """The other known VMs of the own failure domain."""
+        domain = self._own.failure_domain
+        return [record for record in self._records.values() if record.failure_domain == domain]
+
     def stop(self) -> None:
         """Records that this VM is shutting down."""
         self._own = self._own._replace(stopping=True)
 
-    def beat(self, versions: dict[str, int]) -> Heartbeat:
+    def readers(self, *, now: float) -> list[VmRecord]:
+        """Returns the VMs that read the store for the own failure domain."""
+        members = [record.vm for record in [self._own, *self.mates] if not record.stopping]
+        self._liveness.hear(self._own.vm, reaches_store=self.reaches_store, now=now)
+        names = self._liveness.readers(members, now=now)
+        return [self._own if name == self._own.vm else self._records[name] for name in names]
+
+    def remote_readers(self, *, now: float) -> list[VmRecord]:
+        """Returns the probable readers of all other failure domains."""
+        by_domain: dict[str, list[str]] = {}
+        for record in self._records.values():
+            if record.failure_domain != self._own.failure_domain and not record.stopping:
+                by_domain.setdefault(record.failure_domain, []).append(record.vm)
+        return [
+            self._records[name]
+            for domain, members in by_domain.items()
+            for name in self._liveness.remote_readers(domain, members, now)
+        ]
+
+    def beat(
+        self, versions: dict[str, int], reports: dict[str, list[DomainReport]] | None = None
+    ) -> Heartbeat:
         """Returns this VM's heartbeat."""
-        return Heartbeat(self._own.vm, self._own.incarnation, self._own.stopping, versions)
+        own = self._own
+        return Heartbeat(
+            own.vm, own.incarnation, own.stopping, versions, self.reaches_store, reports
+        )
+
+    def own_report(self, *, now: float) -> DomainReport:
+        """Returns what this VM, as a reader, says of its failure domain."""
+        mates = self.mates
+        stopping = [record.vm for record in mates if record.stopping]
+        if self._own.stopping:
+            stopping.append(self._own.vm)
+        fresh = [record.vm for record in mates if not self._is_new(record.vm, now)]
+        return self._liveness.report(fresh, stopping=stopping, now=now)
+
+    def known_reports(self, *, now: float) -> dict[str, list[DomainReport]]:
+        """Returns the reports of other readers that still count."""
+        return self._liveness.fresh_reports(now=now)
 
     def update(self, record: VmRecord, *, now: float) -> bool:
         """Takes a VM's registration or its own word; returns whether it was news."""
@@ -103,36 +153,39 @@
             return False
         self._records[record.vm] = record
         if known is None or record.incarnation > known.incarnation:
-            self._heard[record.vm] = now
+            self._registered[record.vm] = now
         return True
 
     def remove(self, vm: str, *, now: float) -> None:
         """Forgets a VM whose registration was removed, unless it is still heard."""
-        if not self.is_heard(vm, now=now) or self._records[vm].stopping:
-            self._records.pop(vm, None)
-            self._heard.pop(vm, None)
+        record = self._records.get(vm)
+        if record is not None and (record.stopping or not self.is_alive(record, now=now)):
+            del self._records[vm]
+            self._registered.pop(vm, None)
+            self._liveness.forget(vm)
 
     def hear(self, beat: Heartbeat, *, now: float) -> VmRecord | None:
         """Records a heartbeat; returns the VM's record if the heartbeat changed it."""
         record = self._records.get(beat.vm)
         if record is None or beat.incarnation < record.incarnation:
             return None
-        self._heard[beat.vm] = now
+        self._liveness.hear(beat.vm, reaches_store=beat.reaches_store, now=now)
+        for domain, reports in (beat.reports or {}).items():
+            for report in reports:
+                if report.reporter != self._own.vm:
+                    self._liveness.take_report(domain, report, now=now)
         changed = record._replace(incarnation=beat.incarnation, stopping=beat.stopping)
         return changed if self.update(changed, now=now) else None
 
-    def is_heard(self, vm: str, *, now: float) -> bool:
-        """Returns whether a VM's heartbeats arrive."""
-        record = self._records.get(vm)
-        if record is None:
-            return False
-        limit_s = SILENCE_LIMIT_S if self.is_near(record) else REMOTE_SILENCE_LIMIT_S
-        return now - self._heard.get(vm, float("-inf")) <= limit_s
+    def is_alive(self, record: VmRecord, *, now: float) -> bool:
+        """Returns whether a VM is heard, reported, or new."""
+        if self._is_new(record.vm, now):
+            return True
+        return self._liveness.is_alive(record.vm, record.failure_domain, now=now)
 
     def silent_s(self, vm: str, *, now: float) -> float | None:
-        """Returns the seconds since a VM was heard, or None if it never was."""
-        heard_at = self._heard.get(vm)
-        return None if heard_at is None else now - heard_at
+        """Returns the seconds since a VM was heard itself, or None if it never was."""
+        return self._liveness.silent_s(vm, now=now)
 
     def is_near(self, record: VmRecord) -> bool:
         """Returns whether a VM is of the own region."""
@@ -146,8 +199,11 @@
             near = [record for record in listed if record.region == region] or near
         return (near or listed)[:MOST_LISTED]
 
+    def _is_new(self, vm: str, now: float) -> bool:
+        return now - self._registered.get(vm, float("-inf")) <= SILENCE_LIMIT_S
+
     def _listed(self, now: float) -> list[VmRecord]:
-        heard = [record for record in self._records.values() if self.is_heard(record.vm, now=now)]
-        if not heard:
-            heard = list(self._records.values())
-        return [self._own, *heard]
+        alive = [record for record in self._records.values() if self.is_alive(record, now=now)]
+        if not alive:
+            alive = list(self._records.values())
+        return [self._own, *alive]
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -1,19 +1,27 @@
-"""Follows tables of the store: a whole reading first, then the changes as they come."""
+"""Follows tables: a whole reading first, then the changes as they come.
+
+A table is read from the store, or from a sibling that reads the store for the failure domain. What
+was read is kept, so that siblings can follow it here.
+"""
 
 import asyncio
-import random
-from collections.abc import Callable, Coroutine
-from typing import Any, NamedTuple
+from collections import deque
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, NamedTuple, Protocol
 
 from carawaybank.journal import Journal
-from carawaybank.rows import HistoryGoneError, Row, Rows, RowStore, StoreError
+from carawaybank.rows import HistoryGoneError, Row, RowReader, Rows, StoreError
 
-#: Seconds for which the store holds a call that has no news.
+#: Seconds for which a call that has no news is held.
 _WAIT_S = 20.0
-#: Bounds in seconds of the pause after a failed call.
-_PAUSES_S = (0.1, 0.4)
-#: Seconds for which a watch may be behind a sibling's before it is started again.
+#: Seconds for which a watch may be behind a sibling's before it is started again: of the store,
+#: which may be slow, and of a reader of the own failure domain.
 _BEHIND_S = 0.7
+_BEHIND_READER_S = 0.4
+#: Seconds after an outage for which rows count as read after it: lapsed ones are back by then.
+_RETURN_S = 3.0
+#: Changes that are kept for siblings; one that is further behind reads the whole table.
+_MOST_CHANGES = 2_000
 
 
 class Changes(NamedTuple):
@@ -30,47 +38,69 @@
     after_outage: bool
 
 
+class Source(Protocol):
+    """From whom tables are read at the moment."""
+
+    def is_store(self, reader: RowReader) -> bool:
+        """Returns whether a reader is the store itself."""
+
+    def choose(self) -> RowReader:
+        """Returns whom to ask now."""
+
+    async def wait_for_turn(self, reader: RowReader) -> None:
+        """Returns when a call may be made: one at a time while the store does not answer."""
+
+    def note_answer(self, reader: RowReader) -> None:
+        """Records that a reader answered."""
+
+    def note_failure(self, reader: RowReader, error: StoreError) -> None:
+        """Records that a reader failed."""
+
+    def avoid(self, reader: RowReader, reason: str) -> None:
+        """Asks others than a sibling for a while."""
+
+
 class TableWatch:
     """Follows one table and passes on what it says."""
 
     def __init__(
         self,
         *,
-        store: RowStore,
+        source: Source,
         table: str,
         on_changes: Callable[[Changes], None],
         journal: Journal,
-        rng: random.Random,
         pause_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Starts without having read anything.
 
         Args:
-            store: The store.
+            source: From whom the table is read.
             table: Name of the table.
             on_changes: Takes what the table said.
             journal: Where losses of the store are noted.
-            rng: Source of the pauses' jitter.
             pause_s: Returns the seconds after a change for which further ones are left to
                 gather, so that a rush of changes takes few calls.
         """
         self._pause_s = pause_s
-        self._store = store
+        self._source = source
         self._table = table
         self._on_changes = on_changes
         self._journal = journal
-        self._rng = rng
         self._version: int | None = None
         self._failures = 0
         self._changed_at = 0
         self._behind_since: float | None = None
         self._call: asyncio.Task[Rows] | None = None
+        self._reader: RowReader | None = None
+        self._regained_at = float("-inf")
         self._rows: dict[str, Row] = {}
         self._read_at: float | None = None
+        self._history = _History()
 
     @property
     def read_at(self) -> float | None:
-        """Time at which the store answered last; None if it never did."""
+        """Time at which the table was read last; None if it never was."""
         return self._read_at
 
     @property
@@ -81,19 +111,14 @@
     @property
     def rows(self) -> Rows:
         """All rows as they were read last, or none before the first reading."""
-        return Rows(list(self._rows.values()), self._version or 0)
+        since_s = asyncio.get_running_loop().time() - self._regained_at
+        return Rows(list(self._rows.values()), self._version or 0, since_s < _RETURN_S)
 
     @property
     def is_loaded(self) -> bool:
         """Whether the table was read, here or by a sibling."""
         return self._version is not None
 
-    def adopt(self, rows: Rows) -> None:
-        """Takes a sibling's rows while the store cannot be read."""
-        if self._version is None and rows.version:
-            self._journal.note("store", "read by a sibling", table=self._table, rows=len(rows.rows))
-            self._take(rows, whole=True, after_outage=False)
-
     @property
     def table(self) -> str:
         """Name of the table."""
@@ -104,6 +129,20 @@
         """Version of the newest change that was read."""
         return self._changed_at
 
+    def adopt(self, rows: Rows) -> None:
+        """Takes a sibling's rows while the store cannot be read."""
+        if self._version is None and rows.version:
+            self._journal.note("store", "read by a sibling", table=self._table, rows=len(rows.rows))
+            self._take(rows, whole=True)
+
+    async def changes_since(self, version: int, *, wait_s: float) -> Rows:
+        """Returns the changes after a version, once there are any, for a sibling.
+
+        Raises:
+            HistoryGoneError: If they are not kept any more, or nothing was read yet.
+        """
+        return await self._history.changes_since(version, wait_s=wait_s)
+
     def compare(self, version: int) -> None:
         """Takes the version that a sibling has read; starts a watch again that stays behind."""
         now = asyncio.get_running_loop().time()
@@ -112,16 +151,29 @@
             self._behind_since = None
         elif self._behind_since is None:
             self._behind_since = now
-        elif now - self._behind_since > _BEHIND_S and self._call is not None:
+        elif self._call is not None and now - self._behind_since > self._patience_s():
             self._behind_since = None
             self._journal.note("store", "watch is behind", table=self._table, sibling=version)
+            if self._reader is not None:
+                self._source.avoid(self._reader, "it stayed behind another sibling")
             self._call.cancel()
 
+    def review(self) -> None:
+        """Ends a call to a reader that would not be chosen any more."""
+        if self._call is not None and self._source.choose() is not self._reader:
+            self._call.cancel()
+
+    def _patience_s(self) -> float:
+        reader = self._reader
+        from_store = reader is None or self._source.is_store(reader)
+        return _BEHIND_S if from_store else _BEHIND_READER_S
+
     async def run(self) -> None:
         """Follows the table until cancelled."""
         while True:
+            reader = self._reader = self._source.choose()
             try:
-                await self._step()
+                await self._step(reader)
             except asyncio.CancelledError:
                 task = asyncio.current_task()
                 if task is not None and task.cancelling():
@@ -130,39 +182,48 @@
                 self._journal.note("store", "history gone", table=self._table, seen=self._version)
                 self._version = None
             except StoreError as error:
-                await self._back_off(error)
+                self._note_failure(reader, error)
 
-    async def _step(self) -> None:
+    async def _step(self, reader: RowReader) -> None:
+        await self._source.wait_for_turn(reader)
         whole = self._version is None
         if self._version is None:
-            found = await self._store.read(self._table)
+            found = await reader.read(self._table)
+            if found.version < self._changed_at:
+                raise StoreError(message="it has read less than is known here")
         else:
             # The first call after an outage returns at once, to show that the store is back.
             wait_s = 0.0 if self._failures else _WAIT_S
             found = await self._interruptible(
-                self._store.watch(self._table, after=self._version, wait_s=wait_s)
+                reader.watch(self._table, after=self._version, wait_s=wait_s)
             )
-        after_outage = self._failures > 0
-        if after_outage:
+        self._source.note_answer(reader)
+        if self._failures:
             self._journal.note("store", "regained", table=self._table, failures=self._failures)
+            found = found._replace(after_outage=True)
+        if found.after_outage:
+            self._regained_at = asyncio.get_running_loop().time()
         self._failures = 0
         self._read_at = asyncio.get_running_loop().time()
-        self._take(found, whole=whole, after_outage=after_outage)
+        self._take(found, whole=whole)
         if found.rows and not whole:
             await asyncio.sleep(self._pause_s())
 
-    def _take(self, found: Rows, *, whole: bool, after_outage: bool) -> None:
-        self._version = found.version
+    def _take(self, found: Rows, *, whole: bool) -> None:
+        removed = set(self._rows) - {row.key for row in found.rows} if whole else set()
+        self._version = max(found.version, self._version or 0)
         self._changed_at = max([self._changed_at, *(row.version for row in found.rows)])
-        if whole:
-            self._rows.clear()
+        for key in removed:
+            del self._rows[key]
         for row in found.rows:
             if row.removed:
                 self._rows.pop(row.key, None)
             else:
                 self._rows[row.key] = row
-        if found.rows or whole or after_outage:
-            self._on_changes(Changes(found.rows, whole, after_outage))
+        gone = [Row(key, b"", found.version, removed=True) for key in removed]
+        self._history.add(found._replace(rows=[*found.rows, *gone], version=self._version))
+        if found.rows or whole or found.after_outage:
+            self._on_changes(Changes(found.rows, whole, found.after_outage))
 
     async def _interruptible(self, call: Coroutine[Any, Any, Rows]) -> Rows:
         """Returns what a call returned; :meth:`compare` may cancel it."""
@@ -173,10 +234,77 @@
             self._call.cancel()
             self._call = None
 
-    async def _back_off(self, error: StoreError) -> None:
+    def _note_failure(self, reader: RowReader, error: StoreError) -> None:
+        self._source.note_failure(reader, error)
+        if not self._source.is_store(reader):
+            return
         self._failures += 1
         if self._failures == 1:
             self._journal.note("store", "lost", table=self._table, reason=str(error))
-        low, high = _PAUSES_S
-        pause_s = min(high, low * 1.5**self._failures)
-        await asyncio.sleep(pause_s * self._rng.uniform(0.8, 1.2))
+
+
+class _Batch(NamedTuple):
+    """Changes that were read together.
+
+    Attributes:
+        version: Version up to which the table is known with them.
+        rows: The changed rows.
+        after_outage: Whether the store was out of reach just before.
+    """
+
+    version: int
+    rows: list[Row]
+    after_outage: bool
+
+
+class _History:
+    """The last changes of a table, for siblings that follow it here."""
+
+    def __init__(self) -> None:
+        self._batches: deque[_Batch] = deque()
+        self._size = 0
+        self._version = 0
+        #: Version from which on the changes are kept; 0 before the first reading.
+        self._first = 0
+        self._news = asyncio.Event()
+
+    def add(self, found: Rows) -> None:
+        """Keeps changes and wakes those who wait for them."""
+        self._version = found.version
+        if not self._first:
+            self._first = found.version
+            return
+        if not found.rows and not found.after_outage:
+            return
+        self._batches.append(_Batch(found.version, found.rows, found.after_outage))
+        self._size += len(found.rows)
+        while self._size > _MOST_CHANGES:
+            dropped = self._batches.popleft()
+            self._size -= len(dropped.rows)
+            self._first = dropped.version
+        news, self._news = self._news, asyncio.Event()
+        news.set()
+
+    async def changes_since(self, version: int, *, wait_s: float) -> Rows:
+        if not self._first or version < self._first:
+            raise HistoryGoneError(message="the changes since then are not kept")
+        found = self._find(version)
+        if not found and wait_s > 0:
+            try:
+                async with asyncio.timeout(wait_s):
+                    while not found:
+                        await self._news.wait()
+                        found = self._find(version)
+            except TimeoutError:
+                found = []
+        rows = _newest(row for batch in found for row in batch.rows if row.version > version)
+        after_outage = any(batch.after_outage for batch in found)
+        return Rows(rows, max(version, self._version), after_outage)
+
+    def _find(self, version: int) -> list[_Batch]:
+        return [batch for batch in self._batches if batch.version > version]
+
+
+def _newest(rows: Iterable[Row]) -> list[Row]:
+    """Returns the last state of each row."""
+    return list({row.key: row for row in rows}.values())
