--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -298,6 +298,11 @@
         for connection in self._idle.pop(peer, []):
             connection.close()
 
+    def close_all(self) -> None:
+        """Closes all idle connections."""
+        for peer in list(self._idle):
+            self.drop(peer)
+
     def close_idle(self) -> None:
         """Closes connections that were idle for too long."""
         now = asyncio.get_running_loop().time()
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -53,6 +53,8 @@
 _LOOKUP_TTL_S = 2.0
 #: Port of the metrics, as in the deploy file.
 _METRICS_PORT = 9464
+#: Table of registrations of VMs and reports of crashes: one watch follows both.
+SHARED_TABLE = "carawaybank"
 DUMP_PATH = "/v1/dump"
 _JSON = [("content-type", "application/json")]
 
@@ -101,7 +103,10 @@
             counters=self._counters,
         )
         self._crashes = CrashReports(
-            router=self._router, store=self._adapter.store, journal=self._journal
+            router=self._router,
+            store=self._adapter.store,
+            table=SHARED_TABLE,
+            journal=self._journal,
         )
         self._checks = HealthChecks(
             router=self._router,
@@ -128,6 +133,7 @@
             vms=self._vms,
             router=self._router,
             store=adapter.store,
+            table=SHARED_TABLE,
             journal=self._journal,
             rng=self._rng,
         )
@@ -137,8 +143,7 @@
         self._watches = [
             self._watch(adapter.orders_table, self._take_orders),
             self._watch(adapter.targets_table, self._take_targets, pause_s=self._gather_s),
-            self._watch(registration.TABLE, self._registrations.take, pause_s=self._gather_s),
-            self._watch(crashes.TABLE, self._crashes.take, pause_s=self._gather_s),
+            self._watch(SHARED_TABLE, self._take_shared, pause_s=self._gather_s),
         ]
         self._handover = Handover(
             watches=self._watches,
@@ -244,6 +249,10 @@
         self._registry.take(changes)
         self._note_loaded()
 
+    def _take_shared(self, changes: Changes) -> None:
+        self._registrations.take(changes.under(registration.PREFIX))
+        self._crashes.take(changes.under(crashes.PREFIX))
+
     def _note_loaded(self) -> None:
         if self._registry.is_loaded and self._router.configuration is not None:
             self._vm.note_configured()
--- a/src/carawaybank/siblings/liveness.py
+++ b/src/carawaybank/siblings/liveness.py
@@ -64,6 +64,8 @@
         self._expected: dict[str, float] = {}
         self._reports: dict[str, dict[str, _Report]] = {}
         self._reader_since: float | None = None
+        #: Time at which a VM said last that it does not reach the store.
+        self.store_missed_at = float("-inf")
 
     def hear(self, vm: str, *, reaches_store: bool, now: float) -> None:
         """Records a heartbeat."""
@@ -72,6 +74,7 @@
             self._without_store.discard(vm)
         else:
             self._without_store.add(vm)
+            self.store_missed_at = now
 
     def forget(self, vm: str) -> None:
         """Forgets a VM that is registered no more."""
--- a/src/carawaybank/siblings/registration.py
+++ b/src/carawaybank/siblings/registration.py
@@ -11,7 +11,8 @@
 from carawaybank.siblings.vms import VmDirectory, VmRecord
 from carawaybank.watch import Changes
 
-TABLE = "entry-vms"
+#: Beginning of the keys of registrations in the table that the project shares.
+PREFIX = "vm/"
 #: Bounds in seconds of the pause after a registration that failed.
 _REGISTER_PAUSES_S = (0.3, 0.8)
 
@@ -25,6 +26,7 @@
         vms: VmDirectory,
         router: Router,
         store: RowStore,
+        table: str,
         journal: Journal,
         rng: random.Random,
     ) -> None:
@@ -34,17 +36,20 @@
             vms: The entry VMs that are known.
             router: Takes their names.
             store: Where VMs register.
+            table: Table of the project's own rows.
             journal: Where changes are noted.
             rng: Source of the pauses' jitter.
         """
         self._vms = vms
         self._router = router
         self._store = store
+        self._table = table
+        self._key = PREFIX + vms.own.vm
         self._journal = journal
         self._rng = rng
 
     def take(self, changes: Changes) -> None:
-        """Takes what the table said."""
+        """Takes what the table said of VMs, with their names as keys."""
         now = asyncio.get_running_loop().time()
         present = set()
         for row in changes.rows:
@@ -75,7 +80,7 @@
         while True:
             value = msgspec.json.encode(self._vms.own)
             try:
-                await self._store.put(TABLE, self._vms.own.vm, value)
+                await self._store.put(self._table, self._key, value)
             except StoreError as error:
                 self._journal.note("store", "registration failed", reason=str(error))
                 await asyncio.sleep(self._rng.uniform(*_REGISTER_PAUSES_S))
@@ -85,6 +90,6 @@
     async def deregister(self) -> None:
         """Removes the row of this VM; siblings heard of the stop from its last heartbeat."""
         try:
-            await self._store.remove(TABLE, self._vms.own.vm)
+            await self._store.remove(self._table, self._key)
         except StoreError as error:
             self._journal.note("store", "deregistration failed", reason=str(error))
--- a/src/carawaybank/siblings/sources.py
+++ b/src/carawaybank/siblings/sources.py
@@ -17,6 +17,8 @@
 
 #: Bounds in seconds of the pause between calls to a store that does not answer.
 _PAUSES_S = (0.1, 0.6)
+#: Seconds after an outage for which changes count as read after it: lapsed rows are back by then.
+_RETURN_S = 3.0
 #: Seconds for which a sibling that failed is not asked again.
 _AVOID_S = 3.0
 
@@ -59,6 +61,12 @@
         """Returns whether a reader is the store itself."""
         return reader is self._store
 
+    @property
+    def is_after_outage(self) -> bool:
+        """Whether the store was out of reach just now, for this VM or for one that it follows."""
+        now = asyncio.get_running_loop().time()
+        return now - self._vms.store_missed_at < _RETURN_S
+
     def choose(self) -> RowReader:
         """Returns the store for readers, and a reader for the others."""
         now = asyncio.get_running_loop().time()
--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -95,6 +95,11 @@
         domain = self._own.failure_domain
         return [record for record in self._records.values() if record.failure_domain == domain]
 
+    @property
+    def store_missed_at(self) -> float:
+        """Time at which this VM or another one said last that it does not reach the store."""
+        return self._liveness.store_missed_at
+
     def stop(self) -> None:
         """Records that this VM is shutting down."""
         self._own = self._own._replace(stopping=True)
--- a/src/carawaybank/targets/crashes.py
+++ b/src/carawaybank/targets/crashes.py
@@ -13,7 +13,8 @@
 from carawaybank.steering.quarantine import CrashReport
 from carawaybank.watch import Changes
 
-TABLE = "crash-reports"
+#: Beginning of the keys of reports in the table that the project shares.
+PREFIX = "crash/"
 #: Seconds after which a row counts no longer and may be removed.
 _RETENTION_S = 600.0
 
@@ -21,21 +22,23 @@
 class CrashReports:
     """Writes own reports and passes those of all VMs to the router."""
 
-    def __init__(self, *, router: Router, store: RowStore, journal: Journal) -> None:
+    def __init__(self, *, router: Router, store: RowStore, table: str, journal: Journal) -> None:
         """Takes the parts.
 
         Args:
             router: Stops requests that crash targets.
             store: Where reports are kept.
+            table: Table of the project's own rows.
             journal: Where reports are noted.
         """
         self._router = router
         self._store = store
+        self._table = table
         self._journal = journal
         self._writes: set[asyncio.Task[None]] = set()
 
     def take(self, changes: Changes) -> None:
-        """Takes what the table said."""
+        """Takes what the table said of crashes."""
         now = asyncio.get_running_loop().time()
         for row in changes.rows:
             if row.removed:
@@ -62,15 +65,15 @@
         task.add_done_callback(self._writes.discard)
 
     async def _write(self, report: CrashReport) -> None:
-        key = f"{report.fingerprint}.{report.target}"
+        key = f"{PREFIX}{report.fingerprint}.{report.target}"
         value = msgspec.json.encode((time.time(), report))
         try:
-            await self._store.put(TABLE, key, value)
+            await self._store.put(self._table, key, value)
         except StoreError as error:
             self._journal.note("crashes", "not shared", row=key, reason=str(error))
 
     async def _remove(self, key: str) -> None:
         try:
-            await self._store.remove(TABLE, key)
+            await self._store.remove(self._table, PREFIX + key)
         except StoreError as error:
             self._journal.note("crashes", "not removed", row=key, reason=str(error))
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -13,13 +13,11 @@
 from carawaybank.rows import HistoryGoneError, Row, RowReader, Rows, StoreError
 
 #: Seconds for which a call that has no news is held.
-_WAIT_S = 20.0
+_WAIT_S = 29.0
 #: Seconds for which a watch may be behind a sibling's before it is started again: of the store,
 #: which may be slow, and of a reader of the own failure domain.
 _BEHIND_S = 0.7
 _BEHIND_READER_S = 0.4
-#: Seconds after an outage for which rows count as read after it: lapsed ones are back by then.
-_RETURN_S = 3.0
 #: Changes that are kept for siblings; one that is further behind reads the whole table.
 _MOST_CHANGES = 2_000
 
@@ -37,6 +35,15 @@
     whole: bool
     after_outage: bool
 
+    def under(self, prefix: str) -> "Changes":
+        """Returns the rows whose keys have a prefix, without it."""
+        rows = [
+            row._replace(key=row.key.removeprefix(prefix))
+            for row in self.rows
+            if row.key.startswith(prefix)
+        ]
+        return self._replace(rows=rows)
+
 
 class Source(Protocol):
     """From whom tables are read at the moment."""
@@ -44,6 +51,10 @@
     def is_store(self, reader: RowReader) -> bool:
         """Returns whether a reader is the store itself."""
 
+    @property
+    def is_after_outage(self) -> bool:
+        """Whether the store was out of reach just now, for this VM or for one that it follows."""
+
     def choose(self) -> RowReader:
         """Returns whom to ask now."""
 
@@ -93,7 +104,6 @@
         self._behind_since: float | None = None
         self._call: asyncio.Task[Rows] | None = None
         self._reader: RowReader | None = None
-        self._regained_at = float("-inf")
         self._rows: dict[str, Row] = {}
         self._read_at: float | None = None
         self._history = _History()
@@ -111,8 +121,8 @@
     @property
     def rows(self) -> Rows:
         """All rows as they were read last, or none before the first reading."""
-        since_s = asyncio.get_running_loop().time() - self._regained_at
-        return Rows(list(self._rows.values()), self._version or 0, since_s < _RETURN_S)
+        after_outage = self._source.is_after_outage
+        return Rows(list(self._rows.values()), self._version or 0, after_outage)
 
     @property
     def is_loaded(self) -> bool:
@@ -197,12 +207,13 @@
             found = await self._interruptible(
                 reader.watch(self._table, after=self._version, wait_s=wait_s)
             )
+        # An outage may end while another VM, which did not notice it, takes over from a reader.
+        after_outage = self._failures > 0 or self._source.is_after_outage
         self._source.note_answer(reader)
         if self._failures:
             self._journal.note("store", "regained", table=self._table, failures=self._failures)
+        if after_outage:
             found = found._replace(after_outage=True)
-        if found.after_outage:
-            self._regained_at = asyncio.get_running_loop().time()
         self._failures = 0
         self._read_at = asyncio.get_running_loop().time()
         self._take(found, whole=whole)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -224,7 +224,7 @@
         assert reply.status == 200
         assert reply.header("connection") == "close"
         assert await asyncio.wait_for(node.process.wait(), 10) == 0
-        assert node.store.value("entry-vms", "regina-1") is None
+        assert node.store.value("carawaybank", "vm/regina-1") is None
         output = await node.output()
         assert '"event":"stopping"' in output
         assert '"event":"stopped"' in output
--- a/tests/siblings/test_registration.py
+++ b/tests/siblings/test_registration.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from carawaybank.siblings.registration import TABLE, Registrations
+from carawaybank.siblings.registration import PREFIX, Registrations
 from carawaybank.siblings.vms import VmDirectory, VmRecord
 from tests.store_world import play, until
 
@@ -13,16 +13,24 @@
 OTHER = OWN._replace(vm="vm-2", callers_address="10.0.0.2:80")
 
 
+TABLE = "shared"
+
+
 def make(world):
     vms = VmDirectory(own=OWN)
     registrations = Registrations(
         vms=vms,
         router=world.router,
         store=world.client,
+        table=TABLE,
         journal=world.journal,
         rng=random.Random(1),
     )
-    task = asyncio.create_task(world.make_watch(TABLE, registrations.take).run())
+
+    def take(changes):
+        registrations.take(changes.under(PREFIX))
+
+    task = asyncio.create_task(world.make_watch(TABLE, take).run())
     return vms, registrations, task
 
 
@@ -34,9 +42,9 @@
         await until(lambda: world.saw("registration failed"))
         world.store.fail(0)
         await registering
-        assert msgspec.json.decode(world.store.value(TABLE, "vm-1"), type=VmRecord) == OWN
+        assert msgspec.json.decode(world.store.value(TABLE, PREFIX + "vm-1"), type=VmRecord) == OWN
         await registrations.deregister()
-        assert world.store.value(TABLE, "vm-1") is None
+        assert world.store.value(TABLE, PREFIX + "vm-1") is None
         task.cancel()
 
     play(scenario)
@@ -45,13 +53,13 @@
 def test_other_vms_come_and_go_with_their_rows():
     async def scenario(world):
         vms, _, task = make(world)
-        await world.store.put(TABLE, "vm-2", msgspec.json.encode(OTHER))
+        await world.store.put(TABLE, PREFIX + "vm-2", msgspec.json.encode(OTHER))
         await until(lambda: vms.others == [OTHER])
         assert set(world.router.vms) == {"vm-1", "vm-2"}
         stopping = OTHER._replace(stopping=True)
-        await world.store.put(TABLE, "vm-2", msgspec.json.encode(stopping))
+        await world.store.put(TABLE, PREFIX + "vm-2", msgspec.json.encode(stopping))
         await until(lambda: vms.others == [stopping])
-        await world.store.drop(TABLE, "vm-2")
+        await world.store.drop(TABLE, PREFIX + "vm-2")
         await until(lambda: not vms.others)
         assert world.router.vms == ("vm-1",)
         task.cancel()
@@ -62,8 +70,8 @@
 def test_a_damaged_registration_is_passed_over_and_noted():
     async def scenario(world):
         vms, _, task = make(world)
-        await world.store.put(TABLE, "vm-3", b"\xff")
-        await world.store.put(TABLE, "vm-2", msgspec.json.encode(OTHER))
+        await world.store.put(TABLE, PREFIX + "vm-3", b"\xff")
+        await world.store.put(TABLE, PREFIX + "vm-2", msgspec.json.encode(OTHER))
         await until(lambda: vms.others == [OTHER])
         assert world.saw("row passed over")
         task.cancel()
