--- a/src/carawaybank/routing/directory.py
+++ b/src/carawaybank/routing/directory.py
@@ -1,9 +1,34 @@
-"""The targets that an entry VM knows, by service and place."""
+"""The targets that an entry VM knows, by service and place.
+
+Load pattern: hundreds of targets, and a request every few milliseconds. What depends on all targets
+of a service is worked out when they change, or at most twenty times a second.
+"""
+
+from typing import NamedTuple
 
 from carawaybank.routing.departures import Departures
 from carawaybank.routing.fleet import Target, TargetEntry
 from carawaybank.routing.placement import HashPool
 
+#: Seconds for which the room of a service is taken to be the same, although targets fail.
+ROOM_AGE_S = 0.05
+
+
+class Room(NamedTuple):
+    """Slots of a service's targets that are in use.
+
+    Attributes:
+        by_region: Slots by region.
+        by_domain: Slots by failure domain within each region.
+        newcomers: Targets that joined lately and got nothing from this entry VM yet.
+        counted_at: Monotonic seconds.
+    """
+
+    by_region: dict[str, int]
+    by_domain: dict[str, dict[str, int]]
+    newcomers: list[Target]
+    counted_at: float
+
 
 class TargetDirectory:
     """Targets by service, without those that must not get requests."""
@@ -12,6 +37,7 @@
         """Starts empty."""
         self._targets: dict[str, Target] = {}
         self._usable: dict[str, list[Target]] = {}
+        self._rooms: dict[str, Room] = {}
         self._pools = HashPool()
         self._evacuated: frozenset[str] = frozenset()
         self.departures = Departures()
@@ -41,6 +67,28 @@
         """Returns the targets of a service that may get requests."""
         return self._usable.get(service, [])
 
+    def room(self, service: str, *, now: float) -> Room:
+        """Returns the slots of a service that are in use."""
+        room = self._rooms.get(service)
+        if room is None or not 0 <= now - room.counted_at < ROOM_AGE_S:
+            room = self._rooms[service] = self._count_room(service, now)
+        return room
+
+    def _count_room(self, service: str, now: float) -> Room:
+        by_region: dict[str, int] = {}
+        by_domain: dict[str, dict[str, int]] = {}
+        newcomers = []
+        for target in self.usable(service):
+            if target.is_down:
+                continue
+            entry = target.entry
+            by_region[entry.region] = by_region.get(entry.region, 0) + entry.slots
+            domains = by_domain.setdefault(entry.region, {})
+            domains[entry.failure_domain] = domains.get(entry.failure_domain, 0) + entry.slots
+            if target.is_newcomer:
+                newcomers.append(target)
+        return Room(by_region, by_domain, newcomers, now)
+
     def update(self, entry: TargetEntry, *, now: float) -> bool:
         """Takes an announcement; returns whether it changed anything but its number."""
         if entry.draining:
@@ -85,17 +133,19 @@
         self._evacuated = failure_domains
         self._reindex()
 
-    def pool_name(self, service: str, region: str) -> str:
-        """Returns the pool among which a region's entry VMs place objects by hash."""
-        return f"{service}/{region}"
+    def pool_name(self, service: str, place: str) -> str:
+        """Returns the pool of a service in a region or failure domain."""
+        return f"{service}/{place}"
 
     def _reindex(self) -> None:
         self._usable = {}
+        self._rooms = {}
         pools: dict[str, list[str]] = {}
         for target_id, target in sorted(self._targets.items()):
             entry = target.entry
             if entry.draining or entry.failure_domain in self._evacuated:
                 continue
             self._usable.setdefault(entry.service, []).append(target)
-            pools.setdefault(self.pool_name(entry.service, entry.region), []).append(target_id)
+            for place in {entry.region, entry.failure_domain}:
+                pools.setdefault(self.pool_name(entry.service, place), []).append(target_id)
         self._pools.update({name: tuple(ids) for name, ids in pools.items()})
--- a/src/carawaybank/routing/placement.py
+++ b/src/carawaybank/routing/placement.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from carawaybank.routing.fleet import Target
@@ -14,7 +15,9 @@
 
 #: Probability that a target knows an object that others placed there by the same hash, by rank
 #: among the targets that may get it.
-HASH_WARMTH = (0.7, 0.6)
+HASH_WARMTH = (0.8, 0.4)
+#: The same for targets away from the failure domain in which the object belongs.
+AWAY_WARMTH = 0.2
 #: Probability that a target knows an object that this entry VM sent it lately.
 RECENT_WARMTH = 0.95
 #: Work in multiples of a route's objective before the first answers, and its part when warm.
@@ -24,6 +27,8 @@
 FIRST_WORK_PART = 0.5
 #: Most objects whose order of targets is kept; beyond them all are worked out anew.
 MOST_RANKS = 20_000
+#: Targets of an object's order that are kept; the rest is worked out when all of them are taken.
+KEPT_RANKS = 6
 #: Weight of the newest sample in the averages of a route's work.
 WORK_SAMPLE_WEIGHT = 0.05
 #: Delay in multiples of the expected work that a target costs for each share of failed requests.
@@ -126,15 +131,19 @@
             self._members = members
             self._ranks.clear()
 
-    def rank(self, pool: str, object_key: str) -> tuple[str, ...]:
-        """Returns the targets of a pool, the preferred one of an object first."""
+    def rank(self, pool: str, object_key: str) -> Iterator[str]:
+        """Yields the targets of a pool, the preferred one of an object first."""
         key = (pool, object_key)
-        if key not in self._ranks:
+        members = self._members.get(pool, ())
+        kept = self._ranks.get(key)
+        if kept is None:
             if len(self._ranks) >= MOST_RANKS:
                 self._ranks.clear()
-            members = self._members.get(pool, ())
-            self._ranks[key] = tuple(hashing.rank(key=object_key, members=members))
-        return self._ranks[key]
+            kept = tuple(hashing.rank(key=object_key, members=members)[:KEPT_RANKS])
+            self._ranks[key] = kept
+        yield from kept
+        if len(members) > len(kept):
+            yield from hashing.rank(key=object_key, members=members)[len(kept) :]
 
 
 def expect(
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -15,7 +15,7 @@
 from carawaybank.routing.placement import Choice, Distances, WorkEstimate
 from carawaybank.routing.progress import Progress
 from carawaybank.routing.retrylimit import RetryLimit
-from carawaybank.routing.spill import RegionShares
+from carawaybank.routing.spill import DomainShares, RegionShares
 from carawaybank.steering import hashing
 from carawaybank.steering.quarantine import CrashReport, Quarantine
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
@@ -79,6 +79,7 @@
         self._requests: dict[int, Progress] = {}
         self._retries: dict[str, RetryLimit] = {}
         self._shares: dict[str, RegionShares] = {}
+        self._domain_shares: dict[tuple[str, str], DomainShares] = {}
         self.cold_starts = ColdStartLimit(vm=options.vm)
         self.targets = TargetDirectory()
         self.distances = Distances(failure_domain=options.failure_domain, region=options.region)
@@ -89,6 +90,8 @@
         self._silent: set[str] = set()
         #: Entry VMs that may send to targets now, this one included.
         self.vms: tuple[str, ...] = (options.vm,)
+        #: Entry VMs of the own failure domain, this one included.
+        self.domain_size = 1
 
     @property
     def configuration(self) -> Configuration | None:
@@ -223,6 +226,13 @@
             )
         return self._shares[service]
 
+    def domain_shares(self, service: str, region: str) -> DomainShares:
+        """Returns the shares of a service's requests in a region by failure domain."""
+        key = (service, region)
+        if key not in self._domain_shares:
+            self._domain_shares[key] = DomainShares(home=self._options.failure_domain)
+        return self._domain_shares[key]
+
     def cold_rate(self, service: str) -> float:
         """Returns the requests a second that cold targets may get from all entry VMs; 0 if any."""
         found = self._configuration.services.get(service) if self._configuration else None
@@ -386,11 +396,11 @@
             progress.request.key, verdict, status, progress.service, progress.last_target_id
         )
 
-    def draw(self, object_key: str) -> float:
+    def draw(self, object_key: str, purpose: str) -> float:
         """Returns a number from 0 up to 1: the same for an object, else a random one."""
         if not object_key:
             return self._rng.random()
-        return hashing.score(key=object_key, member="region") / 2**64
+        return hashing.score(key=object_key, member=purpose) / 2**64
 
     def estimate(self, progress: Progress) -> WorkEstimate:
         """Returns the estimate of the work on a request."""
--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -6,12 +6,21 @@
 and one elsewhere when these are full, however high the load.
 """
 
-from collections.abc import Iterable, Iterator
+import itertools
+from collections.abc import Iterator, Sequence
 from typing import TYPE_CHECKING
 
+from carawaybank.routing.directory import Room
 from carawaybank.routing.fleet import Target
-from carawaybank.routing.placement import HASH_WARMTH, RECENT_WARMTH, Choice, expect
+from carawaybank.routing.placement import (
+    AWAY_WARMTH,
+    HASH_WARMTH,
+    RECENT_WARMTH,
+    Choice,
+    expect,
+)
 from carawaybank.routing.progress import Progress
+from carawaybank.steering import hashing
 
 if TYPE_CHECKING:
     from carawaybank.routing.router import Router
@@ -20,7 +29,9 @@
 #: cannot.
 #: Under general overload no target is that idle, and objects stay where they are known.
 IDLE_LOAD = 0.75
-#: Targets of a region among which a request without an object is placed.
+#: Entry VMs of a failure domain that send a target that joined its first request, on average.
+GREETERS = 3
+#: Targets of a place among which a request without an object is placed.
 CANDIDATES_WITHOUT_OBJECT = 4
 #: Different orders of targets that requests without an object take in turn.
 ORDERS_WITHOUT_OBJECT = 64
@@ -34,20 +45,21 @@
         progress: The request.
         now: Monotonic seconds.
     """
-    newcomer = _find_newcomer(router, progress, now)
+    room = router.targets.room(progress.service, now=now)
+    newcomer = _find_newcomer(router, progress, room, now)
     if newcomer is not None:
-        return _expect(router, progress, newcomer, HASH_WARMTH[-1], now)
+        return _expect(router, progress, newcomer, AWAY_WARMTH, now)
     shares = router.shares(progress.service)
-    shares.update(_slots(router.targets.usable(progress.service)))
+    shares.update(room.by_region)
     shares.note_request(now=now)
-    region = shares.choose(draw=router.draw(progress.object_key))
+    region = shares.choose(draw=router.draw(progress.object_key, "region"))
     homes = progress.route.home_regions
     if homes and region not in homes:
         region = router.options.region if router.options.region in homes else min(homes)
-    best = _best(router, progress, region, now)
+    best = _best_in_region(router, progress, room, region, now)
     if best is not None and router.accepts(progress, best, now):
         return best
-    other = _best_elsewhere(router, progress, region, now)
+    other = _best_elsewhere(router, progress, room, region, now)
     if best is None or other is None:
         return best or other
     idle = other.target.usual_load <= IDLE_LOAD
@@ -56,32 +68,53 @@
     return best
 
 
-def _best(router: "Router", progress: Progress, region: str, now: float) -> Choice | None:
-    """Returns the candidate of a region whose answer is expected first."""
+def _best_in_region(
+    router: "Router", progress: Progress, room: Room, region: str, now: float
+) -> Choice | None:
+    """Returns a target of the object's failure domain, or of its region if that is full."""
+    domains = router.domain_shares(progress.service, region)
+    domains.update(room.by_domain.get(region, {}))
+    domain = domains.choose(draw=router.draw(progress.object_key, "domain"))
+    near = _best(router, progress, domain, HASH_WARMTH, now)
+    if near is not None and router.accepts(progress, near, now):
+        return near
+    warmths = (AWAY_WARMTH,) * len(HASH_WARMTH)
+    away = _best(router, progress, region, warmths, now)
+    if near is None or away is None:
+        return near or away
+    return away if router.accepts(progress, away, now) else near
+
+
+def _best(
+    router: "Router", progress: Progress, place: str, warmths: Sequence[float], now: float
+) -> Choice | None:
+    """Returns the candidate of a region or failure domain whose answer is expected first."""
     choices = []
-    count = len(HASH_WARMTH) if progress.object_key else CANDIDATES_WITHOUT_OBJECT
-    for rank, target in enumerate(_candidates(router, progress, region, now)):
-        if rank >= count:
-            break
-        choices.append(_expect(router, progress, target, _warmth(target, progress, rank), now))
+    count = len(warmths) if progress.object_key else CANDIDATES_WITHOUT_OBJECT
+    candidates = itertools.islice(_candidates(router, progress, place, now), count)
+    for rank, target in enumerate(candidates):
+        warmth = warmths[min(rank, len(warmths) - 1)]
+        choices.append(_expect(router, progress, target, _warmth(target, progress, warmth), now))
     return min(choices, key=lambda choice: choice.expected_s, default=None)
 
 
-def _best_elsewhere(router: "Router", progress: Progress, region: str, now: float) -> Choice | None:
+def _best_elsewhere(
+    router: "Router", progress: Progress, room: Room, region: str, now: float
+) -> Choice | None:
     homes = progress.route.home_regions
-    regions = {target.entry.region for target in router.targets.usable(progress.service)}
+    warmths = (AWAY_WARMTH,) * len(HASH_WARMTH)
     choices = [
-        _best(router, progress, name, now)
-        for name in sorted(regions)
+        _best(router, progress, name, warmths, now)
+        for name in sorted(room.by_region)
         if name != region and (not homes or name in homes)
     ]
     found = [choice for choice in choices if choice is not None]
     return min(found, key=lambda choice: choice.expected_s, default=None)
 
 
-def _candidates(router: "Router", progress: Progress, region: str, now: float) -> Iterator[Target]:
-    """Yields the targets of a region that may get the request, the preferred ones first."""
-    pool = router.targets.pool_name(progress.service, region)
+def _candidates(router: "Router", progress: Progress, place: str, now: float) -> Iterator[Target]:
+    """Yields the targets of a place that may get the request, the preferred ones first."""
+    pool = router.targets.pool_name(progress.service, place)
     key = progress.object_key or str(progress.request.key % ORDERS_WITHOUT_OBJECT)
     for target_id in router.targets.pools.rank(pool, key):
         target = router.targets.find(target_id)
@@ -105,28 +138,32 @@
     return min((pause for pause in pauses if pause), default=0.0)
 
 
-def _find_newcomer(router: "Router", progress: Progress, now: float) -> Target | None:
-    """Returns a target of the own region that joined lately and got nothing from here yet.
+def _find_newcomer(router: "Router", progress: Progress, room: Room, now: float) -> Target | None:
+    """Returns a target of the own failure domain that joined lately and got nothing yet.
 
-    Newcomers get one request of each entry VM first: they know no object and would lose every
-    comparison to the targets that do.
+    Newcomers get one request each of a few entry VMs first: they know no object and would lose
+    every comparison to the targets that do.
     """
-    if not progress.route.idempotent or progress.tried:
+    if not progress.route.idempotent or progress.tried or not room.newcomers:
         return None
+    options = router.options
     homes = progress.route.home_regions
-    for target in router.targets.usable(progress.service):
-        near = target.entry.region == router.options.region
-        allowed = not homes or target.entry.region in homes
-        if target.is_newcomer and near and allowed and _may_get(router, progress, target, now):
+    if homes and options.region not in homes:
+        return None
+    for target in room.newcomers:
+        draw = hashing.score(key=target.entry.target_id, member=options.vm) / 2**64
+        is_turn = draw * router.domain_size < GREETERS
+        near = target.entry.failure_domain == options.failure_domain
+        if target.is_newcomer and near and is_turn and _may_get(router, progress, target, now):
             return target
     return None
 
 
-def _warmth(target: Target, progress: Progress, rank: int) -> float:
+def _warmth(target: Target, progress: Progress, by_hash: float) -> float:
     """Returns the probability that a target knows the request's object."""
     if not progress.object_key:
         return 0.0
-    return RECENT_WARMTH if target.is_warm(progress.object_key) else HASH_WARMTH[rank]
+    return RECENT_WARMTH if target.is_warm(progress.object_key) else by_hash
 
 
 def _expect(
@@ -140,11 +177,3 @@
         work=router.estimate(progress),
         distance_s=router.distances.find(entry.failure_domain, entry.region),
     )
-
-
-def _slots(targets: Iterable[Target]) -> dict[str, int]:
-    slots: dict[str, int] = {}
-    for target in targets:
-        if not target.is_down:
-            slots[target.entry.region] = slots.get(target.entry.region, 0) + target.entry.slots
-    return slots
--- a/src/carawaybank/routing/spill.py
+++ b/src/carawaybank/routing/spill.py
@@ -21,6 +21,59 @@
 SHIFT_WINDOW_S = 2.0
 
 
+class DomainShares:
+    """Shares of the requests that run in one region by failure domain.
+
+    Load pattern: bytes between failure domains cost more than within one, and callers ask for the
+    same objects through the entry VMs of their own failure domain. These place an object there as
+    long as its targets have the room, without any message.
+
+    >>> shares = DomainShares(home="a1")
+    >>> shares.update({"a1": 4, "a2": 4})
+    >>> shares.choose(draw=0.99)
+    'a1'
+    """
+
+    def __init__(self, *, home: str) -> None:
+        """Starts with everything at home.
+
+        Args:
+            home: Failure domain of this entry VM.
+        """
+        self._home = home
+        self._slots: dict[str, int] = {}
+        self._shares: list[tuple[str, float]] = [(home, 1.0)]
+
+    def update(self, slots: Mapping[str, int]) -> None:
+        """Takes the usable slots of the region by failure domain."""
+        if slots == self._slots:
+            return
+        self._slots = dict(slots)
+        total = sum(slots.values())
+        even = total / max(1, len(slots))
+        at_home = min(1.0, LOCALITY * slots.get(self._home, 0) / even) if total else 0.0
+        spare = {name: max(0.0, LOCALITY * count / even - 1) for name, count in slots.items()}
+        if self._home not in slots or not sum(spare.values()):
+            spare = dict.fromkeys(slots, 0.0) | {name: float(n) for name, n in slots.items()}
+        spare.pop(self._home, None)
+        away = sum(spare.values())
+        shares = [(name, (1 - at_home) * part / away) for name, part in spare.items() if away]
+        self._shares = [(self._home, at_home), *sorted(shares)]
+
+    def choose(self, *, draw: float) -> str:
+        """Returns the failure domain of a request.
+
+        Args:
+            draw: A number from 0 up to 1, the same for requests on one object.
+        """
+        mark = draw
+        for name, share in self._shares:
+            mark -= share
+            if mark < 0:
+                return name
+        return self._shares[-1][0]
+
+
 class RegionShares:
     """Shares of one service's requests by region in which they run.
 
--- a/src/carawaybank/siblings/registration.py
+++ b/src/carawaybank/siblings/registration.py
@@ -69,11 +69,13 @@
                 if record.vm not in present:
                     self._vms.remove(record.vm, now=now)
         self._router.vms = self._vms.names
+        self._router.domain_size = 1 + len(self._vms.mates)
 
     def note_change(self, record: VmRecord) -> None:
         """Takes what a VM said of itself, here or by a heartbeat."""
         self._journal.note("siblings", "vm changed", sibling=record._asdict())
         self._router.vms = self._vms.names
+        self._router.domain_size = 1 + len(self._vms.mates)
 
     async def register(self) -> None:
         """Writes the row of this VM, again until the store confirms it."""
