--- a/src/carawaybank/platform/decoding.py
+++ b/src/carawaybank/platform/decoding.py
@@ -165,6 +165,7 @@
         attempts=max(1, spec.get("attempts", 1)),
         sticky=spec.get("sticky", False),
         home_regions=frozenset(spec.get("homeRegions") or ()),
+        is_bulky=spec["kind"] == "upload",
     )
 
 
--- a/src/carawaybank/routing/catalogue.py
+++ b/src/carawaybank/routing/catalogue.py
@@ -30,6 +30,7 @@
         attempts: Most targets that one request may be sent to.
         sticky: Whether targets work faster on objects that they handled recently.
         home_regions: Regions that may run the requests; empty for all.
+        is_bulky: Whether the requests have large bodies, which are dear to move.
     """
 
     name: str
@@ -43,6 +44,7 @@
     attempts: int = 1
     sticky: bool = False
     home_regions: frozenset[str] = frozenset()
+    is_bulky: bool = False
 
 
 class Service(NamedTuple):
--- a/src/carawaybank/routing/placement.py
+++ b/src/carawaybank/routing/placement.py
@@ -16,8 +16,8 @@
 #: Probability that a target knows an object that others placed there by the same hash, by rank
 #: among the targets that may get it.
 HASH_WARMTH = (0.8, 0.4)
-#: The same for targets away from the failure domain in which the object belongs.
-AWAY_WARMTH = 0.2
+#: The same for targets away from the region or failure domain in which the object belongs.
+AWAY_WARMTHS = (0.3, 0.2)
 #: Probability that a target knows an object that this entry VM sent it lately.
 RECENT_WARMTH = 0.95
 #: Work in multiples of a route's objective before the first answers, and its part when warm.
--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -13,7 +13,7 @@
 from carawaybank.routing.directory import Room
 from carawaybank.routing.fleet import Target
 from carawaybank.routing.placement import (
-    AWAY_WARMTH,
+    AWAY_WARMTHS,
     HASH_WARMTH,
     RECENT_WARMTH,
     Choice,
@@ -48,7 +48,7 @@
     room = router.targets.room(progress.service, now=now)
     newcomer = _find_newcomer(router, progress, room, now)
     if newcomer is not None:
-        return _expect(router, progress, newcomer, AWAY_WARMTH, now)
+        return _expect(router, progress, newcomer, AWAY_WARMTHS[0], now)
     shares = router.shares(progress.service)
     shares.update(room.by_region)
     shares.note_request(now=now)
@@ -71,15 +71,16 @@
 def _best_in_region(
     router: "Router", progress: Progress, room: Room, region: str, now: float
 ) -> Choice | None:
-    """Returns a target of the object's failure domain, or of its region if that is full."""
+    """Returns a target of a region; large bodies keep to one failure domain if it has room."""
+    if not progress.route.is_bulky:
+        return _best(router, progress, region, HASH_WARMTH, now)
     domains = router.domain_shares(progress.service, region)
     domains.update(room.by_domain.get(region, {}))
     domain = domains.choose(draw=router.draw(progress.object_key, "domain"))
     near = _best(router, progress, domain, HASH_WARMTH, now)
     if near is not None and router.accepts(progress, near, now):
         return near
-    warmths = (AWAY_WARMTH,) * len(HASH_WARMTH)
-    away = _best(router, progress, region, warmths, now)
+    away = _best(router, progress, region, AWAY_WARMTHS, now)
     if near is None or away is None:
         return near or away
     return away if router.accepts(progress, away, now) else near
@@ -102,9 +103,8 @@
     router: "Router", progress: Progress, room: Room, region: str, now: float
 ) -> Choice | None:
     homes = progress.route.home_regions
-    warmths = (AWAY_WARMTH,) * len(HASH_WARMTH)
     choices = [
-        _best(router, progress, name, warmths, now)
+        _best(router, progress, name, AWAY_WARMTHS, now)
         for name in sorted(room.by_region)
         if name != region and (not homes or name in homes)
     ]
@@ -124,6 +124,9 @@
 
 def _may_get(router: "Router", progress: Progress, target: Target, now: float) -> bool:
     target_id = target.entry.target_id
+    homes = progress.route.home_regions
+    if homes and target.entry.region not in homes:
+        return False
     if target.is_down or target_id in progress.tried or target.paused_s(now=now):
         return False
     rate = router.cold_rate(progress.service)
@@ -147,9 +150,6 @@
     if not progress.route.idempotent or progress.tried or not room.newcomers:
         return None
     options = router.options
-    homes = progress.route.home_regions
-    if homes and options.region not in homes:
-        return None
     for target in room.newcomers:
         draw = hashing.score(key=target.entry.target_id, member=options.vm) / 2**64
         is_turn = draw * router.domain_size < GREETERS
--- a/src/carawaybank/routing/spill.py
+++ b/src/carawaybank/routing/spill.py
@@ -24,9 +24,9 @@
 class DomainShares:
     """Shares of the requests that run in one region by failure domain.
 
-    Load pattern: bytes between failure domains cost more than within one, and callers ask for the
-    same objects through the entry VMs of their own failure domain. These place an object there as
-    long as its targets have the room, without any message.
+    Load pattern: large bodies fill the links between failure domains, while the targets of the
+    caller's own have room. The entry VMs of a failure domain place an object there as long as its
+    share of the region's slots allows, without any message.
 
     >>> shares = DomainShares(home="a1")
     >>> shares.update({"a1": 4, "a2": 4})
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -296,3 +296,28 @@
 
 def usable(router):
     return router.targets.usable("ledger")
+
+
+@pytest.mark.parametrize("bulky", [False, True])
+def test_homes_bind_also_while_no_target_stands_there(bulky):
+    route = make_route(home_regions=frozenset({"b"}), is_bulky=bulky)
+    router = make_router(*TARGETS, configuration=make_configuration(route))
+    refused = router.arrive(make_request(1), 0.0)
+    assert isinstance(refused, Finish)
+    assert refused.status == 503
+
+
+def test_large_bodies_stay_in_the_failure_domain_while_it_has_room():
+    far = tuple(make_target(number, domain="a2") for number in range(5, 9))
+    bulky = make_route("store", prefix="/store/", idempotent=False, is_bulky=True)
+    router = make_router(*TARGETS, *far, configuration=make_configuration(make_route(), bulky))
+
+    def domains(prefix, first):
+        sent = [
+            router.arrive(make_request(key, path=prefix, object_key=f"o{key}"), 0.0)
+            for key in range(first, first + 12)
+        ]
+        return {action.failure_domain for action in sent}
+
+    assert domains("/store/1", 100) == {"a1"}
+    assert domains("/look/1", 200) == {"a1", "a2"}
