--- a/src/carawaybank/routing/placement.py
+++ b/src/carawaybank/routing/placement.py
@@ -15,9 +15,9 @@
 
 #: Probability that a target knows an object that others placed there by the same hash, by rank
 #: among the targets that may get it.
-HASH_WARMTH = (0.8, 0.4)
+HASH_WARMTH = (0.95, 0.1)
 #: The same for targets away from the region or failure domain in which the object belongs.
-AWAY_WARMTHS = (0.3, 0.2)
+AWAY_WARMTHS = (0.1, 0.05)
 #: Probability that a target knows an object that this entry VM sent it lately.
 RECENT_WARMTH = 0.95
 #: Work in multiples of a route's objective before the first answers, and its part when warm.
