Let no row and no suspension decide what a VM does

Cause (found by reading, from what other operators told): a registration whose heartbeat address cannot be parsed ended the heartbeat task, and with it each VM that read it, again after every restart; so would any row that makes a taker raise. A suspended machine's steady clock stands still, so a VM that wakes up after seconds held idle connections and open calls of before the pause for fresh. Ruled out: passing over whole batches of changes (good rows come with the bad one).

--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -34,6 +34,7 @@
 from carawaybank.siblings.sources import TableSource
 from carawaybank.siblings.tables import CHANGES_PATH, TABLE_PATH, TableServer
 from carawaybank.siblings.vms import VmDirectory, VmRecord
+from carawaybank.suspension import SuspensionWatch
 from carawaybank.targets import crashes
 from carawaybank.targets.checks import HealthChecks
 from carawaybank.targets.crashes import CrashReports
@@ -259,13 +260,24 @@
 
     async def _tidy(self) -> None:
         loop = asyncio.get_running_loop()
+        suspension = SuspensionWatch()
         while True:
             await asyncio.sleep(_TIDY_S)
+            self._renew(suspension.take())
             self._reload()
             self._sender.pool.close_idle()
             for connection in list(self._connections):
                 connection.check_timeouts(loop.time())
 
+    def _renew(self, suspended_s: float) -> None:
+        """Gives up what a suspended process still believes: open calls and idle connections."""
+        if not suspended_s:
+            return
+        self._journal.note("daemon", "was suspended", seconds=round(suspended_s, 2))
+        self._sender.pool.close_all()
+        for watch in self._watches:
+            watch.renew()
+
     async def _stop(self, servers: list[asyncio.Server]) -> None:
         """Leaves the look-ups first, answers what callers still send, then ends."""
         loop = asyncio.get_running_loop()
--- a/src/carawaybank/siblings/registration.py
+++ b/src/carawaybank/siblings/registration.py
@@ -8,7 +8,7 @@
 from carawaybank.journal import Journal
 from carawaybank.routing.router import Router
 from carawaybank.rows import RowStore, StoreError
-from carawaybank.siblings.vms import VmDirectory, VmRecord
+from carawaybank.siblings.vms import VmDirectory, VmRecord, is_usable
 from carawaybank.watch import Changes
 
 #: Beginning of the keys of registrations in the table that the project shares.
@@ -61,6 +61,10 @@
             except (msgspec.MsgspecError, UnicodeDecodeError) as error:
                 self._journal.note("siblings", "row passed over", vm=row.key, reason=str(error))
                 continue
+            if record.vm != row.key or not is_usable(record):
+                reason = "another name or an address that cannot be used"
+                self._journal.note("siblings", "row passed over", vm=row.key, reason=reason)
+                continue
             present.add(row.key)
             if self._vms.update(record, now=now):
                 self.note_change(record)
--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -10,6 +10,7 @@
 
 #: Fewest VMs that a look-up names, if there are so many in the caller's region.
 FEWEST_LISTED = 2
+_PORTS = 65_536
 #: Most VMs that a look-up names.
 MOST_LISTED = 64
 
@@ -38,6 +39,22 @@
     control_address: str = ""
 
 
+def is_usable(record: VmRecord) -> bool:
+    """Returns whether the addresses of a record can be used.
+
+    >>> record = VmRecord("vm", "10.0.0.1:80", "10.0.0.1:90", "a1", "a", 1)
+    >>> is_usable(record), is_usable(record._replace(sibling_address="10.0.0.1"))
+    (True, False)
+    """
+    addresses = [record.callers_address, record.sibling_address]
+    addresses += [record.control_address] if record.control_address else []
+    parts = [address.rpartition(":") for address in addresses]
+    return all(
+        host and port.isascii() and port.isdigit() and 0 < int(port) < _PORTS
+        for host, _, port in parts
+    )
+
+
 class Heartbeat(NamedTuple):
     """What a VM tells its siblings again and again.
 
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -168,6 +168,11 @@
                 self._source.avoid(self._reader, "it stayed behind another sibling")
             self._call.cancel()
 
+    def renew(self) -> None:
+        """Ends the call that is open, so that changes are asked for anew."""
+        if self._call is not None:
+            self._call.cancel()
+
     def review(self) -> None:
         """Ends a call to a reader that would not be chosen any more."""
         if self._call is not None and self._source.choose() is not self._reader:
@@ -234,7 +239,27 @@
         gone = [Row(key, b"", found.version, removed=True) for key in removed]
         self._history.add(found._replace(rows=[*found.rows, *gone], version=self._version))
         if found.rows or whole or found.after_outage:
-            self._on_changes(Changes(found.rows, whole, found.after_outage))
+            self._pass_on(Changes(found.rows, whole, found.after_outage))
+
+    def _pass_on(self, changes: Changes) -> None:
+        """Passes changes on; a row that nobody can take must not keep the others back.
+
+        A row that ended the process would end it again after each restart, and on all VMs.
+        """
+        try:
+            self._on_changes(changes)
+        except Exception as error:
+            self._journal.note("store", "changes not taken", table=self._table, reason=repr(error))
+            for row in changes.rows:
+                self._pass_on_alone(row, after_outage=changes.after_outage)
+
+    def _pass_on_alone(self, row: Row, *, after_outage: bool) -> None:
+        try:
+            self._on_changes(Changes([row], whole=False, after_outage=after_outage))
+        except Exception as error:
+            self._journal.note(
+                "store", "row not taken", table=self._table, row=row.key, reason=repr(error)
+            )
 
     async def _interruptible(self, call: Coroutine[Any, Any, Rows]) -> Rows:
         """Returns what a call returned; :meth:`compare` may cancel it."""
--- a/tests/siblings/test_registration.py
+++ b/tests/siblings/test_registration.py
@@ -4,6 +4,7 @@
 import random
 
 import msgspec
+import pytest
 
 from carawaybank.siblings.registration import PREFIX, Registrations
 from carawaybank.siblings.vms import VmDirectory, VmRecord
@@ -67,10 +68,19 @@
     play(scenario)
 
 
-def test_a_damaged_registration_is_passed_over_and_noted():
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff",
+        msgspec.json.encode(OTHER._replace(vm="vm-3", sibling_address="nowhere")),
+        msgspec.json.encode(OTHER._replace(vm="vm-3", callers_address="10.0.0.3:99999")),
+        msgspec.json.encode(OTHER),
+    ],
+)
+def test_a_damaged_registration_is_passed_over_and_noted(value):
     async def scenario(world):
         vms, _, task = make(world)
-        await world.store.put(TABLE, PREFIX + "vm-3", b"\xff")
+        await world.store.put(TABLE, PREFIX + "vm-3", value)
         await world.store.put(TABLE, PREFIX + "vm-2", msgspec.json.encode(OTHER))
         await until(lambda: vms.others == [OTHER])
         assert world.saw("row passed over")
--- a/tests/targets/test_crashes.py
+++ b/tests/targets/test_crashes.py
@@ -3,8 +3,7 @@
 import asyncio
 
 from carawaybank.steering.quarantine import CrashReport
-from carawaybank.targets.crashes import TABLE as CRASHES
-from carawaybank.targets.crashes import CrashReports
+from carawaybank.targets.crashes import PREFIX, CrashReports
 from tests.routing.builders import make_router
 from tests.store_world import play, until
 
@@ -12,9 +11,14 @@
 def test_crash_reports_reach_the_other_vms():
     async def scenario(world):
         others = make_router(vm="vm-2")
-        reader = CrashReports(router=others, store=world.client, journal=world.journal)
-        writer = CrashReports(router=world.router, store=world.client, journal=world.journal)
-        task = asyncio.create_task(world.make_watch(CRASHES, reader.take).run())
+        parts = {"store": world.client, "table": "shared", "journal": world.journal}
+        reader = CrashReports(router=others, **parts)
+        writer = CrashReports(router=world.router, **parts)
+
+        def take(changes):
+            reader.take(changes.under(PREFIX))
+
+        task = asyncio.create_task(world.make_watch("shared", take).run())
         for number in range(3):
             writer.report(CrashReport("bad", f"t{number}", "vm-1"))
         await until(lambda: others.quarantine.is_refused("bad", now=0.0))
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -64,3 +64,26 @@
         task.cancel()
 
     play(scenario)
+
+
+def test_a_row_that_cannot_be_taken_ends_nothing_and_keeps_no_other_back():
+    async def scenario(world):
+        taken = set()
+
+        def take(changes):
+            for row in changes.rows:
+                if row.key == "bad":
+                    raise RuntimeError("a row that nobody thought of")
+                taken.add(row.key)
+
+        watch = world.make_watch("odd", take)
+        task = asyncio.create_task(watch.run())
+        await until(lambda: watch.is_loaded)
+        for key in ("a", "bad", "z"):
+            await world.store.put("odd", key, b"{}")
+        await until(lambda: taken == {"a", "z"})
+        assert not task.done()
+        assert world.saw("row not taken")
+        task.cancel()
+
+    play(scenario)
