Notice that readers are cut off from the store although their mates know no more

Other failure domains' heartbeats named the newer version, but each heartbeat of a mate that was as far behind reset the wait for it. Ruled out: lost heartbeats between failure domains (they arrive, played with real sockets); a late reader choice (the store's silence is no failure, so the readers stayed readers). Heartbeats pass on the newest version known. Readers tell each other of a newer configuration at once instead of with the next heartbeat. Settings are parsed only when their text changed.

--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -75,6 +75,7 @@
         self._adapter = adapter
         self._settings_path = settings_path
         self._settings_fault = ""
+        self._settings_text = b""
         self._journal = Journal(vm=deployment.vm)
         self._counters = Counters()
         self._metrics = Exposition(vm=deployment.vm, counters=self._counters)
@@ -87,7 +88,7 @@
         self._make_tables()
         self._heartbeat = HeartbeatTask(
             vms=self._vms,
-            versions=lambda: {watch.table: watch.changed_at for watch in self._watches},
+            versions=lambda: {watch.table: watch.known_at for watch in self._watches},
             on_change=self._registrations.note_change,
             on_versions=self._compare_versions,
             on_sent=self._review_sources,
@@ -236,7 +237,10 @@
 
     def _compare_versions(self, versions: dict[str, int]) -> None:
         for watch in self._watches:
-            watch.compare(versions.get(watch.table, 0))
+            is_news = watch.compare(versions.get(watch.table, 0))
+            if is_news and watch.is_behind and watch.table == self._adapter.orders_table:
+                # The readers of this failure domain may be cut off from the store.
+                self._heartbeat.spread(everywhere=False)
 
     def _review_sources(self) -> None:
         for watch in self._watches:
@@ -244,6 +248,7 @@
 
     def _take_orders(self, changes: Changes) -> None:
         self._orders.take(changes)
+        self._heartbeat.spread(everywhere=True)
         self._note_loaded()
 
     def _take_targets(self, changes: Changes) -> None:
@@ -305,12 +310,18 @@
 
     def _reload(self) -> None:
         """Takes changed settings, which may change without a signal too."""
+        try:
+            text = self._settings_path.read_bytes()
+        except OSError as error:
+            self._note_settings_fault(str(error))
+            return
+        if text == self._settings_text:
+            return
+        self._settings_text = text
         try:
             changed = deployments.load(self._settings_path)
         except DocumentError as error:
-            if str(error) != self._settings_fault:
-                self._journal.note("daemon", "settings passed over", reason=str(error))
-            self._settings_fault = str(error)
+            self._note_settings_fault(str(error))
             return
         self._settings_fault = ""
         if changed == self._deployment:
@@ -320,6 +331,11 @@
         self._deployment = kept
         self._router.update_options(_options(kept))
 
+    def _note_settings_fault(self, reason: str) -> None:
+        if reason != self._settings_fault:
+            self._journal.note("daemon", "settings passed over", reason=reason)
+        self._settings_fault = reason
+
     def _answer_ready(self, request: CallerRequest) -> HttpReply:
         ready = self._vm.is_ready and self._registry.is_loaded
         return HttpReply(200 if ready else 503, [("content-type", "text/plain")], b"")
--- a/src/carawaybank/siblings/heartbeat.py
+++ b/src/carawaybank/siblings/heartbeat.py
@@ -20,6 +20,8 @@
 INTERVAL_S = 0.6
 #: Heartbeats of which readers of other failure domains hear one, in the own and in other regions.
 NEAR_EVERY = 2
+#: Seconds between heartbeats that are sent early because there is a newer configuration.
+SPREAD_GAP_S = 0.1
 REMOTE_EVERY = 3
 
 
@@ -51,6 +53,7 @@
         self._on_sent = on_sent
         self._transport: asyncio.DatagramTransport | None = None
         self._count = 0
+        self._spread_at = float("-inf")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the socket."""
@@ -91,6 +94,21 @@
         remote = [record for record in self._vms.remote_readers(now=now) if self._is_turn(record)]
         self._send(self._vms.beat(self._versions(), report), remote)
 
+    def spread(self, *, everywhere: bool) -> None:
+        """Tells others at once that there is a newer configuration, if this VM is a reader.
+
+        Args:
+            everywhere: Whether readers of other failure domains are told too.
+        """
+        now = asyncio.get_running_loop().time()
+        if now - self._spread_at < SPREAD_GAP_S or self._vms.own not in self._vms.readers(now=now):
+            return
+        self._spread_at = now
+        beat = self._vms.beat(self._versions())
+        self._send(beat, self._vms.mates)
+        if everywhere:
+            self._send(beat, self._vms.remote_readers(now=now))
+
     def send_stop(self) -> None:
         """Tells the own failure domain and the readers of the others that this VM stops."""
         now = asyncio.get_running_loop().time()
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -101,7 +101,10 @@
         self._version: int | None = None
         self._failures = 0
         self._changed_at = 0
-        self._behind_since: float | None = None
+        self._known_at = 0
+        self._check: asyncio.TimerHandle | None = None
+        #: Whether the last call was given up, so that the next one must answer at once.
+        self._is_doubtful = False
         self._call: asyncio.Task[Rows] | None = None
         self._reader: RowReader | None = None
         self._rows: dict[str, Row] = {}
@@ -139,6 +142,11 @@
         """Version of the newest change that was read."""
         return self._changed_at
 
+    @property
+    def known_at(self) -> int:
+        """Version of the newest change that was read here or that a sibling knows of."""
+        return max(self._changed_at, self._known_at)
+
     def adopt(self, rows: Rows) -> None:
         """Takes a sibling's rows while the store cannot be read."""
         if self._version is None and rows.version:
@@ -153,20 +161,36 @@
         """
         return await self._history.changes_since(version, wait_s=wait_s)
 
-    def compare(self, version: int) -> None:
-        """Takes the version that a sibling has read; starts a watch again that stays behind."""
-        now = asyncio.get_running_loop().time()
-        is_waiting = self._call is not None
-        if self._version is None or version <= self._version or not is_waiting:
-            self._behind_since = None
-        elif self._behind_since is None:
-            self._behind_since = now
-        elif self._call is not None and now - self._behind_since > self._patience_s():
-            self._behind_since = None
-            self._journal.note("store", "watch is behind", table=self._table, sibling=version)
-            if self._reader is not None:
-                self._source.avoid(self._reader, "it stayed behind another sibling")
-            self._call.cancel()
+    def compare(self, version: int) -> bool:
+        """Takes the newest version that a sibling knows of; returns whether that is news.
+
+        A call that does not bring it within a short time is given up, and another reader is asked.
+        """
+        is_news = version > self.known_at
+        self._known_at = max(self._known_at, version)
+        if self.is_behind and self._check is None:
+            loop = asyncio.get_running_loop()
+            self._check = loop.call_later(self._patience_s(), self._check_behind, self._call)
+        return is_news
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether a sibling knows of a change that was not read here."""
+        return self._version is not None and self._known_at > self._version
+
+    def _check_behind(self, call: "asyncio.Task[Rows] | None") -> None:
+        """Gives up a call that did not bring what a sibling knew when this was set up."""
+        self._check = None
+        if not self.is_behind or self._call is None:
+            return
+        if call is not self._call:
+            self.compare(self._known_at)
+            return
+        self._journal.note("store", "watch is behind", table=self._table, known=self._known_at)
+        if self._reader is not None:
+            self._source.avoid(self._reader, "it stayed behind another sibling")
+        self._is_doubtful = True
+        self._call.cancel()
 
     def renew(self) -> None:
         """Ends the call that is open, so that changes are asked for anew."""
@@ -208,7 +232,8 @@
                 raise StoreError(message="it has read less than is known here")
         else:
             # The first call after an outage returns at once, to show that the store is back.
-            wait_s = 0.0 if self._failures else _WAIT_S
+            wait_s = 0.0 if self._failures or self._is_doubtful else _WAIT_S
+            self._is_doubtful = False
             found = await self._interruptible(
                 reader.watch(self._table, after=self._version, wait_s=wait_s)
             )
