Sort targets into pools once for all changes, and keep the order of unchanged pools

Cause: each changed entry sorted all targets anew and dropped every kept order, so reading 990 targets at the start sorted them 990 times, and one target that joined cost all objects of all services their order. Change: the directory sorts when it is asked; a pool whose members did not change keeps its order.

--- a/src/carawaybank/routing/directory.py
+++ b/src/carawaybank/routing/directory.py
@@ -40,6 +40,7 @@
         self._rooms: dict[str, Room] = {}
         self._pools = HashPool()
         self._evacuated: frozenset[str] = frozenset()
+        self._is_indexed = True
         self.departures = Departures()
         #: Whether any request was routed yet.
         self.is_serving = False
@@ -57,6 +58,7 @@
     @property
     def pools(self) -> HashPool:
         """Preferred targets of objects."""
+        self._index()
         return self._pools
 
     def find(self, target_id: str) -> Target | None:
@@ -65,10 +67,12 @@
 
     def usable(self, service: str) -> list[Target]:
         """Returns the targets of a service that may get requests."""
+        self._index()
         return self._usable.get(service, [])
 
     def room(self, service: str, *, now: float) -> Room:
         """Returns the slots of a service that are in use."""
+        self._index()
         room = self._rooms.get(service)
         if room is None or not 0 <= now - room.counted_at < ROOM_AGE_S:
             room = self._rooms[service] = self._count_room(service, now)
@@ -99,7 +103,7 @@
         if known is None:
             target = Target(entry=entry, now=now, is_newcomer=self.is_serving)
             self._targets[entry.target_id] = target
-            self._reindex()
+            self._is_indexed = False
             return True
         before = known.entry
         if not known.update(entry, now=now):
@@ -108,7 +112,7 @@
             sequence=0, cold_left_s=0
         )
         if changed:
-            self._reindex()
+            self._is_indexed = False
         return changed
 
     def note_leaving(self, target: Target) -> bool:
@@ -118,26 +122,30 @@
             return False
         self.departures.note(entry.target_id, entry.incarnation)
         target.entry = entry._replace(draining=True)
-        self._reindex()
+        self._is_indexed = False
         return True
 
     def remove(self, target_id: str) -> bool:
         """Forgets a target; returns whether it was known."""
         if self._targets.pop(target_id, None) is None:
             return False
-        self._reindex()
+        self._is_indexed = False
         return True
 
     def evacuate(self, failure_domains: frozenset[str]) -> None:
         """Takes the failure domains that get no requests from now on."""
         self._evacuated = failure_domains
-        self._reindex()
+        self._is_indexed = False
 
     def pool_name(self, service: str, place: str) -> str:
         """Returns the pool of a service in a region or failure domain."""
         return f"{service}/{place}"
 
-    def _reindex(self) -> None:
+    def _index(self) -> None:
+        """Sorts the targets into services and pools, once for all changes since the last time."""
+        if self._is_indexed:
+            return
+        self._is_indexed = True
         self._usable = {}
         self._rooms = {}
         pools: dict[str, list[str]] = {}
--- a/src/carawaybank/routing/placement.py
+++ b/src/carawaybank/routing/placement.py
@@ -25,7 +25,7 @@
 FIRST_WARM_PART = 0.35
 #: Largest part of a route's timeout that its work is assumed to take.
 FIRST_WORK_PART = 0.5
-#: Most objects whose order of targets is kept; beyond them all are worked out anew.
+#: Most objects of a pool whose order is kept; beyond them all are worked out anew.
 MOST_RANKS = 20_000
 #: Targets of an object's order that are kept; the rest is worked out when all of them are taken.
 KEPT_RANKS = 6
@@ -122,25 +122,26 @@
 
     def __init__(self) -> None:
         """Starts empty."""
-        self._ranks: dict[tuple[str, str], tuple[str, ...]] = {}
+        self._ranks: dict[str, dict[str, tuple[str, ...]]] = {}
         self._members: dict[str, tuple[str, ...]] = {}
 
     def update(self, members: dict[str, tuple[str, ...]]) -> None:
         """Takes the target ids by pool name."""
-        if members != self._members:
-            self._members = members
-            self._ranks.clear()
+        for pool in list(self._ranks):
+            if members.get(pool) != self._members.get(pool):
+                del self._ranks[pool]
+        self._members = members
 
     def rank(self, pool: str, object_key: str) -> Iterator[str]:
         """Yields the targets of a pool, the preferred one of an object first."""
-        key = (pool, object_key)
         members = self._members.get(pool, ())
-        kept = self._ranks.get(key)
+        ranks = self._ranks.setdefault(pool, {})
+        kept = ranks.get(object_key)
         if kept is None:
-            if len(self._ranks) >= MOST_RANKS:
-                self._ranks.clear()
+            if len(ranks) >= MOST_RANKS:
+                ranks.clear()
             kept = tuple(hashing.rank(key=object_key, members=members)[:KEPT_RANKS])
-            self._ranks[key] = kept
+            ranks[object_key] = kept
         yield from kept
         if len(members) > len(kept):
             yield from hashing.rank(key=object_key, members=members)[len(kept) :]
