--- a/tests/routing/replay.py
+++ b/tests/routing/replay.py
@@ -79,8 +79,9 @@
     All times of the service, its routes and its callers are multiplied by ``stretch``.
     """
 
-    def __init__(self, *, site=SITE, seed=1, stretch=1.0, **options):
+    def __init__(self, *, site=SITE, seed=1, stretch=1.0, objects=OBJECTS, **options):
         self.budget_s = BUDGET_S * stretch
+        self.objects = objects
         self.routes = tuple(
             route._replace(
                 parts=(RoutePart("ledger", 1.0),),
@@ -143,7 +144,7 @@
 
     def _draw_request(self, region):
         route = self.routes[self.rng.random() >= 0.67]
-        things = OBJECTS if route.name == LOOK.name else OBJECTS // 2
+        things = self.objects if route.name == LOOK.name else self.objects // 2
         return route, f"{region}{self.rng.randrange(things)}"
 
     def _ask(self, now, region, asked, first_at, tries):
--- a/tests/routing/test_replay.py
+++ b/tests/routing/test_replay.py
@@ -6,7 +6,8 @@
 import pytest
 
 from carawaybank.routing.admission import DEADLINE_PART
-from tests.routing.replay import BOOK, LOOK, SHORT_SITE, Replay, in_time
+from carawaybank.routing.placement import HashPool
+from tests.routing.replay import BOOK, LOOK, SHORT_SITE, Replay, Site, in_time
 
 EVEN = {"a": 100, "b": 100, "c": 100}
 WARM_UP_S = 6.0
@@ -91,3 +92,32 @@
         times(load, 1 / stretch), seconds=16 * stretch
     )
     assert in_time(slow, after=WARM_UP_S * stretch) >= 0.95 * in_time(short, after=WARM_UP_S)
+
+
+@pytest.mark.parametrize("vms", [30, 100, 300])
+def test_objects_are_asked_for_again_where_they_are_warm_however_many_vms_there_are(vms):
+    """Each VM sees an object once or never, so that only the hash can bring it back."""
+    keeps, times_asked, seconds = 13, 8, 12
+    targets = {"a": vms, "b": vms // 2, "c": vms // 2}
+    site = Site(targets, dict.fromkeys("abc", vms // 3), keeps)
+    objects = vms * keeps // 5
+    replay = Replay(site=site, objects=objects)
+    rate = (objects + objects // 2) * times_asked / seconds
+    outcomes = replay.run(dict.fromkeys("abc", rate), seconds=seconds)
+    cold = sum(target.cold_runs for target in replay.targets.values())
+    assert cold / len(outcomes) < 1.6 / times_asked
+
+
+def test_a_target_that_joins_or_leaves_moves_only_its_own_share_of_the_objects():
+    members = tuple(f"t{number}" for number in range(300))
+    pool = HashPool()
+
+    def homes(names):
+        pool.update({"ledger/a": names})
+        return {key: next(pool.rank("ledger/a", key)) for key in map(str, range(3_000))}
+
+    before = homes(members)
+    after = homes(members[1:])
+    moved = {key for key, home in before.items() if after[key] != home}
+    assert moved == {key for key, home in before.items() if home == members[0]}
+    assert homes(members) == before
