--- a/src/carawaybank/entry.py
+++ b/src/carawaybank/entry.py
@@ -133,7 +133,7 @@
         return action, last
 
     async def _send(self, info: Request, sent: Send, call: HttpCall) -> AttemptResult:
-        region = self._router.region_of(sent.target_id)
+        region = self._router.targets.region_of(sent.target_id)
         distance_s = self._router.distances.find(sent.failure_domain, region)
         attempt = self._sender.send(sent, call, distance_s=distance_s)
         if sent.repeatable:
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -10,7 +10,6 @@
 
 import msgspec
 
-from carawaybank import deployment as deployments
 from carawaybank import exposition
 from carawaybank.adapters import Adapter
 from carawaybank.background import BackgroundTasks
@@ -21,10 +20,11 @@
 from carawaybank.deployment import Deployment
 from carawaybank.dump import make_dump
 from carawaybank.entry import EntryVm
-from carawaybank.exceptions import DocumentError, ListenError, TaskError
+from carawaybank.exceptions import ListenError, TaskError
 from carawaybank.exposition import Exposition
 from carawaybank.journal import Journal
 from carawaybank.operators.rows import OperatorRows
+from carawaybank.reload import SettingsFile
 from carawaybank.replies import HttpReply
 from carawaybank.routing.router import Router, RouterOptions
 from carawaybank.siblings import registration
@@ -73,10 +73,8 @@
         """
         self._deployment = deployment
         self._adapter = adapter
-        self._settings_path = settings_path
-        self._settings_fault = ""
-        self._settings_text = b""
         self._journal = Journal(vm=deployment.vm)
+        self._settings_file = SettingsFile(path=settings_path, journal=self._journal)
         self._counters = Counters()
         self._metrics = Exposition(vm=deployment.vm, counters=self._counters)
         self._rng = random.Random(f"{deployment.vm}.{time.time_ns()}")
@@ -310,32 +308,14 @@
 
     def _reload(self) -> None:
         """Takes changed settings, which may change without a signal too."""
-        try:
-            text = self._settings_path.read_bytes()
-        except OSError as error:
-            self._note_settings_fault(str(error))
-            return
-        if text == self._settings_text:
-            return
-        self._settings_text = text
-        try:
-            changed = deployments.load(self._settings_path)
-        except DocumentError as error:
-            self._note_settings_fault(str(error))
-            return
-        self._settings_fault = ""
-        if changed == self._deployment:
+        changed = self._settings_file.load_changed()
+        if changed is None or changed == self._deployment:
             return
         kept = self._deployment.keep_place(changed)
         self._journal.note("daemon", "settings changed", whole=kept == changed, **kept._asdict())
         self._deployment = kept
         self._router.update_options(_options(kept))
 
-    def _note_settings_fault(self, reason: str) -> None:
-        if reason != self._settings_fault:
-            self._journal.note("daemon", "settings passed over", reason=reason)
-        self._settings_fault = reason
-
     def _answer_ready(self, request: CallerRequest) -> HttpReply:
         ready = self._vm.is_ready and self._registry.is_loaded
         return HttpReply(200 if ready else 503, [("content-type", "text/plain")], b"")
--- a/src/carawaybank/routing/directory.py
+++ b/src/carawaybank/routing/directory.py
@@ -65,6 +65,11 @@
         """Returns a target by its id."""
         return self._targets.get(target_id)
 
+    def region_of(self, target_id: str) -> str:
+        """Returns the region of a target; empty if it is not known any more."""
+        target = self._targets.get(target_id)
+        return target.entry.region if target else ""
+
     def usable(self, service: str) -> list[Target]:
         """Returns the targets of a service that may get requests."""
         self._index()
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -15,7 +15,7 @@
 from carawaybank.routing.placement import Choice, Distances, WorkEstimate
 from carawaybank.routing.progress import Progress
 from carawaybank.routing.retrylimit import RetryLimit
-from carawaybank.routing.spill import DomainShares, RegionShares
+from carawaybank.routing.spill import PlaceShares
 from carawaybank.steering import hashing
 from carawaybank.steering.quarantine import CrashReport, Quarantine
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
@@ -78,10 +78,13 @@
         self._ranks: dict[str, int] = {}
         self._requests: dict[int, Progress] = {}
         self._retries: dict[str, RetryLimit] = {}
-        self._shares: dict[str, RegionShares] = {}
-        self._domain_shares: dict[tuple[str, str], DomainShares] = {}
         self.cold_starts = ColdStartLimit(vm=options.vm)
         self.targets = TargetDirectory()
+        self.shares = PlaceShares(
+            failure_domain=options.failure_domain,
+            region=options.region,
+            most_shift=options.most_shift,
+        )
         self.distances = Distances(failure_domain=options.failure_domain, region=options.region)
         self.quarantine = Quarantine(
             limit=_CRASH_LIMIT, expiry_s=_CRASH_MEMORY_S, capacity=_CRASH_CAPACITY
@@ -213,26 +216,6 @@
         """Takes a report of a request that cost a target; returns whether it is news."""
         return self.quarantine.report(report, now=now)
 
-    def region_of(self, target_id: str) -> str:
-        """Returns the region of a target; empty if it is not known any more."""
-        target = self.targets.find(target_id)
-        return target.entry.region if target else ""
-
-    def shares(self, service: str) -> RegionShares:
-        """Returns the shares of a service's requests by region."""
-        if service not in self._shares:
-            self._shares[service] = RegionShares(
-                home=self._options.region, most_shift=self._options.most_shift
-            )
-        return self._shares[service]
-
-    def domain_shares(self, service: str, region: str) -> DomainShares:
-        """Returns the shares of a service's requests in a region by failure domain."""
-        key = (service, region)
-        if key not in self._domain_shares:
-            self._domain_shares[key] = DomainShares(home=self._options.failure_domain)
-        return self._domain_shares[key]
-
     def cold_rate(self, service: str) -> float:
         """Returns the requests a second that cold targets may get from all entry VMs; 0 if any."""
         found = self._configuration.services.get(service) if self._configuration else None
--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -49,7 +49,7 @@
     newcomer = _find_newcomer(router, progress, room, now)
     if newcomer is not None:
         return _expect(router, progress, newcomer, AWAY_WARMTHS[0], now)
-    shares = router.shares(progress.service)
+    shares = router.shares.regions(progress.service)
     shares.update(room.by_region)
     shares.note_request(now=now)
     region = shares.choose(draw=router.draw(progress.object_key, "region"))
@@ -74,7 +74,7 @@
     """Returns a target of a region; large bodies keep to one failure domain if it has room."""
     if not progress.route.is_bulky:
         return _best(router, progress, region, HASH_WARMTH, now)
-    domains = router.domain_shares(progress.service, region)
+    domains = router.shares.domains(progress.service, region)
     domains.update(room.by_domain.get(region, {}))
     domain = domains.choose(draw=router.draw(progress.object_key, "domain"))
     near = _best(router, progress, domain, HASH_WARMTH, now)
--- a/src/carawaybank/routing/spill.py
+++ b/src/carawaybank/routing/spill.py
@@ -145,3 +145,35 @@
             if mark < 0:
                 return region
         return self._home
+
+
+class PlaceShares:
+    """The shares of all services by region, and within a region by failure domain."""
+
+    def __init__(self, *, failure_domain: str, region: str, most_shift: float) -> None:
+        """Starts without services.
+
+        Args:
+            failure_domain: Failure domain of this entry VM.
+            region: Region of this entry VM.
+            most_shift: Largest part of the requests that may change their region between two
+                windows.
+        """
+        self._failure_domain = failure_domain
+        self._region = region
+        self._most_shift = most_shift
+        self._by_service: dict[str, RegionShares] = {}
+        self._by_region: dict[tuple[str, str], DomainShares] = {}
+
+    def regions(self, service: str) -> RegionShares:
+        """Returns the shares of a service's requests by region."""
+        if service not in self._by_service:
+            self._by_service[service] = RegionShares(home=self._region, most_shift=self._most_shift)
+        return self._by_service[service]
+
+    def domains(self, service: str, region: str) -> DomainShares:
+        """Returns the shares of a service's requests in a region by failure domain."""
+        key = (service, region)
+        if key not in self._by_region:
+            self._by_region[key] = DomainShares(home=self._failure_domain)
+        return self._by_region[key]
--- a/tests/siblings/test_sources.py
+++ b/tests/siblings/test_sources.py
@@ -26,7 +26,7 @@
 class Vm:
     """A VM that follows the targets and serves them to siblings."""
 
-    def __init__(self, world, number):
+    def __init__(self, *, world, number):
         self.world = world
         self.number = number
         self.store = make_adapter(world.address).store
@@ -82,8 +82,8 @@
 class Fleet:
     """The VMs of a failure domain, which hear each other."""
 
-    def __init__(self, world):
-        self.vms = [Vm(world, number) for number in range(VMS)]
+    def __init__(self, *, world):
+        self.vms = [Vm(world=world, number=number) for number in range(VMS)]
 
     async def __aenter__(self):
         for vm in self.vms:
@@ -132,7 +132,7 @@
 
 def play_fleet(scenario):
     async def run(world):
-        async with Fleet(world) as fleet:
+        async with Fleet(world=world) as fleet:
             await world.store.put("servers", "t1", beat(1))
             await fleet.until_all_have({"t1"})
             await scenario(world, fleet)
