Keep shares by failure domain defined while a region has no slots

Cause: a property test of shares by failure domain divided by zero when no failure domain had a slot. Ruled out: an assertion (a region that empties is ordinary). Change: failure domains without slots are left out; what rounding leaves over goes to the largest share. Tests: test_large_bodies_go_only_to_failure_domains_with_slots_and_alike_on_all_vms failed before.

--- a/src/carawaybank/routing/spill.py
+++ b/src/carawaybank/routing/spill.py
@@ -49,12 +49,13 @@
         if slots == self._slots:
             return
         self._slots = dict(slots)
+        slots = {name: count for name, count in slots.items() if count}
         total = sum(slots.values())
         even = total / max(1, len(slots))
         at_home = min(1.0, LOCALITY * slots.get(self._home, 0) / even) if total else 0.0
         spare = {name: max(0.0, LOCALITY * count / even - 1) for name, count in slots.items()}
         if self._home not in slots or not sum(spare.values()):
-            spare = dict.fromkeys(slots, 0.0) | {name: float(n) for name, n in slots.items()}
+            spare = {name: float(count) for name, count in slots.items()}
         spare.pop(self._home, None)
         away = sum(spare.values())
         shares = [(name, (1 - at_home) * part / away) for name, part in spare.items() if away]
@@ -71,7 +72,7 @@
             mark -= share
             if mark < 0:
                 return name
-        return self._shares[-1][0]
+        return max(self._shares, key=lambda part: part[1])[0]
 
 
 class RegionShares:
--- a/tests/routing/test_sums.py
+++ b/tests/routing/test_sums.py
@@ -7,7 +7,7 @@
 
 from carawaybank.routing.coldstart import ColdStartLimit
 from carawaybank.routing.retrylimit import RetryLimit
-from carawaybank.routing.spill import SHIFT_WINDOW_S, RegionShares
+from carawaybank.routing.spill import SHIFT_WINDOW_S, DomainShares, RegionShares
 
 WINDOW_S = 1.0
 MOST_SHIFT = 0.15
@@ -94,3 +94,24 @@
     for end in times:
         within = [t for t in times if end - SHIFT_WINDOW_S < t <= end]
         assert len(within) <= MOST_SHIFT * SHIFT_WINDOW_S / 0.01
+
+
+@given(st.dictionaries(st.sampled_from(["a1", "a2", "a3"]), st.integers(0, 60)))
+def test_large_bodies_go_only_to_failure_domains_with_slots_and_alike_on_all_vms(slots):
+    shares, again = DomainShares(home="a1"), DomainShares(home="a1")
+    shares.update(slots)
+    again.update(slots)
+    draws = [number / 97 for number in range(97)]
+    chosen = [shares.choose(draw=draw) for draw in draws]
+    assert chosen == [again.choose(draw=draw) for draw in draws]
+    with_slots = {name for name, count in slots.items() if count}
+    assert set(chosen) <= (with_slots or {"a1", *slots})
+
+
+def test_a_failure_domain_with_its_share_of_the_slots_keeps_all_large_bodies():
+    shares = DomainShares(home="a1")
+    shares.update({"a1": 10, "a2": 10, "a3": 10})
+    assert {shares.choose(draw=number / 50) for number in range(50)} == {"a1"}
+    shares.update({"a1": 5, "a2": 10, "a3": 15})
+    kept = sum(shares.choose(draw=number / 1000) == "a1" for number in range(1000)) / 1000
+    assert 0.5 <= kept <= 0.6
