Bound all growing pauses, so that no outage of hours ends a task

Cause: two more pauses of the own interface grew as powers of two without a bound on the power; after 1,024 failures (85 minutes of a dark platform, or as many ejections of a target) they are too large for a float, and the task ends its daemon. Ruled out: catching the error where it is used (the bound belongs to the figure). Change: ten doublings at the most, in storage/tasks.py and steering/standing.py. Tests: test_an_outage_of_hours_ends_no_task, test_a_target_that_is_ejected_for_days_rests_no_longer_and_ends_nothing; both failed before.

--- a/src/carawaybank/steering/standing.py
+++ b/src/carawaybank/steering/standing.py
@@ -10,6 +10,8 @@
 _EJECT_AFTER_FAILURES = 3
 _FIRST_EJECTION_S = 1.0
 _LONGEST_EJECTION_S = 30.0
+#: Ejections after which the rest is not doubled any more.
+_MOST_DOUBLINGS = 10
 _REPORT_LIFETIME_S = 3.0
 _LISTED_LEAVING_S = 10.0
 
@@ -131,7 +133,9 @@
         """Rests the target, longer each time."""
         if self.is_ejected(now):
             return
-        rest = min(_LONGEST_EJECTION_S, _FIRST_EJECTION_S * 2**self._ejections)
+        rest = min(
+            _LONGEST_EJECTION_S, _FIRST_EJECTION_S * 2 ** min(self._ejections, _MOST_DOUBLINGS)
+        )
         self._ejected_until = now + rest
         self._ejections += 1
         self._failures = 0
--- a/src/carawaybank/storage/tasks.py
+++ b/src/carawaybank/storage/tasks.py
@@ -23,6 +23,8 @@
 
 _READERS = 2
 _MAX_BACKOFF_S = 5.0
+#: Failures after which the pause is not doubled any more.
+_MOST_DOUBLINGS = 10
 _MISSING_READS_BEFORE_PROOF = 3
 _MEMBER_PREFIX = "members/"
 _MAX_REPLAYED = 200
@@ -272,7 +274,7 @@
     def _pause_s(self) -> float:
         base = self._poll_s
         if self._failures:
-            base = max(base, min(_MAX_BACKOFF_S, base * 2**self._failures))
+            base = max(base, min(_MAX_BACKOFF_S, base * 2 ** min(self._failures, _MOST_DOUBLINGS)))
         return float(base * self._rng.uniform(0.8, 1.2))
 
 
--- a/tests/steering/test_parts.py
+++ b/tests/steering/test_parts.py
@@ -18,6 +18,7 @@
 from carawaybank.steering.overload import Pressure
 from carawaybank.steering.quarantine import CrashReport, Quarantine
 from carawaybank.steering.retries import RetryBudget
+from carawaybank.steering.standing import TargetStanding
 from carawaybank.steering.tickets import EMPTY
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason
 
@@ -247,3 +248,13 @@
         BlockMap.from_bytes(data[:-1], digest=fingerprint(data), sites=["a"])
     with pytest.raises(SnapshotError):
         BlockMap.from_bytes(data, digest=fingerprint(data), sites=[])
+
+
+def test_a_target_that_is_ejected_for_days_rests_no_longer_and_ends_nothing():
+    standing = TargetStanding(load=None, cold_since=None)
+    now = 0.0
+    for _ in range(2_000):
+        standing.eject(now)
+        assert standing.is_ejected(now)
+        now += 30.0
+        assert not standing.is_ejected(now)
--- a/tests/storage/test_tasks.py
+++ b/tests/storage/test_tasks.py
@@ -162,6 +162,11 @@
     assert len(set(later)) == 5
 
 
+def test_an_outage_of_hours_ends_no_task(setup):
+    setup.task._failures = 100_000
+    assert setup.task._pause_s() <= 6.0
+
+
 def test_two_processes_never_hold_a_duty_at_once():
     platform, clock = Platform(), [0.0]
     duties = [
