Bound every message that a peer may send without end

Cause: a body without a length, or in chunks without end, was kept whole: one request with 3 s to its deadline grew a VM from 25 to 901 MB, and machines have 200 to 552 MB. Chunk sizes, extensions, trailers and informational answers without end were read until the deadline, as a caller's chunks were.

Ruled out: streaming large answers to the caller.

Large answers are not streamed; callers that read slowly still hold whole answers.

--- a/src/carawaybank/callers/requests.py
+++ b/src/carawaybank/callers/requests.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from carawaybank.buffers import FramingLimit
 from carawaybank.replies import Headers
 from carawaybank.routing.catalogue import Limits
 
@@ -76,6 +77,7 @@
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._head_bytes = self._body_bytes = 0
+        self._framing = FramingLimit()
         self._is_ended = False
         #: Whether a part of a request's head was read.
         self.is_in_head = False
@@ -96,6 +98,7 @@
             ImproperRequestError: If they are no proper request; those before were taken.
         """
         was_in_head = self.is_in_head
+        self._framing.note(read=len(data), body=0)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
@@ -114,6 +117,8 @@
         if was_in_head and self.is_in_head:
             self._head_bytes += len(data)
             self._check_head()
+        if self._framing.is_exceeded:
+            raise ImproperRequestError(status=400, detail="more framing than any request needs")
 
     def on_message_begin(self) -> None:
         """Starts a request."""
@@ -152,11 +157,13 @@
         self._body_bytes += len(data)
         if self._body_bytes > self._limits().body_bytes:
             self._refuse(413, "the request body is too large")
+        self._framing.note(read=0, body=len(data))
         self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Passes on a whole request."""
         self.is_in_body = False
+        self._framing.reset()
         keeps = self._parser.get_http_version() == "1.1" and self._parser.should_keep_alive()
         self._is_ended = not keeps
         request = CallerRequest(
--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -5,10 +5,10 @@
 """
 
 import asyncio
-import math
 import socket
 from typing import NamedTuple
 
+from carawaybank.buffers import BufferBudget
 from carawaybank.exceptions import CarawaybankError
 from carawaybank.replies import Headers, HttpReply, ReplyReader
 from carawaybank.verdicts import Reason
@@ -19,6 +19,10 @@
 _KEEPALIVE_S = 1
 #: Answers to earlier exchanges that are passed over on one connection.
 _MOST_STRAY_ANSWERS = 2
+#: Largest body in bytes of an answer for which the caller of an exchange names no bound.
+_MOST_BODY_BYTES = 16_000_000
+#: Bytes of an answer that no budget counts; most answers are smaller.
+_UNCOUNTED_BYTES = 65_536
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE"})
 
 
@@ -66,7 +70,9 @@
         self._reader = ReplyReader(method="GET")
         self._call: HttpCall | None = None
         self._waiter: asyncio.Future[HttpReply] | None = None
-        self._max_body_bytes = math.inf
+        self._max_body_bytes = _MOST_BODY_BYTES
+        self._budget: BufferBudget | None = None
+        self._taken_bytes = 0
         self._strays = 0
         self._heard = False
         self.is_reusable = True
@@ -122,14 +128,20 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
 
     async def exchange(
-        self, call: HttpCall, *, timeout_s: float, max_body_bytes: float = math.inf
+        self,
+        call: HttpCall,
+        *,
+        timeout_s: float,
+        max_body_bytes: int | None = None,
+        budget: BufferBudget | None = None,
     ) -> HttpReply:
         """Sends a request and returns the whole answer.
 
         Args:
             call: The request.
             timeout_s: Longest time in seconds until the whole answer is there.
-            max_body_bytes: Largest body accepted.
+            max_body_bytes: Largest body accepted; None for 16 MB.
+            budget: What large answers draw on until they are whole.
 
         Raises:
             ExchangeError: If there is no whole answer in time. The connection is then closed.
@@ -139,7 +151,8 @@
             raise ExchangeError(reason=Reason.CONNECTION_LOST, message=message, sent=False)
         data = _encode(call)
         self._begin(call)
-        self._max_body_bytes = max_body_bytes
+        self._max_body_bytes = _MOST_BODY_BYTES if max_body_bytes is None else max_body_bytes
+        self._budget = budget
         self._transport.write(data)
         assert self._waiter is not None
         try:
@@ -201,6 +214,9 @@
 
     def _end(self) -> None:
         waiter, self._waiter = self._waiter, None
+        if self._budget is not None:
+            self._budget.give_back(self._taken_bytes)
+            self._budget, self._taken_bytes = None, 0
         finished = waiter is not None and waiter.done() and not waiter.cancelled()
         transport = self._transport
         unsent = transport is not None and transport.get_write_buffer_size() > 0
@@ -219,6 +235,18 @@
             self._fail(reason, f"the answer is damaged: {reader.problem}")
         elif reader.body_bytes > self._max_body_bytes:
             self._fail(Reason.ANSWER_TOO_LARGE, "the answer is too large")
+        elif not self._draw(reader.body_bytes):
+            self._fail(Reason.ANSWER_TOO_LARGE, "no memory is left for so large an answer")
+
+    def _draw(self, body_bytes: int) -> bool:
+        """Takes what an answer needs from the budget; returns whether it was there."""
+        needed = body_bytes - _UNCOUNTED_BYTES - self._taken_bytes
+        if self._budget is None or needed <= 0:
+            return True
+        if not self._budget.try_take(needed):
+            return False
+        self._taken_bytes += needed
+        return True
 
     def _take_reply(self, reply: HttpReply) -> None:
         assert self._call is not None
@@ -275,16 +303,19 @@
         idle = self._idle.get(peer, [])
         while idle:
             connection = idle.pop()
-            age_s = now - connection.idle_since
-            limit_s = min(self.MAX_IDLE_S, self.IDLE_PART * connection.idle_limit_s)
-            if connection.is_open and age_s <= limit_s:
-                if age_s <= max_idle_s:
+            if self._is_fresh(connection, now):
+                if now - connection.idle_since <= max_idle_s:
                     return connection
                 idle.append(connection)
                 return None
             connection.close()
         return None
 
+    def has(self, peer: str) -> bool:
+        """Returns whether there is a connection to a peer that is fresh enough."""
+        now = asyncio.get_running_loop().time()
+        return any(self._is_fresh(connection, now) for connection in self._idle.get(peer, ()))
+
     def put(self, peer: str, connection: ClientConnection) -> None:
         """Takes back a connection after an exchange."""
         idle = self._idle.setdefault(peer, [])
@@ -309,8 +340,7 @@
         for peer, idle in list(self._idle.items()):
             fresh: list[ClientConnection] = []
             for connection in idle:
-                limit_s = min(self.MAX_IDLE_S, self.IDLE_PART * connection.idle_limit_s)
-                if connection.is_open and now - connection.idle_since <= limit_s:
+                if self._is_fresh(connection, now):
                     fresh.append(connection)
                 else:
                     connection.close()
@@ -319,6 +349,10 @@
             else:
                 del self._idle[peer]
 
+    def _is_fresh(self, connection: ClientConnection, now: float) -> bool:
+        limit_s = min(self.MAX_IDLE_S, self.IDLE_PART * connection.idle_limit_s)
+        return connection.is_open and now - connection.idle_since <= limit_s
+
 
 def _encode(call: HttpCall) -> bytes:
     """Returns the bytes of a request.
--- a/src/carawaybank/deployment.py
+++ b/src/carawaybank/deployment.py
@@ -39,6 +39,7 @@
     lookup_ttl_s: float
     most_shift: float
     lapse_grace_s: float
+    memory_mb: float
 
 
 class SiblingsTable(TypedDict, total=False):
@@ -82,6 +83,7 @@
         lookup_ttl_s: Longest time in seconds for which an answer to a look-up may be kept.
         most_shift: Largest change of a region's share between two windows of two seconds.
         lapse_grace_s: Seconds after the store's return for which lapsed entries may reappear.
+        memory_mb: Megabytes beyond which the process is killed.
     """
 
     vm: str
@@ -105,6 +107,7 @@
     lookup_ttl_s: float = 5.0
     most_shift: float = 0.15
     lapse_grace_s: float = 2.0
+    memory_mb: float = 200.0
 
     def keep_place(self, changed: "Deployment") -> "Deployment":
         """Returns changed settings with the name, place and addresses of these.
@@ -136,6 +139,7 @@
     "lookup_ttl_s": (0.1, 600),
     "most_shift": (0.001, 1),
     "lapse_grace_s": (0, 60),
+    "memory_mb": (64, 1_000_000),
 }
 
 
--- a/src/carawaybank/replies.py
+++ b/src/carawaybank/replies.py
@@ -5,10 +5,14 @@
 
 import httptools
 
+from carawaybank.buffers import FramingLimit
+
 Headers = list[tuple[str, str]]
 
 #: Largest head of an answer in bytes.
 _MAX_HEAD_BYTES = 65_536
+#: Most headers of an answer.
+_MOST_HEADERS = 256
 _INFORMATIONAL = range(100, 200)
 
 
@@ -55,6 +59,7 @@
         self._is_head = method == "HEAD"
         self._headers: Headers = []
         self._body: list[bytes] = []
+        self._framing = FramingLimit()
         self._head_bytes = 0
         self._has_head = False
         self._ends_with_connection = False
@@ -78,6 +83,7 @@
             return
         if self.is_midway and not self._has_head:
             self._head_bytes += len(data)
+        self._framing.note(read=len(data), body=0)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -88,6 +94,8 @@
             self._fail(str(error))
         if self._head_bytes > _MAX_HEAD_BYTES and not self._has_head:
             self._fail("its head is too large")
+        elif self._framing.is_exceeded:
+            self._fail("it has more framing than any answer needs")
 
     def end(self) -> None:
         """Takes the peer's end, which ends an answer that has no length."""
@@ -103,6 +111,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Takes a header; those behind the body are passed over."""
+        if len(self._headers) >= _MOST_HEADERS:
+            self._refuse("it has too many headers")
         if not self._has_head:
             self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
@@ -124,6 +134,7 @@
     def on_body(self, data: bytes) -> None:
         """Takes a part of the body."""
         self.body_bytes += len(data)
+        self._framing.note(read=0, body=len(data))
         self._body.append(data)
 
     def on_message_complete(self) -> None:
--- a/src/carawaybank/targets/sender.py
+++ b/src/carawaybank/targets/sender.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import NamedTuple, Protocol
 
+from carawaybank.buffers import BufferBudget
 from carawaybank.client import ClientConnection, ClientPool, ExchangeError, HttpCall
 from carawaybank.replies import HttpReply
 from carawaybank.routing.fleet import LoadReport
@@ -14,6 +15,9 @@
 #: Longest idle time in seconds of a connection for a request that must not run twice. A
 #: connection that went silent or was closed meanwhile would leave its outcome unknown.
 FRESH_ENOUGH_S = 1.0
+#: Largest answer of a target in bytes. It is read whole before the caller gets any of it, so that
+#: one that breaks off can be tried elsewhere.
+LARGEST_ANSWER_BYTES = 16_000_000
 
 
 class TargetReply(NamedTuple):
@@ -47,13 +51,17 @@
 class TargetSender:
     """Performs attempts over pooled connections."""
 
-    def __init__(self, *, dialect: TargetDialect) -> None:
+    def __init__(
+        self, *, dialect: TargetDialect, answer_bytes: int = 8 * LARGEST_ANSWER_BYTES
+    ) -> None:
         """Starts without connections.
 
         Args:
             dialect: How targets speak.
+            answer_bytes: Bytes that all unfinished large answers may take together.
         """
         self._dialect = dialect
+        self._budget = BufferBudget(most_bytes=answer_bytes)
         self._pool = ClientPool()
         #: Times in seconds that new connections took, by failure domain; emptied by the owner.
         self.connect_times: list[tuple[str, float]] = []
@@ -110,7 +118,12 @@
     ) -> HttpReply:
         left_s = action.deadline - asyncio.get_running_loop().time()
         ready = self._dialect.encode(call, target_id=action.target_id, left_s=left_s)
-        return await connection.exchange(ready, timeout_s=max(0.001, left_s))
+        return await connection.exchange(
+            ready,
+            timeout_s=max(0.001, left_s),
+            max_body_bytes=min(LARGEST_ANSWER_BYTES, self._budget.most_bytes),
+            budget=self._budget,
+        )
 
     def _take(self, peer: str, action: Send) -> ClientConnection | None:
         if action.repeatable:
--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -38,13 +38,18 @@
     connection.close()
 
 
+def await_request(connection: socket.socket) -> None:
+    """Waits for the request without reading it: a reset before it is sent is no cut."""
+    connection.recv(1, socket.MSG_PEEK)
+
+
 def freeze(connection: socket.socket) -> None:
     time.sleep(5)
 
 
 WHOLE = answer(ID)
 CUTS = {
-    "before the request is read": (script(reset), Reason.TARGET_CRASHED),
+    "before the request is read": (script(await_request, reset), Reason.TARGET_CRASHED),
     "after the request is read": (script(read_request, close), Reason.TARGET_CRASHED),
     "reset after the request": (script(read_request, reset), Reason.TARGET_CRASHED),
     "in the status line": (script(read_request, send(WHOLE[:7]), close), Reason.TARGET_CRASHED),
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -1,5 +1,8 @@
 """Settings of an entry VM: what is read, what is refused, what a reload keeps."""
 
+import re
+from pathlib import Path
+
 import pytest
 
 from carawaybank import deployment
@@ -78,3 +81,11 @@
     kept = before.keep_place(changed)
     assert kept.callers_address == before.callers_address
     assert kept.retry_slack == 30
+
+
+def test_the_template_of_the_deploy_file_sets_nothing_that_is_refused():
+    template = (Path(__file__).parent.parent / "deploy" / "settings.toml").read_text()
+    bounds = template.partition("[bounds]")[2]
+    names = set(re.findall(r"(\w+) = ", bounds))
+    assert names
+    assert names <= set(deployment.BoundsTable.__annotations__)
--- /dev/null
+++ b/tests/test_endless.py
@@ -0,0 +1,172 @@
+"""Bytes of a peer that never become an answer, or never end."""
+
+import asyncio
+import time
+import tracemalloc
+
+import pytest
+
+from carawaybank.buffers import BufferBudget
+from carawaybank.callers.requests import ImproperRequestError, RequestReader
+from carawaybank.client import ClientConnection, ExchangeError, HttpCall
+from carawaybank.replies import ReplyReader
+from carawaybank.routing.catalogue import Limits
+from carawaybank.verdicts import Reason
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+PIECE = 16_384
+MOST_BODY = 1_000_000
+#: Longest time in seconds until an endless answer is told, on a deadline ten times as far away.
+TOLD_WITHIN_S = 1.0
+DEADLINE_S = 10.0
+#: Bytes that one read of a connection may bring, and how many times as much an answer without a
+#: body may take: the bytes themselves, the parser's copy and what it passes on.
+READ_BYTES = 262_144
+MOST_COPIES = 8
+
+ENDLESS_FRAMES = {
+    "garbage": (b"", b"\x00garbage"),
+    "status line": (b"HTTP/1.1 200 O", b"K"),
+    "header": (HEAD + b"X-A: ", b"a"),
+    "headers": (HEAD, b"X-A: a\r\n"),
+    "informational answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "chunk size": (CHUNKED, b"0"),
+    "chunk extension": (CHUNKED + b"5;a=", b"a"),
+    "trailers": (CHUNKED + b"0\r\n", b"X-A: a\r\n"),
+    "chunks of a byte with long extensions": (CHUNKED, b"1;" + b"a" * 400 + b"\r\nx\r\n"),
+}
+ENDLESS_BODIES = {
+    "in chunks": (CHUNKED, b"4000\r\n" + b"x" * 16_384 + b"\r\n"),
+    "without a length": (HEAD + b"\r\n", b"x" * 16_384),
+    "of a great length": (HEAD + b"Content-Length: 99999999999\r\n\r\n", b"x" * 16_384),
+}
+
+
+def ask(first, again, *, max_body_bytes=MOST_BODY):
+    """Returns the failure, the seconds until it and the peak of memory."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        data = again * max(1, PIECE // len(again))
+        writer.write(first)
+        try:
+            while True:
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            writer.close()
+
+    async def run():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        connection = await ClientConnection.open(address, timeout_s=1.0)
+        call = HttpCall("GET", "/", [("Host", "peer")])
+        started = time.monotonic()
+        with pytest.raises(ExchangeError) as caught:
+            await connection.exchange(call, timeout_s=DEADLINE_S, max_body_bytes=max_body_bytes)
+        assert not connection.is_open
+        elapsed_s = time.monotonic() - started
+        server.close()
+        return caught.value, elapsed_s
+
+    tracemalloc.start()
+    try:
+        failure, elapsed_s = asyncio.run(run())
+        return failure, elapsed_s, tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
+@pytest.mark.parametrize("name", ENDLESS_FRAMES)
+def test_an_answer_that_never_gets_on_is_told_at_once(name):
+    failure, elapsed_s, peak_bytes = ask(*ENDLESS_FRAMES[name])
+    assert failure.reason in {Reason.CONNECTION_LOST, Reason.ANSWER_TRUNCATED}
+    assert elapsed_s < TOLD_WITHIN_S
+    assert peak_bytes < MOST_COPIES * READ_BYTES
+
+
+@pytest.mark.parametrize("name", ENDLESS_BODIES)
+def test_a_body_without_end_takes_no_more_memory_than_is_allowed(name):
+    failure, elapsed_s, peak_bytes = ask(*ENDLESS_BODIES[name])
+    assert failure.reason is Reason.ANSWER_TOO_LARGE
+    assert elapsed_s < TOLD_WITHIN_S
+    assert peak_bytes < 3 * MOST_BODY
+
+
+def test_a_peer_that_names_no_bound_has_one():
+    first, again = ENDLESS_BODIES["without a length"]
+    failure, _, peak_bytes = ask(first, again, max_body_bytes=None)
+    assert failure.reason is Reason.ANSWER_TOO_LARGE
+    assert peak_bytes < 100_000_000
+
+
+@pytest.mark.parametrize("size", [1, 7, 100, 5_000])
+def test_chunks_of_any_size_are_read(size):
+    body = bytes(range(256)) * 400
+    chunks = [body[at : at + size] for at in range(0, len(body), size)]
+    data = CHUNKED + b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in chunks)
+    reader = ReplyReader(method="GET")
+    for at in range(0, len(data), 1_000):
+        reader.feed(data[at : at + 1_000])
+    reader.feed(b"0\r\nX-Trailer: 1\r\n\r\n")
+    assert reader.problem == ""
+    assert reader.replies[0].body == body
+
+
+CALLERS_BODY = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("first", "again"),
+    [
+        (CALLERS_BODY, b"0"),
+        (CALLERS_BODY + b"5;a=", b"a"),
+        (CALLERS_BODY + b"0\r\n", b"X-A: a\r\n"),
+        (b"", b"\r\n"),
+    ],
+    ids=["chunk size", "chunk extension", "trailers", "empty lines"],
+)
+def test_a_request_that_never_gets_on_is_refused(first, again):
+    taken = []
+    reader = RequestReader(limits=Limits, on_request=taken.append)
+    reader.feed(first)
+    with pytest.raises(ImproperRequestError):
+        feed_all(reader, again, size=1_000_000)
+    assert not taken
+
+
+def feed_all(reader, data, *, size):
+    for _ in range(size // len(data)):
+        reader.feed(data)
+
+
+def test_all_large_answers_together_keep_to_a_budget():
+    first, again = ENDLESS_BODIES["without a length"]
+    budget = BufferBudget(most_bytes=2_000_000)
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(first)
+        try:
+            while True:
+                writer.write(again)
+                await writer.drain()
+        except ConnectionError:
+            writer.close()
+
+    async def exchange(address):
+        connection = await ClientConnection.open(address, timeout_s=1.0)
+        call = HttpCall("GET", "/", [("Host", "peer")])
+        with pytest.raises(ExchangeError) as caught:
+            await connection.exchange(call, timeout_s=DEADLINE_S, budget=budget)
+        assert caught.value.reason is Reason.ANSWER_TOO_LARGE
+
+    async def run():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        await asyncio.gather(*(exchange(address) for _ in range(20)))
+        server.close()
+
+    asyncio.run(run())
+    assert budget.try_take(budget.most_bytes)
