Follow a store that returns from an older copy, by its era

Cause: a reading with a lower version was taken for an old one, so after a return a VM kept what the store had lost, never installed what was written under versions given out again, and did not write its own row again.

Change: a position is (era, version), compared in one type; the newest era wins in watches, histories for siblings, heartbeats and the dump. A held call says nothing of the era, so the first call to another reader or on a new connection is not held. The rows of the copy are passed on as such, and once more when the store has settled: configurations and evacuations in force stay until the operators write again, targets that the copy lacks get the usual grace, those that had left are not used because the copy holds them, VMs that ended are not named, own registrations and crash reports are written again, spread over the fleet. An answer's log line has its objective and attempts.

Ruled out: believing the copy at once (routes would vanish until they are written again) and keeping what was known for good (what was seen).

--- a/src/carawaybank/dump.py
+++ b/src/carawaybank/dump.py
@@ -50,9 +50,16 @@
 
 
 class TableState(TypedDict):
-    """A followed table; ``read_s`` is the time since the store last answered, -1 for never."""
+    """A followed table.
+
+    Attributes:
+        era: Number of the store's returns from an older copy, as the store counts them.
+        version: The store's version when the table was read.
+        read_s: Seconds since the store last answered; -1 for never.
+    """
 
     table: str
+    era: int
     version: int
     rows: int
     read_s: float
@@ -152,6 +159,7 @@
     rows = watch.rows
     return TableState(
         table=watch.table,
+        era=rows.era,
         version=rows.version,
         rows=len(rows.rows),
         read_s=-1.0 if watch.read_at is None else round(now - watch.read_at, 1),
--- a/src/carawaybank/entry.py
+++ b/src/carawaybank/entry.py
@@ -174,6 +174,8 @@
             "service": finish.service,
             "object": info.object_key,
             "status": finish.status,
+            "objective_ms": round(finish.objective_s * 1000),
+            "attempts": finish.attempts,
         }
         if isinstance(verdict, NotRun | MayHaveRun):
             fields["reason"] = str(verdict.reason)
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -27,6 +27,7 @@
 from carawaybank.reload import SettingsFile
 from carawaybank.replies import HttpReply
 from carawaybank.routing.router import Router, RouterOptions
+from carawaybank.rows import BEGINNING, Position
 from carawaybank.siblings import registration
 from carawaybank.siblings.handover import DEPARTURES_PATH, Handover
 from carawaybank.siblings.heartbeat import HeartbeatTask
@@ -40,7 +41,7 @@
 from carawaybank.targets.crashes import CrashReports
 from carawaybank.targets.registry import Registry
 from carawaybank.targets.sender import TargetSender
-from carawaybank.watch import Changes, TableWatch
+from carawaybank.watch import SETTLING_S, Changes, TableWatch
 
 #: Seconds before the kill by which the process has ended.
 _STOP_MARGIN_S = 0.5
@@ -48,6 +49,12 @@
 _LINGER_S = 2.5
 #: Seconds for which changes of targets and VMs gather before the first request.
 _GATHER_S = 0.5
+#: Seconds after the store's return from a copy in which operators write again what it lost. All
+#: bounds hold again when the store has been stable for 3 s on the strictest deployment.
+_ORDERS_SETTLING_S = 2.0
+#: Part of the process's memory that unfinished large answers of targets may take. Joining the parts
+#: of one doubles it for a moment.
+_ANSWERS_PART = 0.125
 #: Seconds between checks of idle and slow connections.
 _TIDY_S = 0.5
 #: Seconds for which callers may keep the answer to a look-up.
@@ -86,15 +93,16 @@
         self._make_tables()
         self._heartbeat = HeartbeatTask(
             vms=self._vms,
-            versions=lambda: {watch.table: watch.known_at for watch in self._watches},
+            positions=lambda: {watch.table: watch.known_at for watch in self._watches},
             on_change=self._registrations.note_change,
-            on_versions=self._compare_versions,
+            on_positions=self._compare_positions,
             on_sent=self._review_sources,
         )
 
     def _make_request_path(self) -> None:
         dialect = self._adapter.dialect
-        self._sender = TargetSender(dialect=dialect)
+        answer_bytes = int(self._deployment.memory_mb * 1_000_000 * _ANSWERS_PART)
+        self._sender = TargetSender(dialect=dialect, answer_bytes=answer_bytes)
         self._vm = EntryVm(
             router=self._router,
             sender=self._sender,
@@ -141,7 +149,7 @@
             vms=self._vms, store=adapter.store, journal=self._journal, rng=self._rng
         )
         self._watches = [
-            self._watch(adapter.orders_table, self._take_orders),
+            self._watch(adapter.orders_table, self._take_orders, settling_s=_ORDERS_SETTLING_S),
             self._watch(adapter.targets_table, self._take_targets, pause_s=self._gather_s),
             self._watch(SHARED_TABLE, self._take_shared, pause_s=self._gather_s),
         ]
@@ -220,6 +228,7 @@
         on_changes: Callable[[Changes], None],
         *,
         pause_s: Callable[[], float] = lambda: 0.0,
+        settling_s: float = SETTLING_S,
     ) -> TableWatch:
         return TableWatch(
             source=self._source,
@@ -227,15 +236,16 @@
             on_changes=on_changes,
             journal=self._journal,
             pause_s=pause_s,
+            settling_s=settling_s,
         )
 
     def _gather_s(self) -> float:
         """Returns how long changes gather: with requests, cold targets must be known at once."""
         return 0.0 if self._router.targets.is_serving else _GATHER_S
 
-    def _compare_versions(self, versions: dict[str, int]) -> None:
+    def _compare_positions(self, positions: dict[str, Position]) -> None:
         for watch in self._watches:
-            is_news = watch.compare(versions.get(watch.table, 0))
+            is_news = watch.compare(positions.get(watch.table, BEGINNING))
             if is_news and watch.is_behind and watch.table == self._adapter.orders_table:
                 # The readers of this failure domain may be cut off from the store.
                 self._heartbeat.spread(everywhere=False)
--- a/src/carawaybank/platform/store.py
+++ b/src/carawaybank/platform/store.py
@@ -9,12 +9,14 @@
 
 from carawaybank.client import ClientConnection, ClientPool, ExchangeError, HttpCall
 from carawaybank.replies import HttpReply
-from carawaybank.rows import HistoryGoneError, Row, Rows, StoreError
+from carawaybank.rows import HistoryGoneError, Position, Row, Rows, StoreError
 
 #: Longest time in seconds for a call that does not wait for news.
 _CALL_TIMEOUT_S = 2.0
 _CONNECT_TIMEOUT_S = 0.6
 _PAGE = 500
+#: Header of all answers: a number that rises when the store returns from an older copy.
+_ERA_HEADER = "Store-Era"
 
 
 class _WireRow(TypedDict, total=False):
@@ -54,28 +56,38 @@
         """
         rows: list[Row] = []
         query = {"table": table, "part": "", "limit": str(_PAGE)}
-        first_version = 0
+        first: Position | None = None
         while True:
             reply = await self._call("GET", f"/rows-get?{urlencode(query)}")
             page = _decode(reply)
             rows.extend(_row(raw) for raw in page.get("rows", []))
-            first_version = first_version or page.get("ver", 0)
+            first = first or Position(_era(reply), page.get("ver", 0))
+            if _era(reply) != first.era:
+                raise StoreError(message="the store returned from a copy between two pages")
             if not page.get("hasMore") or not rows:
-                return Rows(rows, first_version)
+                return Rows(rows, first.version, era=first.era)
             query["from"] = rows[-1].key + "\x00"
 
-    async def watch(self, table: str, *, after: int, wait_s: float) -> Rows:
-        """Returns the rows that changed after a version, once there are any.
+    async def watch(self, table: str, *, after: Position, wait_s: float) -> Rows:
+        """Returns the rows that changed after a position, once there are any.
+
+        The answer of a store that has returned from a copy meanwhile bears its new era; its rows
+        are then those of the new era after the same version, which are not all that changed.
 
         Raises:
             HistoryGoneError: If the changes since then are not known any more.
             StoreError: If the store does not answer.
         """
-        query = {"table": table, "after": str(after), "waitMs": str(int(wait_s * 1000))}
+        # The first call on a connection is not held: its answer tells the store's era.
+        is_connected = self._pool.has(self._address)
+        wait_s = wait_s if is_connected else 0.0
+        wait_ms = int(wait_s * 1000)
+        query = {"table": table, "after": str(after.version), "waitMs": str(wait_ms)}
         timeout_s = wait_s + _CALL_TIMEOUT_S
         reply = await self._call("GET", f"/rows-feed?{urlencode(query)}", timeout_s=timeout_s)
         page = _decode(reply)
-        return Rows([_row(raw) for raw in page.get("rows", [])], page.get("ver", after))
+        rows = [_row(raw) for raw in page.get("rows", [])]
+        return Rows(rows, page.get("ver", after.version), era=_era(reply))
 
     async def put(self, table: str, key: str, value: bytes) -> None:
         """Writes a row.
@@ -139,6 +151,18 @@
         raise StoreError(message=f"an answer cannot be read: {error}") from None
 
 
+def _era(reply: HttpReply) -> int:
+    """Returns the era of an answer; 0 from a store that names none.
+
+    Raises:
+        StoreError: If it is no number.
+    """
+    text = reply.header(_ERA_HEADER) or "0"
+    if not (text.isascii() and text.isdigit()):
+        raise StoreError(message=f"the store's era cannot be read: {text!r}")
+    return int(text)
+
+
 def _row(raw: _WireRow) -> Row:
     try:
         value = base64.b64decode(raw.get("value", "") or "")
--- a/src/carawaybank/routing/messages.py
+++ b/src/carawaybank/routing/messages.py
@@ -85,6 +85,8 @@
         status: HTTP status.
         service: Service that it asked for; empty if it has no route.
         target_id: Target whose answer it is.
+        objective_s: Seconds within which an answer is of full use; 0 if it has no route.
+        attempts: Targets to which it was sent.
     """
 
     key: int
@@ -92,6 +94,8 @@
     status: int
     service: str = ""
     target_id: str = ""
+    objective_s: float = 0.0
+    attempts: int = 0
 
 
 Action = Send | Finish
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -121,9 +121,17 @@
         self._options = options
         self._retries.clear()
 
-    def configure(self, configuration: Configuration) -> bool:
-        """Takes a configuration; returns whether it is newer than the one in force."""
-        if self._configuration and configuration.version <= self._configuration.version:
+    def configure(self, configuration: Configuration, *, supersedes: bool = False) -> bool:
+        """Takes a configuration; returns whether it replaces the one in force.
+
+        Args:
+            configuration: The configuration.
+            supersedes: Whether it replaces another one whatever their versions are.
+        """
+        if self._configuration == configuration:
+            return False
+        is_newer = not self._configuration or configuration.version > self._configuration.version
+        if not (is_newer or supersedes):
             return False
         self._configuration = configuration
         self._routes = RouteTable(routes=configuration.routes)
@@ -376,7 +384,13 @@
         else:
             status = verdict.status
         return Finish(
-            progress.request.key, verdict, status, progress.service, progress.last_target_id
+            progress.request.key,
+            verdict,
+            status,
+            progress.service,
+            progress.last_target_id,
+            progress.route.objective_s,
+            len(progress.tried),
         )
 
     def draw(self, object_key: str, purpose: str) -> float:
--- a/src/carawaybank/rows.py
+++ b/src/carawaybank/rows.py
@@ -38,6 +38,25 @@
     removed: bool
 
 
+class Position(NamedTuple):
+    """A moment in the life of the store; a later one compares as greater.
+
+    Attributes:
+        era: Number of the store's returns from an older copy; versions start anew with each.
+        version: The store's version within the era.
+
+    >>> Position(2, 10) > Position(1, 99)
+    True
+    """
+
+    era: int
+    version: int
+
+
+#: Position before anything was read.
+BEGINNING = Position(0, 0)
+
+
 class Rows(NamedTuple):
     """Rows of a table as of a version of the store.
 
@@ -45,11 +64,18 @@
         rows: Rows, or changed rows.
         version: The store's version when they were read.
         after_outage: Whether the store was out of reach just before they were read.
+        era: The store's era when they were read.
     """
 
     rows: list[Row]
     version: int
     after_outage: bool = False
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """When they were read."""
+        return Position(self.era, self.version)
 
 
 class RowReader(Protocol):
@@ -62,8 +88,8 @@
             StoreError: If the store does not answer.
         """
 
-    async def watch(self, table: str, *, after: int, wait_s: float) -> Rows:
-        """Returns the rows that changed after a version, once there are any.
+    async def watch(self, table: str, *, after: Position, wait_s: float) -> Rows:
+        """Returns the rows that changed after a position, once there are any.
 
         Raises:
             HistoryGoneError: If the changes since then are not known any more.
--- a/src/carawaybank/siblings/heartbeat.py
+++ b/src/carawaybank/siblings/heartbeat.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from carawaybank.rows import Position
 from carawaybank.siblings.vms import Heartbeat, VmDirectory, VmRecord
 
 #: Seconds between heartbeats; four fit into the limit of silence.
@@ -32,24 +33,24 @@
         self,
         *,
         vms: VmDirectory,
-        versions: Callable[[], dict[str, int]],
+        positions: Callable[[], dict[str, Position]],
         on_change: Callable[[VmRecord], None],
-        on_versions: Callable[[dict[str, int]], None],
+        on_positions: Callable[[dict[str, Position]], None],
         on_sent: Callable[[], None] = lambda: None,
     ) -> None:
         """Starts without a socket.
 
         Args:
             vms: Where heartbeats are recorded.
-            versions: Returns the newest version read of each watched table.
+            positions: Returns how far each watched table was read.
             on_change: Called when a heartbeat said something new of a VM.
-            on_versions: Called with the versions that another VM has read.
+            on_positions: Called with how far another VM has read.
             on_sent: Called after each round, when readers may have changed.
         """
         self._vms = vms
-        self._versions = versions
+        self._positions = positions
         self._on_change = on_change
-        self._on_versions = on_versions
+        self._on_positions = on_positions
         self._on_sent = on_sent
         self._transport: asyncio.DatagramTransport | None = None
         self._count = 0
@@ -68,7 +69,7 @@
         changed = self._vms.hear(beat, now=asyncio.get_running_loop().time())
         if changed is not None:
             self._on_change(changed)
-        self._on_versions(beat.versions)
+        self._on_positions(beat.positions)
 
     async def run(self) -> None:
         """Sends heartbeats until cancelled."""
@@ -84,15 +85,15 @@
         own = self._vms.own
         readers = self._vms.readers(now=now)
         if own not in readers:
-            self._send(self._vms.beat(self._versions()), readers)
+            self._send(self._vms.beat(self._positions()), readers)
             return
         domain = own.failure_domain
         report = {domain: [self._vms.own_report(now=now)]}
         known = self._vms.known_reports(now=now)
         whole = {**known, domain: [*known.get(domain, ()), *report[domain]]}
-        self._send(self._vms.beat(self._versions(), whole), self._vms.mates)
+        self._send(self._vms.beat(self._positions(), whole), self._vms.mates)
         remote = [record for record in self._vms.remote_readers(now=now) if self._is_turn(record)]
-        self._send(self._vms.beat(self._versions(), report), remote)
+        self._send(self._vms.beat(self._positions(), report), remote)
 
     def spread(self, *, everywhere: bool) -> None:
         """Tells others at once that there is a newer configuration, if this VM is a reader.
@@ -104,7 +105,7 @@
         if now - self._spread_at < SPREAD_GAP_S or self._vms.own not in self._vms.readers(now=now):
             return
         self._spread_at = now
-        beat = self._vms.beat(self._versions())
+        beat = self._vms.beat(self._positions())
         self._send(beat, self._vms.mates)
         if everywhere:
             self._send(beat, self._vms.remote_readers(now=now))
@@ -112,7 +113,7 @@
     def send_stop(self) -> None:
         """Tells the own failure domain and the readers of the others that this VM stops."""
         now = asyncio.get_running_loop().time()
-        beat = self._vms.beat(self._versions())
+        beat = self._vms.beat(self._positions())
         self._send(beat, [*self._vms.mates, *self._vms.remote_readers(now=now)])
 
     def _is_turn(self, record: VmRecord) -> bool:
--- a/src/carawaybank/siblings/tables.py
+++ b/src/carawaybank/siblings/tables.py
@@ -10,7 +10,7 @@
 from carawaybank.callers.requests import CallerRequest
 from carawaybank.client import ClientConnection, ClientPool, ExchangeError, HttpCall
 from carawaybank.replies import HttpReply
-from carawaybank.rows import HistoryGoneError, Rows, StoreError
+from carawaybank.rows import HistoryGoneError, Position, Rows, StoreError
 from carawaybank.watch import TableWatch
 
 TABLE_PATH = "/table"
@@ -37,7 +37,7 @@
     def __init__(self, *, watches: Sequence[TableWatch]) -> None:
         """Takes the watched tables."""
         self._watches = {watch.table: watch for watch in watches}
-        self._answers: OrderedDict[tuple[str, int, int], bytes] = OrderedDict()
+        self._answers: OrderedDict[tuple[str, Position, int], bytes] = OrderedDict()
 
     async def answer(self, request: CallerRequest) -> HttpReply:
         """Answers a sibling's request for a table or its changes."""
@@ -51,7 +51,8 @@
         if parts.path == TABLE_PATH:
             return HttpReply(_OK, _HEADERS, encode(watch.rows))
         try:
-            after, wait_ms = int(query["after"][0]), int(query["wait_ms"][0])
+            after = Position(int(query["era"][0]), int(query["after"][0]))
+            wait_ms = int(query["wait_ms"][0])
             found = await watch.changes_since(after, wait_s=min(_LONGEST_HOLD_S, wait_ms / 1000))
         except (KeyError, ValueError):
             return HttpReply(400, [], b"")
@@ -59,7 +60,7 @@
             return HttpReply(_GONE, [], b"")
         return HttpReply(_OK, _HEADERS, self._encode(watch.table, after, found))
 
-    def _encode(self, table: str, after: int, found: Rows) -> bytes:
+    def _encode(self, table: str, after: Position, found: Rows) -> bytes:
         key = (table, after, found.version)
         if not found.rows or found.after_outage:
             return encode(found)
@@ -90,15 +91,20 @@
         """
         return await self._call(f"{TABLE_PATH}?{urlencode({'name': table})}", _TIMEOUT_S)
 
-    async def watch(self, table: str, *, after: int, wait_s: float) -> Rows:
-        """Returns the rows that changed after a version, once there are any.
+    async def watch(self, table: str, *, after: Position, wait_s: float) -> Rows:
+        """Returns the rows that changed after a position, once there are any.
 
         Raises:
             HistoryGoneError: If the sibling does not know the changes since then.
             StoreError: If the sibling does not answer.
         """
         held_s = min(_LONGEST_HOLD_S, wait_s)
-        query = {"name": table, "after": after, "wait_ms": int(held_s * 1000)}
+        query = {
+            "name": table,
+            "era": after.era,
+            "after": after.version,
+            "wait_ms": int(held_s * 1000),
+        }
         return await self._call(f"{CHANGES_PATH}?{urlencode(query)}", held_s + _TIMEOUT_S)
 
     async def _call(self, path: str, timeout_s: float) -> Rows:
--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -6,11 +6,14 @@
 
 from typing import NamedTuple
 
+from carawaybank.rows import Position
 from carawaybank.siblings.liveness import SILENCE_LIMIT_S, DomainReport, Liveness
 
 #: Fewest VMs that a look-up names, if there are so many in the caller's region.
 FEWEST_LISTED = 2
 _PORTS = 65_536
+#: VMs that ended and are remembered, so that an older copy of the store does not bring them back.
+_MOST_ENDED = 4_096
 #: Most VMs that a look-up names.
 MOST_LISTED = 64
 
@@ -62,7 +65,7 @@
         vm: Its name.
         incarnation: Start of its process.
         stopping: Whether it is shutting down.
-        versions: Newest version that it read of each watched table.
+        positions: How far it read each watched table.
         reaches_store: Whether the store answered its last call.
         reports: What readers say of the VMs of each failure domain.
     """
@@ -70,7 +73,7 @@
     vm: str
     incarnation: int
     stopping: bool
-    versions: dict[str, int]
+    positions: dict[str, Position]
     reaches_store: bool = True
     reports: dict[str, list[DomainReport]] | None = None
 
@@ -87,6 +90,8 @@
         self._own = own
         self._records: dict[str, VmRecord] = {}
         self._registered: dict[str, float] = {}
+        #: The incarnations of VMs that ended and whose registration was removed.
+        self._ended: dict[str, int] = {}
         self._liveness = Liveness(own=own.vm)
         #: Whether the store answered this VM's last call.
         self.reaches_store = True
@@ -117,6 +122,10 @@
         """Time at which this VM or another one said last that it does not reach the store."""
         return self._liveness.store_missed_at
 
+    def renew(self) -> None:
+        """Starts another incarnation of this VM, for siblings that took it to have ended."""
+        self._own = self._own._replace(incarnation=self._own.incarnation + 1)
+
     def stop(self) -> None:
         """Records that this VM is shutting down."""
         self._own = self._own._replace(stopping=True)
@@ -141,12 +150,14 @@
         ]
 
     def beat(
-        self, versions: dict[str, int], reports: dict[str, list[DomainReport]] | None = None
+        self,
+        positions: dict[str, Position],
+        reports: dict[str, list[DomainReport]] | None = None,
     ) -> Heartbeat:
         """Returns this VM's heartbeat."""
         own = self._own
         return Heartbeat(
-            own.vm, own.incarnation, own.stopping, versions, self.reaches_store, reports
+            own.vm, own.incarnation, own.stopping, positions, self.reaches_store, reports
         )
 
     def own_report(self, *, now: float) -> DomainReport:
@@ -171,6 +182,8 @@
             return False
         if known is not None and known.incarnation == record.incarnation and known.stopping:
             record = record._replace(stopping=True)
+        if record.incarnation <= self._ended.get(record.vm, -1):
+            record = record._replace(stopping=True)
         if known == record:
             return False
         self._records[record.vm] = record
@@ -178,13 +191,27 @@
             self._registered[record.vm] = now
         return True
 
-    def remove(self, vm: str, *, now: float) -> None:
-        """Forgets a VM whose registration was removed, unless it is still heard."""
+    def remove(self, vm: str, *, now: float, has_ended: bool) -> None:
+        """Forgets a VM whose registration is gone, unless it is still heard.
+
+        Args:
+            vm: Its name.
+            now: Monotonic seconds.
+            has_ended: Whether it removed the registration itself; this incarnation does not come
+                back then.
+        """
         record = self._records.get(vm)
         if record is not None and (record.stopping or not self.is_alive(record, now=now)):
             del self._records[vm]
             self._registered.pop(vm, None)
             self._liveness.forget(vm)
+            if has_ended:
+                self._note_ended(record)
+
+    def _note_ended(self, record: VmRecord) -> None:
+        self._ended[record.vm] = record.incarnation
+        if len(self._ended) > _MOST_ENDED:
+            del self._ended[next(iter(self._ended))]
 
     def hear(self, beat: Heartbeat, *, now: float) -> VmRecord | None:
         """Records a heartbeat; returns the VM's record if the heartbeat changed it."""
--- a/src/carawaybank/targets/crashes.py
+++ b/src/carawaybank/targets/crashes.py
@@ -17,6 +17,8 @@
 PREFIX = "crash/"
 #: Seconds after which a row counts no longer and may be removed.
 _RETENTION_S = 600.0
+#: Own reports that are kept, to be written again.
+_MOST_OWN = 2_000
 
 
 class CrashReports:
@@ -36,6 +38,8 @@
         self._table = table
         self._journal = journal
         self._writes: set[asyncio.Task[None]] = set()
+        #: Own reports by key, with the time of day at which each was made.
+        self._own: dict[str, tuple[float, CrashReport]] = {}
 
     def take(self, changes: Changes) -> None:
         """Takes what the table said of crashes."""
@@ -52,21 +56,33 @@
                 self._router.note_crash(report, now)
             elif changes.whole:
                 self._start(self._remove(row.key))
+        if changes.is_copy:
+            self._write_again({PREFIX + row.key for row in changes.rows})
+
+    def _write_again(self, present: set[str]) -> None:
+        """Writes the own reports that the store lost, because it returned from an older copy."""
+        oldest = time.time() - _RETENTION_S
+        self._own = {key: made for key, made in self._own.items() if made[0] > oldest}
+        for key in self._own.keys() - present:
+            self._start(self._write(key))
 
     def report(self, report: CrashReport) -> None:
         """Records a request that was under way at a target that crashed."""
         if self._router.note_crash(report, asyncio.get_running_loop().time()):
             self._journal.note("crashes", "reported", **report._asdict())
-            self._start(self._write(report))
+            key = f"{PREFIX}{report.fingerprint}.{report.target}"
+            self._own[key] = (time.time(), report)
+            if len(self._own) > _MOST_OWN:
+                del self._own[next(iter(self._own))]
+            self._start(self._write(key))
 
     def _start(self, write: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(write)
         self._writes.add(task)
         task.add_done_callback(self._writes.discard)
 
-    async def _write(self, report: CrashReport) -> None:
-        key = f"{PREFIX}{report.fingerprint}.{report.target}"
-        value = msgspec.json.encode((time.time(), report))
+    async def _write(self, key: str) -> None:
+        value = msgspec.json.encode(self._own[key])
         try:
             await self._store.put(self._table, key, value)
         except StoreError as error:
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -1,11 +1,13 @@
 """A stand-in for the platform's store of rows: reads, changes and watches over HTTP.
 
-It can be down (silent or refusing calls), forget its history, lose answers and drop rows.
+It can be down (silent or refusing calls), forget its history, lose answers, drop rows, and return
+from an older copy of itself.
 """
 
 import asyncio
 import base64
 import json
+from typing import NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
 from carawaybank.callers.front import CallerConnection, Gate
@@ -17,6 +19,15 @@
 Key = tuple[str, str]
 
 
+class Copy(NamedTuple):
+    """What the store held at a moment."""
+
+    version: int
+    rows: dict[Key, tuple[bytes, int]]
+    changes: list[tuple[int, Key]]
+    oldest: int
+
+
 class RowStore:
     """Rows by table and key, with the changes since the start or the last compaction."""
 
@@ -26,6 +37,8 @@
         self.rows: dict[Key, tuple[bytes, int]] = {}
         self.changes: list[tuple[int, Key]] = []
         self.oldest = 0
+        #: Number of its returns from a copy, plus one; 0 for a store that says nothing of it.
+        self.era = 1
         self.is_silent = False
         self.status = 0
         self.loses_answers = False
@@ -72,6 +85,17 @@
         self.changes.clear()
         self._cut()
 
+    def copy(self) -> Copy:
+        """Returns a copy from which it may return."""
+        return Copy(self.version, dict(self.rows), list(self.changes), self.oldest)
+
+    def return_from(self, copy: Copy) -> None:
+        """Loses what was written since a copy was made; cuts all connections."""
+        self.version, self.oldest = copy.version, copy.oldest
+        self.rows, self.changes = dict(copy.rows), list(copy.changes)
+        self.era += 1
+        self._cut()
+
     def fail(self, status: int) -> None:
         """Cuts all connections and answers each call with a status until it is 0."""
         self.status = status
@@ -99,6 +123,12 @@
             waiter.set()
 
     async def _answer(self, request: CallerRequest) -> HttpReply:
+        reply = await self._find_answer(request)
+        if not self.era:
+            return reply
+        return reply._replace(headers=[*reply.headers, ("Store-Era", str(self.era))])
+
+    async def _find_answer(self, request: CallerRequest) -> HttpReply:
         url = urlsplit(request.path)
         self.calls.append(request.path)
         if self.is_silent:
@@ -125,7 +155,7 @@
 
     async def _watch(self, query: dict[str, str]) -> HttpReply:
         after, table = int(query["after"]), query["table"]
-        if after < self.oldest:
+        if not self.oldest <= after <= self.version:
             return HttpReply(410, [], b"")
         deadline = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
         while not (keys := self._changed_keys(table, after)):
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -38,6 +38,8 @@
     ],
 }
 CALL_S = 5.0
+#: Seconds after a disturbance of the store from which all bounds hold again.
+STABLE_S = 4.0
 
 
 def free_port():
@@ -286,3 +288,42 @@
         assert b"retry_slack" in errors
 
     asyncio.run(run())
+
+
+def configuration(version, *prefixes):
+    routes = [
+        {"resKind": "routes", "metadata": {"name": prefix}, "spec": {**ROUTE, "prefix": prefix}}
+        for prefix in prefixes
+    ]
+    service = CONFIGURATION["resources"][1]
+    return {"version": f"{version:08x}", "resources": [*routes, service]}
+
+
+def test_a_vm_follows_a_store_that_returned_from_an_older_copy(tmp_path):
+    async def scenario(node):
+        async def until_status(path, status, method="GET"):
+            async with asyncio.timeout(STABLE_S):
+                while (await node.call("8100", path, method=method)).status != status:
+                    await asyncio.sleep(0.05)
+
+        copy = node.store.copy()
+        for version in range(3, 8):
+            await node.store.put("op", "config", configuration(version, "/x/", "/lost/"))
+        await node.until(lambda: node.store.value("carawaybank", "vm/regina-1"))
+        await until_status("/lost/1", 200)
+        node.store.fail(503)
+        await asyncio.sleep(0.5)
+        node.store.return_from(copy)
+        node.store.fail(0)
+        assert (await node.call("8100", "/lost/2")).status == 200
+        await node.store.put("op", "config", configuration(3, "/x/", "/new/"))
+        await until_status("/new/1", 200)
+        assert (await node.call("8100", "/lost/3")).status == 404
+        await node.until(lambda: node.store.value("carawaybank", "vm/regina-1"))
+        leaving = {**json.loads(node.store.value("servers", "t1")), "state": "draining", "seq": 2}
+        await node.store.put("servers", "t1", leaving)
+        await until_status("/x/9", 503)
+        dump = json.loads((await node.call("8105", "/v1/dump")).body)
+        assert {table["era"] for table in dump["tables"]} == {2}
+
+    play(tmp_path, scenario)
--- a/tests/siblings/test_registration.py
+++ b/tests/siblings/test_registration.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from carawaybank.siblings.liveness import SILENCE_LIMIT_S
 from carawaybank.siblings.registration import PREFIX, Registrations
 from carawaybank.siblings.vms import VmDirectory, VmRecord
 from tests.store_world import play, until
@@ -42,10 +43,11 @@
         registering = asyncio.create_task(registrations.register())
         await until(lambda: world.saw("registration failed"))
         world.store.fail(0)
-        await registering
+        await until(lambda: world.store.value(TABLE, PREFIX + "vm-1") is not None)
         assert msgspec.json.decode(world.store.value(TABLE, PREFIX + "vm-1"), type=VmRecord) == OWN
         await registrations.deregister()
         assert world.store.value(TABLE, PREFIX + "vm-1") is None
+        registering.cancel()
         task.cancel()
 
     play(scenario)
@@ -87,3 +89,58 @@
         task.cancel()
 
     play(scenario)
+
+
+def test_a_registration_that_the_store_lost_is_written_again():
+    async def scenario(world):
+        _, registrations, task = make(world)
+        copy = world.store.copy()
+        registering = asyncio.create_task(registrations.register())
+        await until(lambda: world.store.value(TABLE, PREFIX + "vm-1") is not None)
+        await until(lambda: registrations._confirmed_at is not None)
+        await world.store.put(TABLE, "other", b"{}")
+        await until(lambda: world.store.waiting >= 2)
+        world.store.return_from(copy)
+        assert world.store.value(TABLE, PREFIX + "vm-1") is None
+        await until(lambda: world.store.value(TABLE, PREFIX + "vm-1") is not None)
+        registering.cancel()
+        task.cancel()
+
+    play(scenario)
+
+
+def test_a_registration_that_an_earlier_process_removed_late_is_written_again():
+    async def scenario(world):
+        vms, registrations, task = make(world)
+        registering = asyncio.create_task(registrations.register())
+        await until(lambda: registrations._confirmed_at is not None)
+        await world.store.drop(TABLE, PREFIX + "vm-1")
+        await until(lambda: world.store.value(TABLE, PREFIX + "vm-1") is not None)
+        assert vms.own.incarnation == OWN.incarnation + 1
+        registering.cancel()
+        task.cancel()
+
+    play(scenario)
+
+
+def test_a_vm_that_ended_is_not_named_because_the_copy_holds_it():
+    async def scenario(world):
+        vms, _, task = make(world)
+        await world.store.put(TABLE, PREFIX + "vm-2", msgspec.json.encode(OTHER))
+        await until(lambda: vms.others == [OTHER])
+        copy = world.store.copy()
+        await asyncio.sleep(SILENCE_LIMIT_S)
+        await world.store.drop(TABLE, PREFIX + "vm-2")
+        await until(lambda: not vms.others)
+        world.store.return_from(copy)
+        await until(lambda: vms.others)
+        now = asyncio.get_running_loop().time()
+        assert [record.vm for record in vms.find("a1", "a", now=now)] == ["vm-1"]
+        again = OTHER._replace(incarnation=OTHER.incarnation + 1)
+        await world.store.put(TABLE, PREFIX + "vm-2", msgspec.json.encode(again))
+        await until(lambda: again in vms.others)
+        now = asyncio.get_running_loop().time()
+        assert len(vms.find("a1", "a", now=now)) == 2
+        task.cancel()
+
+    play(scenario)
--- a/tests/siblings/test_sources.py
+++ b/tests/siblings/test_sources.py
@@ -8,7 +8,7 @@
 import pytest
 
 from carawaybank.callers.listeners import listen, serve
-from carawaybank.rows import Row, Rows, StoreError
+from carawaybank.rows import Position, Row, Rows, StoreError
 from carawaybank.siblings import liveness, tables
 from carawaybank.siblings.sources import TableSource
 from carawaybank.siblings.tables import TableServer
@@ -75,7 +75,7 @@
         for other in others:
             if other is not self:
                 other.vms.hear(heartbeat, now=now)
-                other.watch.compare(heartbeat.versions["servers"])
+                other.watch.compare(heartbeat.positions["servers"])
         self.watch.review()
 
 
@@ -216,8 +216,8 @@
 def test_a_sibling_that_has_read_less_is_not_believed():
     async def scenario(world, fleet):
         follower = next(vm for vm in fleet.vms if not vm.is_reader)
-        follower.watch._changed_at = 10_000
-        follower.watch._version = None
+        follower.watch._changed_at = Position(1, 10_000)
+        follower.watch._position = None
         follower.watch._call.cancel()
         await until(lambda: world.saw("it has read less than is known here"))
 
--- a/tests/siblings/test_vms.py
+++ b/tests/siblings/test_vms.py
@@ -77,9 +77,9 @@
 
 def test_a_removed_row_of_a_vm_that_is_heard_changes_nothing():
     found = directory(record("x"))
-    found.remove("x", now=0.5)
+    found.remove("x", now=0.5, has_ended=True)
     assert names(found, now=0.5) == {"own", "x"}
-    found.remove("x", now=SILENCE_LIMIT_S + 1)
+    found.remove("x", now=SILENCE_LIMIT_S + 1, has_ended=True)
     assert names(found, now=SILENCE_LIMIT_S + 1) == {"own"}
 
 
--- a/tests/store_world.py
+++ b/tests/store_world.py
@@ -14,6 +14,7 @@
 
 REGIONS = {"a1": "a"}
 GRACE_S = 0.2
+SETTLING_S = 0.4
 
 
 def beat(number, **changes):
@@ -79,6 +80,7 @@
             on_changes=on_changes,
             journal=self.journal,
             pause_s=lambda: pause_s,
+            settling_s=SETTLING_S,
         )
 
     def make_source(self, vms, store):
--- a/tests/targets/test_crashes.py
+++ b/tests/targets/test_crashes.py
@@ -25,3 +25,27 @@
         task.cancel()
 
     play(scenario)
+
+
+def test_own_reports_that_the_store_lost_are_written_again():
+    async def scenario(world):
+        crashes = CrashReports(
+            router=world.router, store=world.client, table="shared", journal=world.journal
+        )
+
+        def take(changes):
+            crashes.take(changes.under(PREFIX))
+
+        task = asyncio.create_task(world.make_watch("shared", take).run())
+        await world.store.put("shared", "other", b"{}")
+        copy = world.store.copy()
+        key = f"{PREFIX}bad.t1"
+        crashes.report(CrashReport("bad", "t1", "vm-1"))
+        await until(lambda: world.store.value("shared", key))
+        await until(lambda: world.store.waiting == 2)
+        world.store.return_from(copy)
+        assert world.store.value("shared", key) is None
+        await until(lambda: world.store.value("shared", key))
+        task.cancel()
+
+    play(scenario)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from carawaybank.rows import Position
 from tests.store_world import beat, play, until
 
 
@@ -44,7 +45,7 @@
         await until(lambda: world.store.waiting == 1)
         calls = len(world.store.calls)
         while len(world.store.calls) == calls:
-            world.watch.compare(99)
+            world.watch.compare(Position(1, 99))
             await asyncio.sleep(0.05)
         assert world.saw("watch is behind")
 
