--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -24,7 +24,6 @@
 from carawaybank.operators.rows import OperatorRows
 from carawaybank.reload import SettingsFile
 from carawaybank.replies import HttpReply
-from carawaybank.routing.demand import Rates
 from carawaybank.routing.router import Router, RouterOptions
 from carawaybank.rows import BEGINNING, Position
 from carawaybank.siblings import registration
@@ -92,8 +91,7 @@
             positions=lambda: {watch.table: watch.known_at for watch in self._watches},
             on_change=self._registrations.note_change,
             on_positions=self._compare_positions,
-            rates=self._own_rates,
-            on_sent=self._note_round,
+            on_sent=self._review_sources,
         )
 
     def _make_request_path(self) -> None:
@@ -253,13 +251,7 @@
                 # The readers of this failure domain may be cut off from the store.
                 self._heartbeat.spread(everywhere=False)
 
-    def _own_rates(self) -> Rates:
-        return self._router.demand.rates(now=asyncio.get_running_loop().time())
-
-    def _note_round(self) -> None:
-        """Takes what a round of heartbeats may have changed: readers, and the demand."""
-        now = asyncio.get_running_loop().time()
-        self._router.shares.demand = self._vms.demand(now=now)
+    def _review_sources(self) -> None:
         for watch in self._watches:
             watch.review()
 
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -10,7 +10,6 @@
 from carawaybank.routing import admission, learning, selection
 from carawaybank.routing.catalogue import Configuration, RouteTable, choose_part
 from carawaybank.routing.coldstart import ColdStartLimit
-from carawaybank.routing.demand import DemandMeter
 from carawaybank.routing.directory import TargetDirectory
 from carawaybank.routing.messages import Action, AttemptResult, Finish, Request, Send
 from carawaybank.routing.placement import Choice, Distances, WorkEstimate
@@ -81,7 +80,6 @@
         self._retries: dict[str, RetryLimit] = {}
         self.cold_starts = ColdStartLimit(vm=options.vm)
         self.targets = TargetDirectory()
-        self.demand = DemandMeter()
         self.shares = PlaceShares(
             failure_domain=options.failure_domain,
             region=options.region,
@@ -167,7 +165,6 @@
         )
         self._requests[request.key] = progress
         self.retry_limit(service).note_request(now=now)
-        self.demand.note(service, now=now)
         return self._place(progress, now)
 
     def end_attempt(self, key: int, result: AttemptResult, now: float) -> Action:
--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -50,9 +50,9 @@
     if newcomer is not None:
         return _expect(router, progress, newcomer, AWAY_WARMTHS[0], now)
     shares = router.shares.regions(progress.service)
-    shares.update(room.by_region, router.shares.demand_of(progress.service), now=now)
+    shares.update(room.by_region)
     shares.note_request(now=now)
-    region = shares.choose(lambda name: router.draw(progress.object_key, f"region {name}"))
+    region = shares.choose(draw=router.draw(progress.object_key, "region"))
     homes = progress.route.home_regions
     if homes and region not in homes:
         region = router.options.region if router.options.region in homes else min(homes)
--- a/src/carawaybank/routing/spill.py
+++ b/src/carawaybank/routing/spill.py
@@ -2,28 +2,23 @@
 
 Load pattern: a region has fewer slots than its callers need, or demand moves between regions in
 waves. Following the cheapest region of each instant would swing the demand back and forth, and
-objects would be cold wherever they arrive. Shares are worked out from the slots and the demand of
-all regions, so that all entry VMs of a region place an object in the same region. They change at
-once when slots come or go, and slowly with the demand. Beyond its share, a full region may let a
-small part of the requests leave. Both bound how fast demand shifts.
+objects would be cold wherever they arrive. Shares are worked out from the regions' slots alone, so
+that all entry VMs of a region place an object in the same region without any message; they change
+only when slots come or go. Beyond its share, a full region may let a small part of the requests
+leave, which bounds how fast demand shifts.
 """
 
-import math
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
-from carawaybank.routing.demand import Rates, of_service
 from carawaybank.routing.windows import SlidingCount
 
 #: Demand of a region that its own slots are given, in multiples of an even spread over all slots.
 LOCALITY = 1.1
-#: Parts of the largest permitted shift that requests leaving a full region may make up, and by
-#: which the shares may follow the demand; the rest is left for chance.
-SPILL_PART_OF_SHIFT = 1 / 3
-DRIFT_PART_OF_SHIFT = 1 / 3
+#: Part of the largest permitted shift that requests leaving a full region may make up; the rest is
+#: left for changes of the shares and for chance.
+SPILL_PART_OF_SHIFT = 2 / 3
 #: Window in seconds over which changes of the regions' shares are bounded.
 SHIFT_WINDOW_S = 2.0
-#: Smallest number that is drawn, so that its logarithm is finite.
-_LEAST_DRAW = 1e-12
 
 
 class DomainShares:
@@ -84,14 +79,9 @@
     """Shares of one service's requests by region in which they run.
 
     >>> shares = RegionShares(home="a")
-    >>> shares.update({"a": 1, "b": 5}, now=0.0)
-    >>> round(shares.share("a"), 3)
-    0.367
-    >>> shares.choose({"a": 0.9, "b": 0.2}.get)
-    'a'
-    >>> shares.update({"a": 1, "b": 5}, {"a": 9.0, "b": 1.0}, now=2.0)
-    >>> round(shares.share("a"), 3)
-    0.317
+    >>> shares.update({"a": 1, "b": 5})
+    >>> shares.choose(draw=0.36), shares.choose(draw=0.37)
+    ('a', 'b')
     """
 
     def __init__(self, *, home: str, most_shift: float = 0.15) -> None:
@@ -103,11 +93,9 @@
                 windows.
         """
         self._spill_part = SPILL_PART_OF_SHIFT * most_shift
-        self._drift_per_s = DRIFT_PART_OF_SHIFT * most_shift / SHIFT_WINDOW_S
         self._home = home
         self._slots: dict[str, int] = {}
         self._shares: dict[str, float] = {home: 1.0}
-        self._moved_at = float("-inf")
         self._requests = SlidingCount(window_s=SHIFT_WINDOW_S)
         self._spilled = SlidingCount(window_s=SHIFT_WINDOW_S)
 
@@ -115,50 +103,25 @@
         """Returns the share of a region, from 0 to 1."""
         return self._shares.get(region, 0.0)
 
-    def update(
-        self, slots: Mapping[str, int], demand: Mapping[str, float] | None = None, *, now: float
-    ) -> None:
-        """Takes the usable slots by region, and the demand if it is known.
-
-        Args:
-            slots: Slots by region.
-            demand: Requests a second by region; None if that of any region is not known, which is
-                taken to be the same everywhere then.
-            now: Monotonic seconds.
-        """
-        if slots != self._slots:
-            self._scale_to(slots)
-        elapsed_s, self._moved_at = now - self._moved_at, now
-        goal = _find_shares(self._home, self._slots, None)
-        if demand:
-            following = _find_shares(self._home, self._slots, demand)
-            # Demand elsewhere draws nothing home: a region of few targets is best left with some
-            # room, because chance fills them sooner than many.
-            if following[self._home] < goal[self._home]:
-                goal = following
-        self._move_towards(goal, most=self._drift_per_s * min(elapsed_s, SHIFT_WINDOW_S))
-
-    def _scale_to(self, slots: Mapping[str, int]) -> None:
-        """Follows slots that came or went at once, keeping what the demand has moved so far."""
-        before = _find_shares(self._home, self._slots, None)
-        after = _find_shares(self._home, slots, None)
+    def update(self, slots: Mapping[str, int]) -> None:
+        """Takes the usable slots by region."""
+        if slots == self._slots:
+            return
         self._slots = dict(slots)
-        moved = {
-            region: max(0.0, share + self.share(region) - before.get(region, 0.0))
-            for region, share in after.items()
+        even = sum(slots.values()) / max(1, len(slots))
+        room = {region: LOCALITY * count / even if even else 0.0 for region, count in slots.items()}
+        at_home = min(1.0, room.get(self._home, 0.0))
+        spare = {region: max(0.0, part - 1.0) for region, part in room.items()}
+        spare.pop(self._home, None)
+        total = sum(spare.values())
+        if not total:
+            at_home = 1.0 if at_home else 0.0
+            spare = {region: part for region, part in room.items() if region != self._home}
+            total = sum(spare.values())
+        self._shares = {
+            region: (1.0 - at_home) * part / total for region, part in spare.items() if total
         }
-        total = sum(moved.values())
-        self._shares = {region: part / total for region, part in moved.items()} if total else after
-
-    def _move_towards(self, goal: Mapping[str, float], *, most: float) -> None:
-        """Moves a part of the requests towards a goal, at most as large as given."""
-        regions = {*goal, *self._shares}
-        differences = {name: goal.get(name, 0.0) - self.share(name) for name in regions}
-        distance = sum(abs(difference) for difference in differences.values()) / 2
-        if not distance:
-            return
-        part = min(1.0, most / distance)
-        self._shares = {name: self.share(name) + part * differences[name] for name in regions}
+        self._shares[self._home] = at_home
 
     def note_request(self, *, now: float) -> None:
         """Counts a request."""
@@ -171,42 +134,18 @@
         self._spilled.add(now=now)
         return True
 
-    def choose(self, draw: Callable[[str], float]) -> str:
+    def choose(self, *, draw: float) -> str:
         """Returns the region of a request.
 
-        A change of the shares moves few more objects than it must.
-
         Args:
-            draw: Returns a number from 0 up to 1 for a region, the same for requests on one object.
+            draw: A number from 0 up to 1, the same for requests on one object.
         """
-        found, longest = self._home, 0.0
-        for region, share in self._shares.items():
-            # Weighted rendezvous hashing.
-            length = share / -math.log(max(draw(region), _LEAST_DRAW)) if share > 0 else 0.0
-            if length > longest:
-                found, longest = region, length
-        return found
-
-
-def _find_shares(
-    home: str, slots: Mapping[str, int], demand: Mapping[str, float] | None
-) -> dict[str, float]:
-    """Returns the shares of a region's requests that fit slots and demand of all regions."""
-    slots = {region: count for region, count in slots.items() if count}
-    total_slots = sum(slots.values())
-    if not demand or not demand.get(home):
-        demand = dict.fromkeys(slots, 1.0)
-    total = sum(demand.values())
-    fits = {name: LOCALITY * total * count / total_slots for name, count in slots.items()}
-    at_home = min(1.0, fits.get(home, 0.0) / demand.get(home, 1.0))
-    spare = {name: max(0.0, part - demand.get(name, 0.0)) for name, part in fits.items()}
-    spare.pop(home, None)
-    if not sum(spare.values()):
-        at_home = 1.0 if at_home or not fits else 0.0
-        spare = {name: part for name, part in fits.items() if name != home}
-    away = sum(spare.values())
-    shares = {name: (1.0 - at_home) * part / away for name, part in spare.items() if away}
-    return {**shares, home: at_home}
+        mark = draw
+        for region in sorted(self._shares, key=lambda name: (name != self._home, name)):
+            mark -= self._shares[region]
+            if mark < 0:
+                return region
+        return self._home
 
 
 class PlaceShares:
@@ -226,8 +165,6 @@
         self._most_shift = most_shift
         self._by_service: dict[str, RegionShares] = {}
         self._by_region: dict[tuple[str, str], DomainShares] = {}
-        #: Requests a second by region and service; None while that of any region is not known.
-        self.demand: Mapping[str, Rates] | None = None
 
     def regions(self, service: str) -> RegionShares:
         """Returns the shares of a service's requests by region."""
@@ -235,10 +172,6 @@
             self._by_service[service] = RegionShares(home=self._region, most_shift=self._most_shift)
         return self._by_service[service]
 
-    def demand_of(self, service: str) -> dict[str, float] | None:
-        """Returns the requests a second for a service by region, if they are known."""
-        return None if self.demand is None else of_service(self.demand, service)
-
     def domains(self, service: str, region: str) -> DomainShares:
         """Returns the shares of a service's requests in a region by failure domain."""
         key = (service, region)
--- a/src/carawaybank/siblings/heartbeat.py
+++ b/src/carawaybank/siblings/heartbeat.py
@@ -4,7 +4,7 @@
 the reports that it knows, to all VMs of its failure domain, and with its own report to the readers
 of the others; to those of other regions every third time, because traffic between regions is dear.
 Heartbeats also say how far a VM has read the watched tables, so that one whose watch went silent
-notices that it is behind, and how much callers ask of it.
+notices that it is behind.
 """
 
 import asyncio
@@ -14,7 +14,6 @@
 
 import msgspec
 
-from carawaybank.routing.demand import Rates
 from carawaybank.rows import Position
 from carawaybank.siblings.vms import Heartbeat, VmDirectory, VmRecord
 
@@ -37,7 +36,6 @@
         positions: Callable[[], dict[str, Position]],
         on_change: Callable[[VmRecord], None],
         on_positions: Callable[[dict[str, Position]], None],
-        rates: Callable[[], Rates] = dict,
         on_sent: Callable[[], None] = lambda: None,
     ) -> None:
         """Starts without a socket.
@@ -47,14 +45,12 @@
             positions: Returns how far each watched table was read.
             on_change: Called when a heartbeat said something new of a VM.
             on_positions: Called with how far another VM has read.
-            rates: Returns the requests a second that callers send to this VM, by service.
             on_sent: Called after each round, when readers may have changed.
         """
         self._vms = vms
         self._positions = positions
         self._on_change = on_change
         self._on_positions = on_positions
-        self._rates = rates
         self._on_sent = on_sent
         self._transport: asyncio.DatagramTransport | None = None
         self._count = 0
@@ -89,10 +85,10 @@
         own = self._vms.own
         readers = self._vms.readers(now=now)
         if own not in readers:
-            self._send(self._vms.beat(self._positions(), rates=self._rates()), readers)
+            self._send(self._vms.beat(self._positions()), readers)
             return
         domain = own.failure_domain
-        report = {domain: [self._vms.own_report(self._rates(), now=now)]}
+        report = {domain: [self._vms.own_report(now=now)]}
         known = self._vms.known_reports(now=now)
         whole = {**known, domain: [*known.get(domain, ()), *report[domain]]}
         self._send(self._vms.beat(self._positions(), whole), self._vms.mates)
--- a/src/carawaybank/siblings/liveness.py
+++ b/src/carawaybank/siblings/liveness.py
@@ -11,8 +11,6 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from carawaybank.routing import demand
-from carawaybank.routing.demand import Rates
 from carawaybank.steering import hashing
 
 #: Readers of a failure domain.
@@ -34,19 +32,16 @@
         reporter: The reader.
         age_s: Seconds since it said so.
         absent: Registered VMs that it does not hear, or that stop.
-        rates: Requests a second that callers send to all of its VMs, by service.
     """
 
     reporter: str
     age_s: float
     absent: tuple[str, ...]
-    rates: Rates | None = None
 
 
 class _Report(NamedTuple):
     made_at: float
     absent: frozenset[str]
-    rates: Rates
 
 
 class Liveness:
@@ -69,14 +64,12 @@
         self._expected: dict[str, float] = {}
         self._reports: dict[str, dict[str, _Report]] = {}
         self._reader_since: float | None = None
-        self._rates: dict[str, Rates] = {}
         #: Time at which a VM said last that it does not reach the store.
         self.store_missed_at = float("-inf")
 
-    def hear(self, vm: str, *, reaches_store: bool, now: float, rates: Rates | None = None) -> None:
+    def hear(self, vm: str, *, reaches_store: bool, now: float) -> None:
         """Records a heartbeat."""
         self._heard[vm] = now
-        self._rates[vm] = rates or {}
         if reaches_store:
             self._without_store.discard(vm)
         else:
@@ -86,7 +79,6 @@
     def forget(self, vm: str) -> None:
         """Forgets a VM that is registered no more."""
         self._heard.pop(vm, None)
-        self._rates.pop(vm, None)
         self._without_store.discard(vm)
 
     def silent_s(self, vm: str, *, now: float) -> float | None:
@@ -141,33 +133,19 @@
         return hashing.rank(key=key, members=present)[:READERS]
 
     def report(
-        self,
-        members: Iterable[str],
-        *,
-        stopping: Iterable[str],
-        rates: Rates,
-        now: float,
+        self, members: Iterable[str], *, stopping: Iterable[str], now: float
     ) -> DomainReport:
         """Returns this reader's report on its failure domain.
 
         Args:
             members: The other VMs of it.
             stopping: Those that stop.
-            rates: Requests a second at this VM, by service.
             now: Monotonic seconds.
         """
-        members = list(members)
-        heard = [vm for vm in members if self.is_heard(vm, now=now)]
-        rates = demand.add([rates, *(self._rates.get(vm, {}) for vm in heard)])
         silent = {vm for vm in members if not self.is_heard(vm, now=now)}
         if self._reader_since is None or now - self._reader_since < SILENCE_LIMIT_S:
             silent = set()  # the others may not know yet that they are to be heard here
-        return DomainReport(self._own, 0.0, tuple(sorted(silent | set(stopping))), rates)
-
-    def domain_rates(self, failure_domain: str, *, now: float) -> Rates | None:
-        """Returns the rates of the newest report on a failure domain, if one counts."""
-        reports = self._fresh_reports(failure_domain, now)
-        return max(reports, key=lambda report: report.made_at).rates if reports else None
+        return DomainReport(self._own, 0.0, tuple(sorted(silent | set(stopping))))
 
     def take_report(self, failure_domain: str, report: DomainReport, *, now: float) -> None:
         """Takes a report, unless a newer one of the same reader is known."""
@@ -175,17 +153,15 @@
         reports = self._reports.setdefault(failure_domain, {})
         known = reports.get(report.reporter)
         if known is None or made_at > known.made_at:
-            reports[report.reporter] = _Report(
-                made_at, frozenset(report.absent), report.rates or {}
-            )
+            reports[report.reporter] = _Report(made_at, frozenset(report.absent))
 
     def fresh_reports(self, *, now: float) -> dict[str, list[DomainReport]]:
         """Returns the reports that count, by failure domain, to be passed on."""
         self._drop_old_reports(now)
         return {
             domain: [
-                DomainReport(reporter, round(now - made_at, 3), tuple(sorted(absent)), rates)
-                for reporter, (made_at, absent, rates) in reports.items()
+                DomainReport(reporter, round(now - made_at, 3), tuple(sorted(absent)))
+                for reporter, (made_at, absent) in reports.items()
             ]
             for domain, reports in self._reports.items()
             if reports
--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -6,8 +6,6 @@
 
 from typing import NamedTuple
 
-from carawaybank.routing import demand
-from carawaybank.routing.demand import Rates
 from carawaybank.rows import Position
 from carawaybank.siblings.liveness import SILENCE_LIMIT_S, DomainReport, Liveness
 
@@ -70,7 +68,6 @@
         positions: How far it read each watched table.
         reaches_store: Whether the store answered its last call.
         reports: What readers say of the VMs of each failure domain.
-        rates: Requests a second that callers send to it, by service.
     """
 
     vm: str
@@ -79,7 +76,6 @@
     positions: dict[str, Position]
     reaches_store: bool = True
     reports: dict[str, list[DomainReport]] | None = None
-    rates: Rates | None = None
 
 
 class VmDirectory:
@@ -97,8 +93,6 @@
         #: The incarnations of VMs that ended and whose registration was removed.
         self._ended: dict[str, int] = {}
         self._liveness = Liveness(own=own.vm)
-        self._report: DomainReport | None = None
-        self._reported_at = float("-inf")
         #: Whether the store answered this VM's last call.
         self.reaches_store = True
 
@@ -159,53 +153,21 @@
         self,
         positions: dict[str, Position],
         reports: dict[str, list[DomainReport]] | None = None,
-        rates: Rates | None = None,
     ) -> Heartbeat:
         """Returns this VM's heartbeat."""
         own = self._own
         return Heartbeat(
-            own.vm, own.incarnation, own.stopping, positions, self.reaches_store, reports, rates
+            own.vm, own.incarnation, own.stopping, positions, self.reaches_store, reports
         )
 
-    def own_report(self, rates: Rates, *, now: float) -> DomainReport:
-        """Returns what this VM, as a reader, says of its failure domain.
-
-        Args:
-            rates: Requests a second that callers send to this VM, by service.
-            now: Monotonic seconds.
-        """
+    def own_report(self, *, now: float) -> DomainReport:
+        """Returns what this VM, as a reader, says of its failure domain."""
         mates = self.mates
         stopping = [record.vm for record in mates if record.stopping]
         if self._own.stopping:
             stopping.append(self._own.vm)
         fresh = [record.vm for record in mates if not self._is_new(record.vm, now)]
-        self._report = self._liveness.report(fresh, stopping=stopping, rates=rates, now=now)
-        self._reported_at = now
-        return self._report
-
-    def demand(self, *, now: float) -> dict[str, Rates] | None:
-        """Returns the requests a second that callers send to the VMs of each region, by service.
-
-        Failure domains without any live VM count as none; None if that of another is not known.
-        """
-        parts: dict[str, list[Rates]] = {}
-        places = {
-            (record.failure_domain, record.region)
-            for record in [self._own, *self._records.values()]
-            if record is self._own or self.is_alive(record, now=now)
-        }
-        for failure_domain, region in places:
-            rates = self._domain_rates(failure_domain, now)
-            if rates is None:
-                return None
-            parts.setdefault(region, []).append(rates)
-        return {region: demand.add(rates) for region, rates in parts.items()}
-
-    def _domain_rates(self, failure_domain: str, now: float) -> Rates | None:
-        is_own = failure_domain == self._own.failure_domain
-        if is_own and self._report is not None and now - self._reported_at <= SILENCE_LIMIT_S:
-            return self._report.rates or {}
-        return self._liveness.domain_rates(failure_domain, now=now)
+        return self._liveness.report(fresh, stopping=stopping, now=now)
 
     def known_reports(self, *, now: float) -> dict[str, list[DomainReport]]:
         """Returns the reports of other readers that still count."""
@@ -256,7 +218,7 @@
         record = self._records.get(beat.vm)
         if record is None or beat.incarnation < record.incarnation:
             return None
-        self._liveness.hear(beat.vm, reaches_store=beat.reaches_store, now=now, rates=beat.rates)
+        self._liveness.hear(beat.vm, reaches_store=beat.reaches_store, now=now)
         for domain, reports in (beat.reports or {}).items():
             for report in reports:
                 if report.reporter != self._own.vm:
