Serve siblings while a table is read anew; know an ended VM by its very start

Cause (by reading the change): while a reader read a table anew, after a return of the store or a lost history, it answered its followers 503; they pass a reader over for 3 s then, so that all VMs of a failure domain would read the store at once. And a VM that restarted while its clock had stepped back counted as the one that had ended, by its lower incarnation, and would not be named any more.

Change: what was read before stays served until the new reading is there; only the same incarnation counts as ended. Both have a test.

--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -182,7 +182,7 @@
             return False
         if known is not None and known.incarnation == record.incarnation and known.stopping:
             record = record._replace(stopping=True)
-        if record.incarnation <= self._ended.get(record.vm, -1):
+        if record.incarnation == self._ended.get(record.vm):
             record = record._replace(stopping=True)
         if known == record:
             return False
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -116,8 +116,10 @@
         self._table = table
         self._on_changes = on_changes
         self._journal = journal
-        #: What was read last; None before the first reading and when all must be read anew.
+        #: What was read last; None before the first reading.
         self._position: Position | None = None
+        #: Whether all must be read anew. Siblings are served what was read before until then.
+        self._needs_whole = True
         self._era: int | None = None
         self._settling: asyncio.TimerHandle | None = None
         self._failures = 0
@@ -248,14 +250,14 @@
                     raise
             except HistoryGoneError:
                 self._journal.note("store", "history gone", table=self._table, seen=self._position)
-                self._position = None
+                self._needs_whole = True
                 await asyncio.sleep(_GONE_PAUSE_S)
             except StoreError as error:
                 self._note_failure(reader, error)
 
     async def _step(self, reader: RowReader) -> None:
         await self._source.wait_for_turn(reader)
-        whole = self._position is None
+        whole = self._needs_whole
         found = await self._read(reader)
         # An outage may end while another VM, which did not notice it, takes over from a reader.
         after_outage = self._failures > 0 or self._source.is_after_outage
@@ -263,7 +265,7 @@
         self._answered_by = reader
         if not whole and found.era != self._era:
             self._journal.note("store", "era changed", table=self._table, era=found.era)
-            self._position = None
+            self._needs_whole = True
             return
         if self._failures:
             self._journal.note("store", "regained", table=self._table, failures=self._failures)
@@ -282,7 +284,7 @@
             HistoryGoneError: If the changes since then are not known any more.
             StoreError: If the reader does not answer, or has read less than is known here.
         """
-        if self._position is None:
+        if self._needs_whole or self._position is None:
             found = await reader.read(self._table)
             if found.position < self._changed_at:
                 raise StoreError(message="it has read less than is known here")
@@ -305,6 +307,7 @@
         self._era = found.era
         removed = set(self._rows) - {row.key for row in found.rows} if whole else set()
         self._position = max(found.position, self._position or BEGINNING)
+        self._needs_whole = False
         newest = (Position(found.era, row.version) for row in found.rows)
         self._changed_at = max([self._changed_at, *newest])
         for key in removed:
--- a/tests/siblings/test_sources.py
+++ b/tests/siblings/test_sources.py
@@ -217,7 +217,7 @@
     async def scenario(world, fleet):
         follower = next(vm for vm in fleet.vms if not vm.is_reader)
         follower.watch._changed_at = Position(1, 10_000)
-        follower.watch._position = None
+        follower.watch._needs_whole = True
         follower.watch._call.cancel()
         await until(lambda: world.saw("it has read less than is known here"))
 
--- a/tests/siblings/test_vms.py
+++ b/tests/siblings/test_vms.py
@@ -87,3 +87,14 @@
     found = directory(record("x"))
     found.stop()
     assert names(found, now=0.0) == {"x"}
+
+
+def test_a_vm_that_ended_comes_back_with_another_start_also_after_a_step_of_its_clock():
+    found = directory(record("x"))
+    found.remove("x", now=SILENCE_LIMIT_S + 1, has_ended=True)
+    later = SILENCE_LIMIT_S + 2
+    found.update(record("x"), now=later)
+    assert names(found, now=later) == {"own"}
+    found.remove("x", now=later, has_ended=True)
+    found.update(record("x")._replace(incarnation=record("x").incarnation - 1), now=later)
+    assert names(found, now=later) == {"own", "x"}
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -6,8 +6,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from carawaybank.callers.requests import CallerRequest
 from carawaybank.history import History
 from carawaybank.rows import HistoryGoneError, Position, Row, Rows, StoreError
+from carawaybank.siblings import tables
+from carawaybank.siblings.tables import TABLE_PATH, TableServer
 from tests.siblings.test_sources import Fleet
 from tests.store_world import SETTLING_S, beat, play, until
 
@@ -160,7 +163,7 @@
         await watch._step(Reader(rows(1, 3, "b")))
         await watch._step(Reader(rows(1, 3, "b")))
         assert set(watch._rows) == {"b"}
-        watch._position = None
+        watch._needs_whole = True
         with pytest.raises(StoreError, match="less than is known"):
             await watch._step(Reader(rows(99, 2, "a")))
 
@@ -218,3 +221,23 @@
             assert {vm.watch.changed_at.era for vm in fleet.vms} == {store.era}
 
     play(scenario)
+
+
+def test_siblings_are_served_while_the_table_is_read_anew():
+    """Readers that turned their followers away would send all of them to the store at once."""
+
+    async def scenario(world):
+        await world.store.put("servers", "t1", beat(1))
+        await until(lambda: world.targets == {"t1"})
+        server = TableServer(watches=[world.watch])
+        world.store.fail(503)
+        world.store.forget_history()
+        world.store.era += 1
+        world.watch._needs_whole = True
+        await until(lambda: world.saw('"lost"'))
+        request = CallerRequest("GET", f"{TABLE_PATH}?name=servers", [], b"")
+        reply = await server.answer(request)
+        assert reply.status == 200
+        assert [row.key for row in tables.decode(reply.body).rows] == ["t1"]
+
+    play(scenario)
