--- a/src/carawaybank/targets/checks.py
+++ b/src/carawaybank/targets/checks.py
@@ -15,6 +15,8 @@
 _LOOK_S = 0.2
 #: Longest time in seconds of a health check.
 _TIMEOUT_S = 0.8
+#: Largest answer in bytes to a check, whose body means nothing.
+_MOST_BYTES = 65_536
 
 
 class Health(NamedTuple):
@@ -120,7 +122,9 @@
         try:
             connection = await ClientConnection.open(address, timeout_s=_TIMEOUT_S)
             try:
-                reply = await connection.exchange(call, timeout_s=_TIMEOUT_S)
+                reply = await connection.exchange(
+                    call, timeout_s=_TIMEOUT_S, max_body_bytes=_MOST_BYTES
+                )
             finally:
                 connection.close()
         except ExchangeError as error:
