--- a/src/carawaybank/targets/crashes.py
+++ b/src/carawaybank/targets/crashes.py
@@ -64,25 +64,26 @@
         oldest = time.time() - _RETENTION_S
         self._own = {key: made for key, made in self._own.items() if made[0] > oldest}
         for key in self._own.keys() - present:
-            self._start(self._write(key))
+            self._start(self._write(key, self._own[key]))
 
     def report(self, report: CrashReport) -> None:
         """Records a request that was under way at a target that crashed."""
         if self._router.note_crash(report, asyncio.get_running_loop().time()):
             self._journal.note("crashes", "reported", **report._asdict())
             key = f"{PREFIX}{report.fingerprint}.{report.target}"
-            self._own[key] = (time.time(), report)
+            made = (time.time(), report)
+            self._own[key] = made
             if len(self._own) > _MOST_OWN:
                 del self._own[next(iter(self._own))]
-            self._start(self._write(key))
+            self._start(self._write(key, made))
 
     def _start(self, write: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(write)
         self._writes.add(task)
         task.add_done_callback(self._writes.discard)
 
-    async def _write(self, key: str) -> None:
-        value = msgspec.json.encode(self._own[key])
+    async def _write(self, key: str, made: tuple[float, CrashReport]) -> None:
+        value = msgspec.json.encode(made)
         try:
             await self._store.put(self._table, key, value)
         except StoreError as error:
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -106,8 +106,7 @@
             table: Name of the table.
             on_changes: Takes what the table said.
             journal: Where losses of the store are noted.
-            pause_s: Returns the seconds after a change for which further ones are left to
-                gather, so that a rush of changes takes few calls.
+            pause_s: Returns the seconds after a change for which further ones gather.
             settling_s: Seconds after a return from a copy for which its rows may be outdated.
         """
         self._settling_s = settling_s
