--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -245,3 +245,26 @@
         server.close()
 
     asyncio.run(run())
+
+
+def test_a_connection_is_not_used_again_if_the_answer_came_before_the_body_was_sent():
+    """Otherwise the peer would take the next request for the rest of the body."""
+
+    async def answer_early(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer())
+        await writer.drain()
+        await asyncio.sleep(0.5)
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(answer_early, "127.0.0.1", 0, limit=1_000)
+        port = server.sockets[0].getsockname()[1]
+        connection = await ClientConnection.open(f"127.0.0.1:{port}", timeout_s=2.0)
+        body = b"x" * 20_000_000
+        reply = await connection.exchange(call("1", "POST", body), timeout_s=2.0)
+        server.close()
+        assert reply.body == b"ok"
+        assert not connection.is_open
+
+    asyncio.run(run())
