Share the limit that a target names among all entry VMs

Cause: no VM read the header. A target tells its limit to single VMs, but the limit binds the sum over all; nothing in the design carried such a statement from the VM that got it to the others, nor divided it. Change: the adapter reads the header. Each VM uses a fixed share of the limit, a token bucket whose size and rate follow from the names and localities of the known VMs (limitshares.py). A limit takes effect with the first response or report that names it; it is raised or ended only by an answer to a request that was sent later (targetlimits.py). First attempts, retries and health checks draw from the same bucket; a cold target has both bounds. Requests that no target may take are refused at once with the reason, and limits learned, changed, ended, ignored and requests held off are counted and logged. Ruled out: leases of shares between VMs (they need messages in time), and a floor of one request per VM (more VMs than requests).

--- a/src/carawaybank/counters.py
+++ b/src/carawaybank/counters.py
@@ -54,6 +54,7 @@
         self._lock = threading.Lock()
         self._requests: Counter[RequestLabels] = Counter()
         self._attempts: Counter[str] = Counter()
+        self._limit_events: Counter[str] = Counter()
         self._latencies: dict[str, HdrHistogram] = {}
         self.lookup_count = 0
         self.abandoned_count = 0
@@ -91,6 +92,20 @@
         with self._lock:
             self.lookup_count += 1
 
+    def count_limit_event(self, event: str) -> None:
+        """Counts a change of a target's limit, or a request that a limit kept from a target."""
+        with self._lock:
+            self._limit_events[event] += 1
+
+    def limit_events(self) -> dict[str, int]:
+        """Returns the number of events by name.
+
+        The names are ``learned``, ``changed``, ``ended`` and ``ignored`` for limits, and ``held
+        off`` for requests.
+        """
+        with self._lock:
+            return dict(self._limit_events)
+
     def requests(self) -> dict[RequestLabels, int]:
         """Returns the number of finished requests by service, verdict and reason."""
         with self._lock:
--- a/src/carawaybank/deployment.py
+++ b/src/carawaybank/deployment.py
@@ -5,6 +5,7 @@
 
 from carawaybank import documents
 from carawaybank.exceptions import DocumentError
+from carawaybank.routing.router import RouterOptions
 
 
 class VmTable(TypedDict):
@@ -112,6 +113,20 @@
     lapse_grace_s: float = 2.0
     memory_mb: float = 200.0
 
+    def router_options(self) -> RouterOptions:
+        """Returns the locality and the limits that the router applies."""
+        return RouterOptions(
+            failure_domain=self.failure_domain,
+            region=self.region,
+            vm=self.vm,
+            retry_share=self.retry_share,
+            retry_slack=self.retry_slack,
+            retry_window_s=self.retry_window_s,
+            cold_factor=self.cold_factor,
+            cold_slack=self.cold_slack,
+            max_shift=self.most_shift,
+        )
+
     def keep_startup_settings(self, changed: "Deployment") -> "Deployment":
         """Returns the changed settings with name, locality and addresses of the current ones.
 
--- a/src/carawaybank/dump.py
+++ b/src/carawaybank/dump.py
@@ -30,6 +30,7 @@
         failure_share: Fraction of requests that failed, as a moving average.
         cold_left_s: Seconds until the target counts as warm.
         down_s: Seconds since the target was taken out of use; -1 if it is in use.
+        limit: Requests per second that it takes from all entry VMs together; -1 if it named none.
     """
 
     target_id: str
@@ -43,6 +44,7 @@
     failure_share: float
     cold_left_s: float
     down_s: float
+    limit: float
 
 
 class SiblingState(TypedDict):
@@ -149,15 +151,16 @@
         evacuated=sorted(router.targets.evacuated),
         requests=router.request_count,
         connections=connections,
-        targets=[_target_state(target, now) for target in targets],
+        targets=[_target_state(router, target, now) for target in targets],
         siblings=_sibling_states(vms, now),
         tables=[_table_state(watch, now) for watch in watches],
         crashes=list(router.quarantine.reports()[:MAX_LISTED]),
     )
 
 
-def _target_state(target: Target, now: float) -> TargetState:
+def _target_state(router: Router, target: Target, now: float) -> TargetState:
     entry = target.entry
+    limit = router.limits.rate_of(entry)
     return TargetState(
         target_id=entry.target_id,
         service=entry.service,
@@ -170,6 +173,7 @@
         failure_share=round(target.failure_share, 2),
         cold_left_s=round(max(0.0, target.cold_until - now), 1),
         down_s=-1.0 if target.down_since is None else round(now - target.down_since, 1),
+        limit=-1.0 if limit is None else limit,
     )
 
 
--- a/src/carawaybank/handler.py
+++ b/src/carawaybank/handler.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import itertools
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from carawaybank.callers.requests import CallerRequest
@@ -76,6 +77,7 @@
         dialect: CallerDialect,
         journal: Journal,
         counters: Counters,
+        on_attempt: Callable[[], None] = lambda: None,
     ) -> None:
         """Initializes the handler.
 
@@ -85,6 +87,7 @@
             dialect: Decodes and encodes the messages of callers.
             journal: Receives a log event for each request and each failed attempt.
             counters: Counts finished and abandoned requests.
+            on_attempt: Called after each attempt, which may have changed the limit of a target.
         """
         self._router = router
         self._sender = sender
@@ -93,6 +96,7 @@
         self._keys = itertools.count(1)
         self._configured = asyncio.Event()
         self._counters = counters
+        self._on_attempt = on_attempt
         self.is_stopping = False
 
     @property
@@ -157,6 +161,7 @@
             last = Attempt(sent, result)
             self._record_round_trip_times()
             action = self._router.end_attempt(routing_request.key, result, loop.time())
+            self._on_attempt()
             if not isinstance(result.verdict, Answered) or isinstance(action, Send):
                 self._log_attempt(routing_request, sent, result)
         return action, last
@@ -200,6 +205,8 @@
     ) -> None:
         verdict = finish.verdict
         self._counters.count_request(finish.service, verdict, latency_s)
+        if finish.limited_by:
+            self._counters.count_limit_event("held off")
         fields: dict[str, object] = {
             "id": routing_request.request_id,
             "service": finish.service,
@@ -220,6 +227,8 @@
             fields["wait_ms"] = round(last.sent.wait_s * 1000)
             fields["warmth"] = last.sent.warmth
             fields["load"] = last.result.load
+        if finish.limited_by:
+            fields["limited_by"] = finish.limited_by
         configuration = self._router.configuration
         fields["config"] = configuration.version if configuration else None
         fields["ms"] = round(latency_s * 1000)
--- a/src/carawaybank/metrics.py
+++ b/src/carawaybank/metrics.py
@@ -64,6 +64,7 @@
         counter(
             "carawaybank.control.bytes", [lambda _: [Observation(counters.control_bytes)]], "By"
         )
+        counter("carawaybank.limits", [self._observe_limits], description="of targets, by event")
         gauge("carawaybank.ticket", [lambda _: [Observation(counters.configuration_version)]])
 
     def _observe_requests(self, _: CallbackOptions) -> list[Observation]:
@@ -74,6 +75,10 @@
         counts = self._counters.attempts()
         return [Observation(count, {"service": service}) for service, count in counts.items()]
 
+    def _observe_limits(self, _: CallbackOptions) -> list[Observation]:
+        counts = self._counters.limit_events()
+        return [Observation(count, {"event": event}) for event, count in counts.items()]
+
 
 class _LatencyCollector(Collector):
     """Collector of the latency histograms of a daemon's services."""
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -4,7 +4,7 @@
 import random
 import signal
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -23,12 +23,13 @@
 from carawaybank.journal import Journal
 from carawaybank.operators.rows import OperatorRows
 from carawaybank.replies import HttpReply
-from carawaybank.routing.router import Router, RouterOptions
+from carawaybank.routing.router import Router
 from carawaybank.rows import INITIAL_POSITION, Position
 from carawaybank.settingsfile import SettingsFile
 from carawaybank.siblings import registration
 from carawaybank.siblings.bootstrap import Bootstrap
 from carawaybank.siblings.heartbeat import HeartbeatTask
+from carawaybank.siblings.limits import LimitExchange
 from carawaybank.siblings.registration import Registrations
 from carawaybank.siblings.sources import TableSource
 from carawaybank.siblings.vms import VmDirectory, VmRecord
@@ -75,10 +76,17 @@
         self._counters = Counters()
         self._metrics = Exposition(vm=deployment.vm, counters=self._counters)
         self._rng = random.Random(f"{deployment.vm}.{time.time_ns()}")
-        self._router = Router(options=_options(deployment), rng=self._rng)
+        self._router = Router(options=deployment.router_options(), rng=self._rng)
         self._vms = VmDirectory(own=_own_record(deployment))
         self._connections: set[CallerConnection] = set()
         self._stopped = asyncio.Event()
+        self._limit_exchange = LimitExchange(
+            limits=self._router.limits,
+            vms=self._vms,
+            send=self._send_datagram,
+            counters=self._counters,
+            journal=self._journal,
+        )
         self._make_request_path()
         self._make_tables()
         self._heartbeat = HeartbeatTask(
@@ -86,7 +94,8 @@
             positions=lambda: {watch.table: watch.newest_known_position for watch in self._watches},
             on_change=self._registrations.record_change,
             on_positions=self._record_sibling_positions,
-            on_sent=self._recheck_readers,
+            on_sent=self._end_heartbeat_round,
+            on_report=self._limit_exchange.receive,
         )
 
     def _make_request_path(self) -> None:
@@ -99,6 +108,7 @@
             dialect=dialect,
             journal=self._journal,
             counters=self._counters,
+            on_attempt=self._limit_exchange.publish,
         )
         self._crashes = CrashReports(
             router=self._router,
@@ -253,7 +263,11 @@
                 # the position is sent to its other VMs as well.
                 self._heartbeat.send_early(include_remote=False)
 
-    def _recheck_readers(self) -> None:
+    def _send_datagram(self, data: bytes, records: Sequence[VmRecord]) -> None:
+        self._heartbeat.send_datagram(data, records)
+
+    def _end_heartbeat_round(self) -> None:
+        self._limit_exchange.repeat()
         for watch in self._watches:
             watch.recheck_reader()
 
@@ -333,7 +347,7 @@
             "daemon", "settings changed", whole=deployment == changed, **deployment._asdict()
         )
         self._deployment = deployment
-        self._router.update_options(_options(deployment))
+        self._router.update_options(deployment.router_options())
 
     def _handle_ready(self, request: CallerRequest) -> HttpReply:
         ready = self._handler.is_ready and self._registry.is_loaded
@@ -366,17 +380,3 @@
         incarnation=time.time_ns() // 1_000_000,
         control_address=deployment.control_address,
     )
-
-
-def _options(deployment: Deployment) -> RouterOptions:
-    return RouterOptions(
-        failure_domain=deployment.failure_domain,
-        region=deployment.region,
-        vm=deployment.vm,
-        retry_share=deployment.retry_share,
-        retry_slack=deployment.retry_slack,
-        retry_window_s=deployment.retry_window_s,
-        cold_factor=deployment.cold_factor,
-        cold_slack=deployment.cold_slack,
-        max_shift=deployment.most_shift,
-    )
--- a/src/carawaybank/platform/dialect.py
+++ b/src/carawaybank/platform/dialect.py
@@ -1,11 +1,14 @@
 """The HTTP conventions of the platform's callers and targets: headers, statuses, meanings."""
 
+import re
+
 from carawaybank.callers.requests import CallerRequest
 from carawaybank.client import HttpCall
 from carawaybank.headers import CONNECTION_HEADERS
 from carawaybank.replies import Headers, HttpReply
 from carawaybank.routing.messages import Request
 from carawaybank.routing.target import LoadReport
+from carawaybank.routing.targetlimits import LimitStatement
 from carawaybank.steering import hashing
 from carawaybank.targets.checks import Health
 from carawaybank.targets.sender import TargetReply
@@ -25,6 +28,10 @@
 _COLD_MS = "X-Carawaybank-Cold-Ms"
 #: Set on all responses of a target that is shutting down, regardless of its row in the store.
 _SERVER_LEAVING = "Server-Leaving"
+#: Requests per second that the target takes from all entry VMs together, as a decimal number, for
+#: as long as its responses contain it.
+_SERVER_LIMIT = "Server-Limit"
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?|\.[0-9]{1,9}")
 _RETRY_AFTER = "Retry-After"
 
 _HOP_BY_HOP_HEADERS = CONNECTION_HEADERS | {"expect"}
@@ -109,6 +116,7 @@
             target_id=reply.header(_INSTANCE_ID) or "",
             cold_left_s=int(cold_ms) / 1000 if cold_ms.isdigit() else 0.0,
             is_draining=reply.header(_SERVER_LEAVING) == "1",
+            limit=_read_named_limit(reply),
         )
 
     def encode(self, call: HttpCall, *, target_id: str, remaining_s: float) -> HttpCall:
@@ -136,7 +144,13 @@
         pause_s = read_pause_s(reply)
         if reply.header(_NOT_RUN) is not None:
             shed = NotRun(Reason.TARGET_SHED, pause_s or 0.5, "the target is full")
-            return TargetReply(shed, load, is_draining=is_draining, pause_s=pause_s)
+            return TargetReply(
+                shed,
+                load,
+                is_draining=is_draining,
+                pause_s=pause_s,
+                limit=_read_named_limit(reply),
+            )
         invalid = _check_reply(call, reply)
         if invalid is not None:
             return TargetReply(invalid, load, is_draining=is_draining, pause_s=pause_s)
@@ -144,7 +158,13 @@
             (name, value) for name, value in reply.headers if name not in _HOP_BY_HOP_HEADERS
         )
         answer = Answered(reply.status, headers, reply.body)
-        return TargetReply(answer, load, is_draining=is_draining, pause_s=pause_s)
+        return TargetReply(
+            answer,
+            load,
+            is_draining=is_draining,
+            pause_s=pause_s,
+            limit=read_limit(reply),
+        )
 
 
 def read_load(reply: HttpReply) -> LoadReport | None:
@@ -156,6 +176,30 @@
     return LoadReport(running, waiting, slots)
 
 
+def read_limit(reply: HttpReply) -> LimitStatement:
+    """Returns what a response says of the limit of its target.
+
+    A value that is not a decimal number, or a second header, is a fault. A limit of 0 is valid.
+    """
+    values = [value.strip() for name, value in reply.headers if name == _SERVER_LIMIT.lower()]
+    if not values:
+        return LimitStatement()
+    if len(values) > 1:
+        return LimitStatement(fault=f"{len(values)} limits in one response")
+    if not _DECIMAL.fullmatch(values[0]):
+        return LimitStatement(fault=f"not a decimal number: {values[0][:40]!r}")
+    return LimitStatement(float(values[0]))
+
+
+def _read_named_limit(reply: HttpReply) -> LimitStatement | None:
+    """Returns the limit in a response that does not end a limit by naming none.
+
+    Health checks and refusals do not show that the target takes more requests again.
+    """
+    statement = read_limit(reply)
+    return statement if statement.rate is not None or statement.fault else None
+
+
 def read_pause_s(reply: HttpReply) -> float:
     """Returns the seconds for which a target wants no requests.
 
--- a/src/carawaybank/routing/feedback.py
+++ b/src/carawaybank/routing/feedback.py
@@ -33,6 +33,10 @@
     target = choice.target
     if result.load is not None:
         target.record_load(result.load, now=now)
+    if result.limit is not None:
+        router.limits.record_statement(
+            target.entry, result.limit, sent_at=now - result.latency_s, now=now
+        )
     if result.pause_s:
         target.pause(result.pause_s, now=now)
     if result.is_draining:
--- a/src/carawaybank/routing/messages.py
+++ b/src/carawaybank/routing/messages.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from carawaybank.routing.target import LoadReport
+from carawaybank.routing.targetlimits import LimitStatement
 from carawaybank.verdicts import Verdict
 
 
@@ -39,6 +40,7 @@
         pause_s: Seconds for which the target accepts no requests from this entry VM.
         address_reused: Whether the address now belongs to another target.
         may_have_crashed: Whether the connection broke in a way that a crash would explain.
+        limit: What the response says of the target's limit; None without a valid response.
     """
 
     verdict: Verdict
@@ -48,6 +50,7 @@
     pause_s: float = 0.0
     address_reused: bool = False
     may_have_crashed: bool = False
+    limit: LimitStatement | None = None
 
 
 class Send(NamedTuple):
@@ -87,6 +90,8 @@
         target_id: Last target that the request was sent to; empty if none.
         objective_s: Latency objective of the route in seconds; 0 if the request has no route.
         attempts: Number of targets that the request was sent to.
+        limited_by: The first target that did not get the request because of the limit that it
+            named, with the limit; empty if there was none.
     """
 
     key: int
@@ -96,6 +101,7 @@
     target_id: str = ""
     objective_s: float = 0.0
     attempts: int = 0
+    limited_by: str = ""
 
 
 Action = Send | Finish
--- a/src/carawaybank/routing/progress.py
+++ b/src/carawaybank/routing/progress.py
@@ -31,6 +31,8 @@
         self.tried_targets: set[str] = set()
         self.choice: Choice | None = None
         self.last_target_id = ""
+        #: The first target that was passed over because of its limit, with the limit.
+        self.limited_by = ""
         #: A target's error response, returned if the retries at other targets do not succeed.
         self.fallback: Answered | None = None
         #: The verdict of an attempt of which it is unknown whether it ran.
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -13,10 +13,12 @@
 from carawaybank.routing.configuration import Configuration, RouteTable, choose_service
 from carawaybank.routing.directory import TargetDirectory
 from carawaybank.routing.estimates import Choice, RoundTripTimes, WorkEstimate
+from carawaybank.routing.limitshares import VmLocality
 from carawaybank.routing.messages import Action, AttemptResult, Finish, Request, Send
 from carawaybank.routing.progress import Progress
 from carawaybank.routing.retrylimit import RetryLimit
 from carawaybank.routing.spillover import LocalityShares
+from carawaybank.routing.targetlimits import TargetLimits
 from carawaybank.steering import hashing
 from carawaybank.steering.quarantine import CrashReport, Quarantine
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
@@ -81,6 +83,9 @@
         self._requests: dict[int, Progress] = {}
         self._retry_limits: dict[str, RetryLimit] = {}
         self.cold_starts = ColdStartLimit(vm=options.vm)
+        self.limits = TargetLimits(
+            vm=options.vm, locality=VmLocality(options.failure_domain, options.region)
+        )
         self.targets = TargetDirectory()
         self.shares = LocalityShares(
             failure_domain=options.failure_domain,
@@ -287,11 +292,10 @@
     def _dispatch(self, progress: Progress, now: float) -> Action:
         choice = selection.choose(self, progress, now)
         if choice is None:
-            wait_s = (
-                selection.min_remaining_pause_s(self, progress, now) or progress.route.objective_s
-            )
+            wait_s = selection.min_wait_s(self, progress, now) or progress.route.objective_s
             refusal = admission.refuse(wait_s, rng=self._rng)
-            return self._refuse(progress, refusal, "no target can take it")
+            detail = ": ".join(filter(None, ("no target can take it", progress.limited_by)))
+            return self._refuse(progress, refusal, detail)
         admission_refusal = self._check_admission(progress, choice, now)
         if admission_refusal is not None:
             detail = (
@@ -309,6 +313,7 @@
             ):
                 refusal = admission.refuse(progress.route.objective_s, rng=self._rng)
                 return self._refuse(progress, refusal, "only cold targets are left")
+        self.limits.record_send(target.entry, now=now)
         progress.choice = choice
         progress.tried_targets.add(target.entry.target_id)
         progress.last_target_id = target.entry.target_id
@@ -372,6 +377,7 @@
             progress.last_target_id,
             progress.route.objective_s,
             len(progress.tried_targets),
+            progress.limited_by,
         )
 
     def selection_point(self, object_key: str, purpose: str) -> float:
--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -139,19 +139,35 @@
         return False
     if target.is_down or target_id in progress.tried_targets or target.remaining_pause_s(now=now):
         return False
+    if _is_held_off(router, progress, target, now):
+        return False
     rate = router.cold_rate(progress.service)
-    if not rate or not target.is_cold(now=now):
-        return True
-    return router.cold_starts.may_send(target_id, vms=router.vms, rate=rate, now=now)
+    if rate and target.is_cold(now=now):
+        return router.cold_starts.may_send(target_id, vms=router.vms, rate=rate, now=now)
+    return True
+
+
+def _is_held_off(router: "Router", progress: Progress, target: Target, now: float) -> bool:
+    """Returns whether this VM must not send to a target now because of the target's limit."""
+    if not router.limits.wait_s(target.entry, now=now):
+        return False
+    if not progress.limited_by:
+        entry = target.entry
+        rate = router.limits.rate_of(entry)
+        progress.limited_by = f"target {entry.target_id} named a limit of {rate} a second"
+    return True
+
 
+def min_wait_s(router: "Router", progress: Progress, now: float) -> float:
+    """Returns the seconds until the first target that is paused or limited may get a request.
 
-def min_remaining_pause_s(router: "Router", progress: Progress, now: float) -> float:
-    """Returns the seconds until the first pause of a target ends; 0 if no target is paused."""
-    pauses = (
-        target.remaining_pause_s(now=now)
+    The result is 0 if there is no such target.
+    """
+    waits = (
+        max(target.remaining_pause_s(now=now), router.limits.retry_after_s(target.entry, now=now))
         for target in router.targets.eligible_targets(progress.service)
     )
-    return min((pause for pause in pauses if pause), default=0.0)
+    return min((wait for wait in waits if wait), default=0.0)
 
 
 def _find_new_target(
--- a/src/carawaybank/siblings/heartbeat.py
+++ b/src/carawaybank/siblings/heartbeat.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import cast
 
 import msgspec
@@ -39,6 +39,7 @@
         on_change: Callable[[VmRecord], None],
         on_positions: Callable[[dict[str, Position]], None],
         on_sent: Callable[[], None] = lambda: None,
+        on_report: Callable[[bytes], None] = lambda _: None,
     ) -> None:
         """Starts without a socket.
 
@@ -48,12 +49,14 @@
             on_change: Called with the record of a VM that a heartbeat changed.
             on_positions: Called with the positions up to which another VM has read the tables.
             on_sent: Called after each round, when readers may have changed.
+            on_report: Called with each datagram that is a JSON object, which is no heartbeat.
         """
         self._vms = vms
         self._positions = positions
         self._on_change = on_change
         self._on_positions = on_positions
         self._on_sent = on_sent
+        self._on_report = on_report
         self._transport: asyncio.DatagramTransport | None = None
         self._rounds = 0
         self._last_early_at = float("-inf")
@@ -64,6 +67,9 @@
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Records a heartbeat and calls the callbacks; ignores an invalid datagram."""
+        if data.startswith(b"{"):
+            self._on_report(data)
+            return
         try:
             heartbeat = msgspec.json.decode(data, type=Heartbeat)
         except (msgspec.MsgspecError, UnicodeDecodeError):
@@ -135,11 +141,15 @@
         return self._rounds % every == 0
 
     def _send(self, heartbeat: Heartbeat, records: list[VmRecord]) -> None:
-        if self._transport is None or not records:
+        if records:
+            self.send_datagram(msgspec.json.encode(heartbeat), records)
+
+    def send_datagram(self, data: bytes, records: Sequence[VmRecord]) -> None:
+        """Sends a datagram to VMs; does nothing before the socket is open."""
+        if self._transport is None:
             return
-        data = msgspec.json.encode(heartbeat)
         for record in records:
             host, _, port = record.sibling_address.rpartition(":")
-            # A full socket buffer drops this heartbeat; the next one replaces it.
+            # A full socket buffer drops this datagram; the next one replaces it.
             with contextlib.suppress(OSError):
                 self._transport.sendto(data, (host, int(port)))
--- a/src/carawaybank/siblings/registration.py
+++ b/src/carawaybank/siblings/registration.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from carawaybank.journal import Journal
+from carawaybank.routing.limitshares import VmLocality
 from carawaybank.routing.router import Router
 from carawaybank.rows import RowStore, StoreError
 from carawaybank.siblings.vms import VmDirectory, VmRecord, is_usable
@@ -98,13 +99,19 @@
             for record in self._vms.others:
                 if record.vm not in present:
                     self._vms.remove(record.vm, now=now, has_ended=False)
-        self._router.vms = self._vms.names
-        self._router.failure_domain_vm_count = 1 + len(self._vms.domain_peers)
+        self._update_router()
 
     def record_change(self, record: VmRecord) -> None:
         """Logs the changed record of a VM and updates the router, for a row or a heartbeat."""
         self._journal.log("siblings", "vm changed", sibling=record._asdict())
+        self._update_router()
+
+    def _update_router(self) -> None:
+        records = [self._vms.own, *self._vms.others]
         self._router.vms = self._vms.names
+        self._router.limits.update_vms(
+            {record.vm: VmLocality(record.failure_domain, record.region) for record in records}
+        )
         self._router.failure_domain_vm_count = 1 + len(self._vms.domain_peers)
 
     def _handle_missing(self, now: float, *, is_certain: bool) -> None:
--- a/src/carawaybank/targets/checks.py
+++ b/src/carawaybank/targets/checks.py
@@ -9,6 +9,7 @@
 from carawaybank.replies import HttpReply
 from carawaybank.routing.router import Router
 from carawaybank.routing.target import Target
+from carawaybank.routing.targetlimits import LimitStatement
 from carawaybank.steering.quarantine import CrashReport
 
 #: Seconds between polls for targets whose check is due.
@@ -27,12 +28,14 @@
         target_id: Identifier of the target that responded; empty if the response lacks it.
         cold_left_s: Seconds for which the target stays cold.
         is_draining: Whether the target announces its departure.
+        limit: The limit that the response names; None if it names none.
     """
 
     is_healthy: bool
     target_id: str
     cold_left_s: float
     is_draining: bool = False
+    limit: LimitStatement | None = None
 
 
 class HealthDialect(Protocol):
@@ -81,7 +84,8 @@
             await asyncio.sleep(_POLL_INTERVAL_S)
             now = loop.time()
             for target in self._router.targets.by_id.values():
-                if target.is_down and now >= target.next_check_at:
+                is_due = target.is_down and now >= target.next_check_at
+                if is_due and self._router.limits.try_send(target.entry, now=now):
                     target.eject(now=now)
                     self._start_task(self._check_health(target))
             suspected: dict[str, list[CrashReport]] = {
@@ -125,6 +129,7 @@
             return
         address = target.entry.address
         call = self._dialect.encode_health(service.health_path, address=address)
+        sent_at = asyncio.get_running_loop().time()
         try:
             connection = await ClientConnection.open(address, timeout_s=_TIMEOUT_S)
             try:
@@ -136,12 +141,20 @@
         except ExchangeError as error:
             self._log_event(target, "check failed", str(error))
             return
-        health = self._dialect.decode_health(reply)
+        self._apply(target, self._dialect.decode_health(reply), sent_at=sent_at)
+
+    def _apply(self, target: Target, health: Health, *, sent_at: float) -> None:
+        """Applies the response to a health check that was sent at ``sent_at``."""
         now = asyncio.get_running_loop().time()
         if health.target_id and health.target_id != target.entry.target_id:
             self._log_event(target, "address taken", health.target_id)
             self._router.targets.remove(target.entry.target_id)
-        elif health.is_draining:
+            return
+        if health.limit is not None:
+            self._router.limits.record_statement(
+                target.entry, health.limit, sent_at=sent_at, now=now
+            )
+        if health.is_draining:
             self._log_event(target, "leaving", "announced in the health check response")
             self._router.targets.record_departure(target)
         elif health.is_healthy:
--- a/src/carawaybank/targets/sender.py
+++ b/src/carawaybank/targets/sender.py
@@ -8,6 +8,7 @@
 from carawaybank.replies import HttpReply
 from carawaybank.routing.messages import AttemptResult, Send
 from carawaybank.routing.target import LoadReport
+from carawaybank.routing.targetlimits import LimitStatement
 from carawaybank.verdicts import UNREACHED_REASONS, MayHaveRun, NotRun, Reason, Verdict
 
 #: Time limit in seconds to open a connection, to which four round trips to the target are added.
@@ -30,6 +31,8 @@
         address_reused: Whether the address now belongs to another target.
         is_draining: Whether the target announces its departure.
         pause_s: Seconds for which the target asks this entry VM to send no requests.
+        limit: What the response says of the target's limit; None if it is not a valid response, or
+            one that cannot end a limit and names none.
     """
 
     verdict: Verdict
@@ -37,6 +40,7 @@
     address_reused: bool = False
     is_draining: bool = False
     pause_s: float = 0.0
+    limit: LimitStatement | None = None
 
 
 class TargetDialect(Protocol):
@@ -110,6 +114,7 @@
             is_draining=decoded.is_draining,
             pause_s=decoded.pause_s,
             address_reused=decoded.address_reused,
+            limit=decoded.limit,
         )
 
     async def _attempt(self, action: Send, call: HttpCall, round_trip_s: float) -> HttpReply:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -12,6 +12,7 @@
 from carawaybank.platform.dialect import PlatformDialect, read_load
 from carawaybank.replies import HttpReply
 from carawaybank.routing.configuration import Evacuation
+from carawaybank.routing.targetlimits import LimitStatement
 from carawaybank.rows import Row
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason
 
@@ -246,3 +247,48 @@
 def test_a_malformed_load_report_is_none(text):
     assert read_load(make_reply(X_Carawaybank_Server_Load=text)) is None
     assert read_load(make_reply(X_Carawaybank_Server_Load="3,1,8")).waiting == 1
+
+
+VALID_HEADERS = {"X_Carawaybank_Request_Id": "r1", "X_Carawaybank_Server_Seal": "s"}
+
+
+@pytest.mark.parametrize(
+    ("text", "rate"), [("1.6", 1.6), ("20", 20.0), (" 3.5 ", 3.5), (".5", 0.5), ("0", 0.0)]
+)
+def test_the_limit_of_a_target_is_read_from_its_responses(text, rate):
+    dialect = PlatformDialect()
+    answered = dialect.decode(CALL, make_reply(Server_Limit=text, **VALID_HEADERS))
+    assert isinstance(answered.verdict, Answered)
+    assert answered.limit == LimitStatement(rate)
+    shed = make_reply(503, Server_Limit=text, X_Carawaybank_Not_Run="1")
+    assert dialect.decode(CALL, shed).limit == LimitStatement(rate)
+    assert dialect.decode_health(make_reply(Server_Limit=text)).limit == LimitStatement(rate)
+
+
+@pytest.mark.parametrize(
+    "text", ["", "soon", "-1", "nan", "inf", "1e3", "1_0", "1,6", "+1", "9" * 400, "٣", "0x10"]
+)
+def test_a_value_that_is_no_limit_is_a_fault_and_the_request_is_answered(text):
+    """Guards against a malformed limit that fails the request, or ends the limit in force."""
+    decoded = PlatformDialect().decode(CALL, make_reply(Server_Limit=text, **VALID_HEADERS))
+    assert isinstance(decoded.verdict, Answered)
+    assert decoded.limit.rate is None
+    assert decoded.limit.fault
+
+
+def test_two_limits_in_one_response_are_a_fault():
+    reply = make_reply(Server_Limit="1.6", **VALID_HEADERS)
+    reply.headers.append(("server-limit", "2.0"))
+    assert PlatformDialect().decode(CALL, reply).limit.fault
+
+
+def test_only_an_answer_of_the_target_ends_a_limit():
+    """A refusal, a health check or another target's response does not show a recovery."""
+    dialect = PlatformDialect()
+    assert dialect.decode(CALL, make_reply(**VALID_HEADERS)).limit == LimitStatement()
+    assert dialect.decode(CALL, make_reply(500, **VALID_HEADERS)).limit == LimitStatement()
+    assert dialect.decode(CALL, make_reply(503, X_Carawaybank_Not_Run="1")).limit is None
+    assert dialect.decode(CALL, make_reply(421, Server_Limit="1.6")).limit is None
+    late = make_reply(X_Carawaybank_Request_Id="r0", X_Carawaybank_Server_Seal="s")
+    assert dialect.decode(CALL, late).limit is None
+    assert dialect.decode_health(make_reply(200)).limit is None
--- a/tests/targets/test_checks.py
+++ b/tests/targets/test_checks.py
@@ -7,6 +7,7 @@
 from carawaybank.platform.dialect import PlatformDialect
 from carawaybank.replies import HttpReply
 from carawaybank.routing.messages import AttemptResult, Send
+from carawaybank.routing.targetlimits import LimitStatement
 from carawaybank.targets.checks import HealthChecks
 from carawaybank.verdicts import MayHaveRun, Reason
 from tests.routing.builders import make_request, make_router, make_target
@@ -108,3 +109,24 @@
         replacement.close()
 
     run_scenario(scenario)
+
+
+def test_health_checks_count_against_the_limit_of_a_target():
+    """Guards against a limited target that gets health checks of all VMs beyond its limit."""
+
+    async def scenario(router, server, address, reports):
+        target = router.targets.find("t1")
+        now = asyncio.get_running_loop().time()
+        statement = LimitStatement(0.0)
+        router.limits.record_statement(target.entry, statement, sent_at=now, now=now)
+        while router.limits.try_send(target.entry, now=now):
+            pass
+        target.eject(now=now - 10.0)
+        await asyncio.sleep(0.6)
+        assert target.is_down
+        router.limits.record_statement(
+            target.entry, LimitStatement(), sent_at=now + 0.1, now=now + 0.2
+        )
+        await wait_until(lambda: not target.is_down)
+
+    run_scenario(scenario)
