Test limits across processes: silent VMs, and kills while the store is dark

A VM without traffic must learn of a limit and of its end from a sibling, and VMs that are killed and start again from a sibling's tables must keep the sum.

--- a/tests/platform/test_limited_targets.py
+++ b/tests/platform/test_limited_targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import json
 from typing import NamedTuple
 
 import pytest
@@ -90,6 +91,8 @@
         text = SETTINGS.replace('directory_address = "127.0.0.1:8102"', control)
         text = text.replace("127.0.0.1", self.ip(name)).replace("regina-1", name)
         text = text.replace(f"{self.ip(name)}:8104", self.store_address)
+        seeds = ", ".join(f'"{self.ip(vm)}:8105"' for vm in VMS)
+        text = text.replace(f'"{self.ip(name)}:9"', seeds)
         for old, new in self.ports.items():
             text = text.replace(old, str(new))
         path = tmp_path / f"{name}.toml"
@@ -141,6 +144,17 @@
         if reply.header(LIMIT_HEADER) is not None:
             self.told_at.setdefault(name, asyncio.get_running_loop().time())
 
+    async def wait_for_limits(self, limit):
+        """Waits until all VMs state this limit of the limited target in their dumps."""
+        async with asyncio.timeout(5):
+            while True:
+                replies = [await self.call(name, "8105", "/v1/dump", "dump") for name in VMS]
+                targets = [json.loads(reply.body)["targets"] for reply in replies]
+                limits = [t["limit"] for known in targets for t in known if t["target_id"] == "t1"]
+                if limits == [limit] * len(VMS):
+                    return
+                await asyncio.sleep(0.05)
+
     def max_bound_arrivals(self):
         """Returns the most arrivals in one window from VMs that were bound by the limit."""
         never = float("inf")
@@ -173,3 +187,38 @@
         assert site.max_bound_arrivals() <= ALLOWED_FACTOR * limit * WINDOW_S + ALLOWED_EXTRA
 
     run_site(tmp_path, scenario)
+
+
+def test_vms_without_traffic_learn_of_a_limit_and_of_its_end_from_a_sibling(tmp_path):
+    """Guards against VMs that exceed a limit, or keep one that ended, because they sent nothing."""
+
+    async def scenario(site):
+        site.limited.limit = "1.6"
+        await site.send_requests(VMS[0], 1.0)
+        await site.wait_for_limits(1.6)
+        site.limited.limit = None
+        await site.send_requests(VMS[0], 4.0)
+        await site.wait_for_limits(-1.0)
+
+    run_site(tmp_path, scenario)
+
+
+def test_vms_that_are_killed_while_the_store_is_dark_keep_the_limit(tmp_path):
+    """Guards against VMs that exceed a limit because a start forgets it."""
+    limit = 3.5
+
+    async def scenario(site):
+        site.limited.limit = str(limit)
+        traffic = [asyncio.create_task(site.send_requests(name, 9.0)) for name in VMS[:2]]
+        await asyncio.sleep(2.0)
+        site.store.set_error_status(503)
+        for _ in range(2):
+            site.processes[VMS[2]].kill()
+            await site.processes[VMS[2]].wait()
+            site.told_at.pop(VMS[2], None)
+            await site.start_vm(VMS[2], tmp_path)
+            await site.send_requests(VMS[2], 1.0)
+        await asyncio.gather(*traffic)
+        assert site.max_bound_arrivals() <= ALLOWED_FACTOR * limit * WINDOW_S + ALLOWED_EXTRA
+
+    run_site(tmp_path, scenario)
