End a target's limit only by an answer with its seal

What callers saw: nothing; found by reading. A failure without the target's seal may come from another process at its address, and would have ended the limit at this VM and at all that it reports to. Change: only an answer with the seal ends a limit. Equal localities of VMs no longer cause all shares to be ranked anew, and requests held off have a counter of their own. Measured: the added case failed before and passes.

--- a/src/carawaybank/counters.py
+++ b/src/carawaybank/counters.py
@@ -58,6 +58,7 @@
         self._latencies: dict[str, HdrHistogram] = {}
         self.lookup_count = 0
         self.abandoned_count = 0
+        self.held_off_count = 0
         self.control_bytes = 0
         self.configuration_version = 0
 
@@ -87,22 +88,22 @@
         """Counts a request whose caller disconnected before the response."""
         self.abandoned_count += 1
 
+    def count_held_off_request(self) -> None:
+        """Counts a request that the limit of a target kept from it."""
+        self.held_off_count += 1
+
     def count_lookup(self) -> None:
         """Counts a look-up of entry VMs by a caller."""
         with self._lock:
             self.lookup_count += 1
 
     def count_limit_event(self, event: str) -> None:
-        """Counts a change of a target's limit, or a request that a limit kept from a target."""
+        """Counts a change of a target's limit."""
         with self._lock:
             self._limit_events[event] += 1
 
     def limit_events(self) -> dict[str, int]:
-        """Returns the number of events by name.
-
-        The names are ``learned``, ``changed``, ``ended`` and ``ignored`` for limits, and ``held
-        off`` for requests.
-        """
+        """Returns the number of ``learned``, ``changed``, ``ended`` and ``ignored`` limits."""
         with self._lock:
             return dict(self._limit_events)
 
--- a/src/carawaybank/handler.py
+++ b/src/carawaybank/handler.py
@@ -206,7 +206,7 @@
         verdict = finish.verdict
         self._counters.count_request(finish.service, verdict, latency_s)
         if finish.limited_by:
-            self._counters.count_limit_event("held off")
+            self._counters.count_held_off_request()
         fields: dict[str, object] = {
             "id": routing_request.request_id,
             "service": finish.service,
--- a/src/carawaybank/platform/dialect.py
+++ b/src/carawaybank/platform/dialect.py
@@ -158,12 +158,13 @@
             (name, value) for name, value in reply.headers if name not in _HOP_BY_HOP_HEADERS
         )
         answer = Answered(reply.status, headers, reply.body)
+        seal = reply.header(_SERVER_SEAL)
         return TargetReply(
             answer,
             load,
             is_draining=is_draining,
             pause_s=pause_s,
-            limit=read_limit(reply),
+            limit=_read_named_limit(reply) if seal is None else read_limit(reply),
         )
 
 
@@ -194,7 +195,8 @@
 def _read_named_limit(reply: HttpReply) -> LimitStatement | None:
     """Returns the limit in a response that does not end a limit by naming none.
 
-    Health checks and refusals do not show that the target takes more requests again.
+    Health checks, refusals and failures that may come from another process do not show that the
+    target takes more requests again.
     """
     statement = read_limit(reply)
     return statement if statement.rate is not None or statement.fault else None
--- a/src/carawaybank/routing/targetlimits.py
+++ b/src/carawaybank/routing/targetlimits.py
@@ -116,7 +116,8 @@
         Args:
             vms: Localities of all known entry VMs by name, including this one.
         """
-        self._vms = vms
+        if vms != self._vms:  # An equal mapping would only cause all shares to be computed anew.
+            self._vms = vms
 
     def rate_of(self, entry: TargetEntry) -> float | None:
         """Returns the limit of a target in requests per second, or None if it has none."""
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -289,6 +289,7 @@
     assert dialect.decode(CALL, make_reply(500, **VALID_HEADERS)).limit == LimitStatement()
     assert dialect.decode(CALL, make_reply(503, X_Carawaybank_Not_Run="1")).limit is None
     assert dialect.decode(CALL, make_reply(421, Server_Limit="1.6")).limit is None
+    assert dialect.decode(CALL, make_reply(500, X_Carawaybank_Request_Id="r1")).limit is None
     late = make_reply(X_Carawaybank_Request_Id="r0", X_Carawaybank_Server_Seal="s")
     assert dialect.decode(CALL, late).limit is None
     assert dialect.decode_health(make_reply(200)).limit is None
--- a/tests/siblings/test_limits.py
+++ b/tests/siblings/test_limits.py
@@ -35,7 +35,7 @@
 class Vm:
     """A VM whose datagrams are delivered to the others by a cluster."""
 
-    def __init__(self, name, cluster):
+    def __init__(self, *, name, cluster):
         self.name, self.sent, self.lines = name, [], []
         self.directory = VmDirectory(own=make_record(name))
         locality = VmLocality(name[:2], DOMAINS[name[:2]])
@@ -58,9 +58,9 @@
 class Cluster:
     """VMs of three failure domains that hear each other."""
 
-    def __init__(self, names):
+    def __init__(self, *, names):
         self.lost = False
-        self.vms = {name: Vm(name, self) for name in names}
+        self.vms = {name: Vm(name=name, cluster=self) for name in names}
         now = asyncio.get_running_loop().time()
         for vm in self.vms.values():
             for name in names:
@@ -81,7 +81,7 @@
 
 def run_cluster(scenario):
     async def run():
-        await scenario(Cluster(NAMES))
+        await scenario(Cluster(names=NAMES))
 
     asyncio.run(run())
 
