Rank only equally near VMs for a limited target, and measure what limits cost

What callers saw: nothing; found by measuring. A VM ranked all others for each limited target after each change of the known VMs. Change: VMs that are nearer to the target are counted, and only those as near as this one are ranked by hash. python -m benchmarks.capacity limits measures it, and the bytes of reports.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -2,7 +2,7 @@
 
 Memory comes from tracemalloc or /proc, CPU time from the clock or /proc.
 
-Usage: python -m benchmarks.capacity [memory|control|idle]...
+Usage: python -m benchmarks.capacity [memory|control|idle|limits]...
 """
 
 import os
@@ -11,8 +11,14 @@
 import tracemalloc
 from collections.abc import Callable
 
+import msgspec
+
 from carawaybank import documents
 from carawaybank.host import Host
+from carawaybank.routing.limitshares import VmLocality, rank_of
+from carawaybank.routing.target import TargetEntry
+from carawaybank.routing.targetlimits import LimitStatement, TargetLimits
+from carawaybank.siblings.limits import MAX_REPORTS, LimitMessage
 from carawaybank.steering.deduplication import RequestId, RequestMemory
 from carawaybank.steering.exchange import Exchange
 from carawaybank.steering.membership import Member, Status
@@ -159,6 +165,35 @@
             )
 
 
+def measure_limits() -> None:
+    """Prints the bytes and the CPU time that the limits of targets take among all entry VMs."""
+    localities = {f"vm-{n}": VmLocality(f"d{n % 45}", f"r{n % 19}") for n in range(MEMBERS)}
+    entry = TargetEntry("i-1c3d52662a", "ledger", "10.0.0.1:80", "d1", "r1", 4, incarnation=1 << 40)
+    for size in (11, 370, MEMBERS):
+        vms = dict(list(localities.items())[:size])
+        for name, place in (("vm-1", "failure domain"), ("vm-0", "another region")):
+            rank_s = _seconds_per_call(
+                lambda name=name, vms=vms: rank_of(name, entry, vms=vms), 100
+            )
+            print(f"rank among {size} VMs, {place} of the target: {rank_s * 1e6:.0f} us")
+    limits = TargetLimits(vm="vm-0", locality=localities["vm-0"])
+    limits.update_vms(localities)
+    limits.record_statement(entry, LimitStatement(1.6), sent_at=0.0, now=0.0)
+    wait_s = _seconds_per_call(lambda: limits.wait_s(entry, now=1.0), 10_000)
+    print(f"look-up of a limit for a candidate: {wait_s * 1e6:.2f} us")
+    for count in (1, MAX_REPORTS):
+        message = LimitMessage(vm="vm-1000", limits=[limits.reports(now=1.234)[0]] * count)
+        data = msgspec.json.encode(message)
+        decode_s = _seconds_per_call(lambda data=data: _apply_reports(limits, data), 10_000)
+        print(f"report of {count} limits: {len(data)} bytes, received in {decode_s * 1e6:.1f} us")
+
+
+def _apply_reports(limits: TargetLimits, data: bytes) -> None:
+    message = msgspec.json.decode(data, type=LimitMessage)
+    for report in message["limits"]:
+        limits.apply_report(report, source=message["vm"], now=1.0)
+
+
 def _process_exchange(host: Host, message: Exchange) -> None:
     sent = documents.encode_json(message)
     received = documents.decode_json(sent, Exchange, source="vm")
@@ -192,7 +227,12 @@
         return next(int(line.split()[1]) for line in status if line.startswith("VmRSS")) / 1024
 
 
-MEASUREMENTS = {"memory": measure_memory, "control": measure_control, "idle": measure_idle}
+MEASUREMENTS = {
+    "memory": measure_memory,
+    "control": measure_control,
+    "idle": measure_idle,
+    "limits": measure_limits,
+}
 
 if __name__ == "__main__":
     for name in sys.argv[1:] or list(MEASUREMENTS):
--- a/src/carawaybank/routing/limitshares.py
+++ b/src/carawaybank/routing/limitshares.py
@@ -43,23 +43,29 @@
     region: str
 
 
-def rank_vms(entry: TargetEntry, *, vms: Mapping[str, VmLocality]) -> list[str]:
-    """Returns the VMs in the order in which they become senders of a target.
+def rank_of(vm: str, entry: TargetEntry, *, vms: Mapping[str, VmLocality]) -> int:
+    """Returns the number of VMs that become senders of a target before a VM does.
 
     The VMs of the target's failure domain come first, then those of its region. Their callers need
-    the target most, and they reach it if its failure domain is cut off.
+    the target most, and they reach it if its failure domain is cut off. Equally near VMs rank by
+    rendezvous hash.
 
     Args:
+        vm: Name of the VM.
         entry: The target.
-        vms: Localities of the entry VMs by name.
+        vms: Localities of all entry VMs by name.
     """
+    own_distance = _distance(vms[vm], entry)
+    distances = {name: _distance(locality, entry) for name, locality in vms.items()}
+    nearer = sum(distance < own_distance for distance in distances.values())
+    equally_near = [name for name, distance in distances.items() if distance == own_distance]
+    return nearer + hashing.rank(key=entry.target_id, members=equally_near).index(vm)
 
-    def distance(vm: str) -> int:
-        if vms[vm].region != entry.region:
-            return 2
-        return 0 if vms[vm].failure_domain == entry.failure_domain else 1
 
-    return sorted(hashing.rank(key=entry.target_id, members=vms), key=distance)
+def _distance(locality: VmLocality, entry: TargetEntry) -> int:
+    if locality.region != entry.region:
+        return 2
+    return 0 if locality.failure_domain == entry.failure_domain else 1
 
 
 class LimitShare:
@@ -104,7 +110,7 @@
 
         Args:
             rate: Requests per second that the target takes from all VMs together.
-            rank: Position of this VM in the order of :func:`rank_vms`.
+            rank: Rank of this VM by :func:`rank_of`.
             vm_count: Number of known VMs.
             now: Current time in monotonic seconds.
         """
--- a/src/carawaybank/routing/targetlimits.py
+++ b/src/carawaybank/routing/targetlimits.py
@@ -13,7 +13,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from carawaybank.routing.limitshares import NEWS_TIMEOUT_S, LimitShare, VmLocality, rank_vms
+from carawaybank.routing.limitshares import NEWS_TIMEOUT_S, LimitShare, VmLocality, rank_of
 from carawaybank.routing.target import TargetEntry
 
 #: Age in seconds above which a limit is no longer reported to siblings.
@@ -196,10 +196,8 @@
             return 0.0
         limit = self._limits[entry.target_id]
         if limit.ranked_vms is not self._vms:
-            ranked = rank_vms(entry, vms=self._vms)
-            limit.share.update(
-                rate=rate, rank=ranked.index(self._vm), vm_count=len(ranked), now=now
-            )
+            rank = rank_of(self._vm, entry, vms=self._vms)
+            limit.share.update(rate=rate, rank=rank, vm_count=len(self._vms), now=now)
             limit.ranked_vms = self._vms
         return limit.share.wait_s(news_at=limit.stated_at, now=now)
 
