--- a/tests/platform/test_limited_targets.py
+++ b/tests/platform/test_limited_targets.py
@@ -25,6 +25,8 @@
 #: Requests per second that callers send to each VM, and seconds for which they do.
 CALLER_RATE = 20.0
 TRAFFIC_S = 8.0
+#: Seconds within which a request that cannot be served is refused; its deadline is 3 s.
+MAX_REFUSAL_S = 1.0
 
 
 class Arrival(NamedTuple):
@@ -32,6 +34,11 @@
     vm: str
 
 
+class Refusal(NamedTuple):
+    latency_s: float
+    retry_after: str
+
+
 class LimitedTarget(Target):
     """A target that names a limit while it has one, and records the arrivals by VM."""
 
@@ -66,7 +73,7 @@
     """A store, a target with a limit, one without, and several entry VMs with own addresses."""
 
     async def __aenter__(self):
-        self.processes, self.told_at, self.statuses = {}, {}, []
+        self.processes, self.told_at, self.statuses, self.refusals = {}, {}, [], []
         self.store, self.limited, self.unlimited = RowStore(), LimitedTarget(), LimitedTarget()
         self.store_address = await self.store.start()
         spec = {**ROUTE, "kind": "idempotent", "sticky": False}
@@ -139,10 +146,14 @@
         await asyncio.gather(*calls)
 
     async def send_request(self, name, request_id):
+        loop = asyncio.get_running_loop()
+        started = loop.time()
         reply = await self.call(name, "8100", "/x/1", request_id)
         self.statuses.append(reply.status)
+        if reply.status == 503:
+            self.refusals.append(Refusal(loop.time() - started, reply.header("Retry-After")))
         if reply.header(LIMIT_HEADER) is not None:
-            self.told_at.setdefault(name, asyncio.get_running_loop().time())
+            self.told_at.setdefault(name, loop.time())
 
     async def wait_for_limits(self, limit):
         """Waits until all VMs state this limit of the limited target in their dumps."""
@@ -222,3 +233,19 @@
         assert site.max_bound_arrivals() <= ALLOWED_FACTOR * limit * WINDOW_S + ALLOWED_EXTRA
 
     run_site(tmp_path, scenario)
+
+
+def test_a_service_whose_targets_are_all_limited_serves_its_limits_and_refuses_the_rest(tmp_path):
+    """Guards against requests that wait for a limited target until their deadline."""
+    limit = 4.0
+
+    async def scenario(site):
+        site.limited.limit = site.unlimited.limit = str(limit)
+        await asyncio.gather(*(site.send_requests(name, TRAFFIC_S) for name in VMS))
+        assert set(site.statuses) == {200, 503}
+        assert site.statuses.count(200) >= limit * TRAFFIC_S
+        assert site.max_bound_arrivals() <= ALLOWED_FACTOR * limit * WINDOW_S + ALLOWED_EXTRA
+        assert all(refusal.latency_s < MAX_REFUSAL_S for refusal in site.refusals)
+        assert all(0 < float(refusal.retry_after) <= 5 for refusal in site.refusals)
+
+    run_site(tmp_path, scenario)
--- a/tests/routing/test_targetlimits.py
+++ b/tests/routing/test_targetlimits.py
@@ -377,3 +377,35 @@
             arrivals += [now] if action.target_id == "t1" else []
             action = router.end_attempt(key, AttemptResult(NotRun(Reason.TARGET_SHED), 0.001), now)
     assert busiest_window(arrivals) <= ALLOWED_FACTOR * 0.5 * WINDOW_S + ALLOWED_EXTRA
+
+
+def test_a_limited_target_that_asked_for_a_pause_or_leaves_gets_nothing():
+    """Guards against a limit that hides other reasons for which a target gets no requests."""
+    router = make_router(make_target(1), make_target(2))
+    limit(router, 1, 5.0)
+    target = router.targets.find("t1")
+    target.pause(10.0, now=0.0)
+    sent = [send(router, key, key / 20, object_key=f"o{key}") for key in range(200)]
+    assert {action.target_id for action in sent} == {"t2"}
+    returned = [send(router, key, 10.0 + key / 20, object_key=f"o{key}") for key in range(200)]
+    times = [key / 20 for key, action in enumerate(returned) if action.target_id == "t1"]
+    assert 1 <= busiest_window(times) <= ALLOWED_FACTOR * 5.0 * WINDOW_S + ALLOWED_EXTRA
+    router.targets.record_departure(target)
+    left = [send(router, key, 30.0 + key / 20, object_key=f"o{key}") for key in range(200)]
+    assert {action.target_id for action in left} == {"t2"}
+
+
+def test_requests_that_only_a_limited_region_may_serve_are_refused_beyond_the_limit():
+    """Guards against requests with one home that leave it, or wait, because of a limit."""
+    home = make_route(allowed_regions=frozenset({"a"}))
+    router = make_router(
+        make_target(1),
+        make_target(2, domain="b1", region="b"),
+        configuration=make_configuration(home),
+    )
+    limit(router, 1, 1.0)
+    actions = [send(router, key, key / 20, object_key=f"o{key}") for key in range(400)]
+    sent = [action for action in actions if isinstance(action, Send)]
+    assert {action.target_id for action in sent} == {"t1"}
+    assert len(sent) >= 15
+    assert all(a.verdict.reason is Reason.NO_CAPACITY for a in actions if isinstance(a, Finish))
