--- a/tests/platform/test_limited_targets.py
+++ b/tests/platform/test_limited_targets.py
@@ -9,7 +9,14 @@
 
 from carawaybank.client import ClientConnection, ExchangeError, HttpCall
 from standins.rowstore import RowStore
-from tests.platform.test_process import CONFIGURATION, ROUTE, Target, free_port, run_process
+from tests.platform.test_process import (
+    CONFIGURATION,
+    ROUTE,
+    Target,
+    free_port,
+    make_heartbeat,
+    run_process,
+)
 from tests.test_deployment import SETTINGS
 
 pytestmark = pytest.mark.processes
@@ -56,19 +63,6 @@
         return reply
 
 
-def heartbeat(address):
-    return {
-        "service": "ledger",
-        "addr": address,
-        "zone": "regina",
-        "slots": 4,
-        "state": "ready",
-        "coldLeftMs": 0,
-        "seq": 1,
-        "born": 1,
-    }
-
-
 class Site:
     """A store, a target with a limit, one without, and several entry VMs with own addresses."""
 
@@ -81,7 +75,7 @@
         resources = [route, CONFIGURATION["resources"][1]]
         await self.store.put("op", "config", {"version": "00000002", "resources": resources})
         for name, target in (("t1", self.limited), ("t2", self.unlimited)):
-            await self.store.put("servers", name, heartbeat(await target.start()))
+            await self.store.put("servers", name, make_heartbeat(await target.start()))
         self.ports = {old: free_port() for old in ("8100", "8101", "8102", "8103", "8105")}
         return self
 
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -74,6 +74,19 @@
         return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
 
+def make_heartbeat(address):
+    return {
+        "service": "ledger",
+        "addr": address,
+        "zone": "regina",
+        "slots": 4,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "seq": 1,
+        "born": 1,
+    }
+
+
 async def run_process(path, *arguments, **streams):
     command = [sys.executable, "-m", "carawaybank.platform", *arguments]
     environment = {**os.environ, "CARAWAYBANK_SETTINGS": str(path)}
@@ -87,18 +100,8 @@
         self.store, self.target = RowStore(), Target()
         store_address = await self.store.start()
         target_address = await self.target.start()
-        heartbeat = {
-            "service": "ledger",
-            "addr": target_address,
-            "zone": "regina",
-            "slots": 4,
-            "state": "ready",
-            "coldLeftMs": 0,
-            "seq": 1,
-            "born": 1,
-        }
         await self.store.put("op", "config", CONFIGURATION)
-        await self.store.put("servers", "t1", heartbeat)
+        await self.store.put("servers", "t1", make_heartbeat(target_address))
         control = 'directory_address = "127.0.0.1:8102"\ncontrol_address = "127.0.0.1:8105"'
         text = SETTINGS.replace("127.0.0.1:8104", store_address)
         text = text.replace('directory_address = "127.0.0.1:8102"', control)
