Reproduce callers that are refused by VMs that lost all paths to targets

Three VMs as processes reach six targets over simulated links, which hang or are reset for 8 s at one or two VMs.

--- /dev/null
+++ b/tests/platform/test_stranded_vms.py
@@ -0,0 +1,241 @@
+"""Entry VMs as processes, some of which lose the paths to all targets."""
+
+import asyncio
+import itertools
+import json
+import os
+import sys
+from typing import NamedTuple
+
+import pytest
+
+from carawaybank.client import ClientConnection, ExchangeError, HttpCall
+from standins.links import Cut, Link
+from standins.rowstore import RowStore
+from tests.platform.test_process import CONFIGURATION, ROUTE, Target, free_port, make_heartbeat
+from tests.test_deployment import SETTINGS
+
+pytestmark = pytest.mark.processes
+
+#: The users' rule: from this time after a cut began, first tries at the VMs that are cut off are
+#: served at least this share as often as those at the others.
+STABLE_S = 4.0
+MIN_RELATIVE_SERVICE = 2 / 3
+VMS = ("regina-1", "regina-2", "regina-3")
+TARGETS = 6
+#: Requests per second that callers send to each VM.
+CALLER_RATE = 15.0
+#: Seconds of traffic before a cut, and of the cut.
+BEFORE_S = 1.5
+CUT_S = 8.0
+#: Seconds within which a request that no VM can serve is refused; its deadline is 3 s.
+MAX_REFUSAL_S = 1.0
+
+
+class Response(NamedTuple):
+    """What a caller got for one request."""
+
+    vm: str
+    request_id: str
+    sent_at: float
+    status: int
+    latency_s: float
+    retry_after: str | None
+    text: str
+
+
+class StrandedSite:
+    """A store, targets, and entry VMs that each have own links to them."""
+
+    async def __aenter__(self):
+        self.processes, self.links, self.responses, self.traffic = {}, {}, [], []
+        self.store, self.targets = RowStore(), [Target() for _ in range(TARGETS)]
+        self.store_address = await self.store.start()
+        spec = {**ROUTE, "sticky": False, "attempts": 3}
+        reading = {**spec, "prefix": "/r/", "kind": "idempotent"}
+        resources = [
+            {"resKind": "routes", "metadata": {"name": "x"}, "spec": spec},
+            {"resKind": "routes", "metadata": {"name": "r"}, "spec": reading},
+            CONFIGURATION["resources"][1],
+        ]
+        await self.store.put("op", "config", {"version": "00000002", "resources": resources})
+        self.target_addresses = [await target.start() for target in self.targets]
+        for number, address in enumerate(self.target_addresses):
+            await self.store.put("servers", f"t{number}", make_heartbeat(address))
+        self.ports = {old: free_port() for old in ("8100", "8101", "8102", "8103", "8105")}
+        return self
+
+    async def __aexit__(self, *_):
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        for link in itertools.chain.from_iterable(self.links.values()):
+            await link.stop()
+        await self.store.stop()
+        for target in self.targets:
+            target.server.close()
+
+    async def start_vm(self, name, tmp_path):
+        if name not in self.links:
+            self.links[name] = [Link(target_address=address) for address in self.target_addresses]
+            for link in self.links[name]:
+                await link.start()
+        control = 'directory_address = "127.0.0.1:8102"\ncontrol_address = "127.0.0.1:8105"'
+        text = SETTINGS.replace('directory_address = "127.0.0.1:8102"', control)
+        text = text.replace("127.0.0.1", self.ip(name)).replace("regina-1", name)
+        text = text.replace(f"{self.ip(name)}:8104", self.store_address)
+        seeds = ", ".join(f'"{self.ip(vm)}:8105"' for vm in VMS)
+        text = text.replace(f'"{self.ip(name)}:9"', seeds)
+        for old, new in self.ports.items():
+            text = text.replace(old, str(new))
+        path = tmp_path / f"{name}.toml"
+        path.write_text(text)
+        addresses = [link.address for link in self.links[name]]
+        environment = {
+            **os.environ,
+            "CARAWAYBANK_SETTINGS": str(path),
+            "CARAWAYBANK_LINKS": json.dumps(
+                dict(zip(self.target_addresses, addresses, strict=True))
+            ),
+        }
+        with (tmp_path / f"{name}.log").open("ab") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "standins.rerouted",
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+        async with asyncio.timeout(20):
+            while not await self.is_ready(name):
+                await asyncio.sleep(0.05)
+
+    def ip(self, name):
+        return f"127.0.0.2{VMS.index(name) + 1}"
+
+    async def is_ready(self, name):
+        try:
+            return (await self.call(name, "8101", "/readyz", "ready")).status == 200
+        except ExchangeError:  # The process does not listen yet.
+            return False
+
+    async def call(self, name, port, path, request_id, *, headers=()):
+        connection = await ClientConnection.open(
+            f"{self.ip(name)}:{self.ports[port]}", timeout_s=1.0
+        )
+        headers = [
+            ("Host", "a.example"),
+            ("X-Carawaybank-Request-Id", request_id),
+            ("X-Carawaybank-Deadline-Ms", "3000"),
+            *headers,
+        ]
+        try:
+            return await connection.exchange(HttpCall("GET", path, headers), timeout_s=5.0)
+        finally:
+            connection.close()
+
+    async def cut(self, names, how):
+        for link in itertools.chain.from_iterable(self.links[name] for name in names):
+            await link.cut(how)
+
+    async def restore(self, names):
+        for link in itertools.chain.from_iterable(self.links[name] for name in names):
+            await link.restore()
+
+    async def look_up(self, name):
+        """Returns the names of the VMs that a look-up at one VM lists."""
+        reply = await self.call(name, "8102", "/resolve?zone=regina&region=sask", "look-up")
+        names = {f"{self.ip(vm)}:{self.ports['8100']}": vm for vm in VMS}
+        return {names[address] for address in json.loads(reply.body)["addrs"]}
+
+    async def send_requests(self, name, seconds):
+        """Sends reading and booking requests in turn to one VM."""
+        loop = asyncio.get_running_loop()
+        started, calls = loop.time(), set()
+        for number in itertools.count():
+            at = started + number / CALLER_RATE
+            if at > started + seconds:
+                break
+            await asyncio.sleep(max(0.0, at - loop.time()))
+            path = "/r/1" if number % 2 else "/x/1"
+            calls.add(asyncio.create_task(self.send_request(name, path, f"{name}/{number}/{at}")))
+        await asyncio.gather(*calls)
+
+    async def send_request(self, name, path, request_id):
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        try:
+            reply = await self.call(name, "8100", path, request_id)
+        except ExchangeError as error:
+            response = Response(
+                name, request_id, started, 0, loop.time() - started, None, str(error)
+            )
+        else:
+            response = Response(
+                name,
+                request_id,
+                started,
+                reply.status,
+                loop.time() - started,
+                reply.header("Retry-After"),
+                reply.body[:200].decode(),
+            )
+        self.responses.append(response)
+
+    def served_share(self, names, since, until):
+        """Returns the share of requests sent to some VMs in a period that were served."""
+        counted = [r for r in self.responses if r.vm in names and since <= r.sent_at < until]
+        assert counted
+        return sum(response.status == 200 for response in counted) / len(counted)
+
+    def bookings_run_twice(self):
+        """Returns the ids of bookings that targets ran more than once."""
+        ids = [
+            request.header("X-Carawaybank-Request-Id")
+            for target in self.targets
+            for request in target.runs
+            if request.path.startswith("/x/")
+        ]
+        return {request_id for request_id in ids if ids.count(request_id) > 1}
+
+
+def run_site(tmp_path, scenario):
+    async def run():
+        async with StrandedSite() as site:
+            await asyncio.gather(*(site.start_vm(name, tmp_path) for name in VMS))
+            await scenario(site)
+
+    asyncio.run(run())
+
+
+async def check_service_during_a_cut(site, cut_off, how):
+    """Cuts VMs off amid traffic, and checks that their callers are served as others are."""
+    loop = asyncio.get_running_loop()
+    traffic = [
+        asyncio.create_task(site.send_requests(name, BEFORE_S + CUT_S + 2.0)) for name in VMS
+    ]
+    await asyncio.sleep(BEFORE_S)
+    began = loop.time()
+    await site.cut(cut_off, how)
+    await asyncio.sleep(CUT_S)
+    ended = loop.time()
+    await site.restore(cut_off)
+    await asyncio.gather(*traffic)
+    served = site.served_share(cut_off, began + STABLE_S, ended)
+    others = site.served_share(set(VMS) - set(cut_off), began + STABLE_S, ended)
+    assert served >= MIN_RELATIVE_SERVICE * others
+    assert not site.bookings_run_twice()
+
+
+@pytest.mark.parametrize("how", [Cut.HANG, Cut.RESET])
+@pytest.mark.parametrize("count", [1, 2])
+def test_callers_of_vms_that_are_cut_off_from_all_targets_are_served(tmp_path, how, count):
+    """Guards against VMs that refuse their callers while siblings reach the targets."""
+    run_site(tmp_path, lambda site: check_service_during_a_cut(site, VMS[:count], how))
+
+
+def test_callers_of_a_vm_that_can_open_no_connections_are_served(tmp_path):
+    """Guards against a VM that serves only as long as its open connections last."""
+    run_site(tmp_path, lambda site: check_service_during_a_cut(site, VMS[:1], Cut.REFUSE))
