--- a/src/carawaybank/deployment.py
+++ b/src/carawaybank/deployment.py
@@ -5,7 +5,7 @@
 
 from carawaybank import documents
 from carawaybank.exceptions import DocumentError
-from carawaybank.routing.router import RouterOptions
+from carawaybank.routing.options import RouterOptions
 
 
 class VmTable(TypedDict):
--- a/src/carawaybank/platform/store.py
+++ b/src/carawaybank/platform/store.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from carawaybank.client import ClientConnection, ClientPool, ExchangeError, HttpCall
+from carawaybank.client import ClientConnection, ExchangeError, HttpCall
+from carawaybank.pool import ClientPool
 from carawaybank.replies import HttpReply
 from carawaybank.rows import HistoryGoneError, Position, Row, Rows, StoreError
 
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from typing import NamedTuple
 
 from carawaybank.routing import admission, feedback, selection
 from carawaybank.routing.coldstart import ColdStartLimit
@@ -15,6 +14,7 @@
 from carawaybank.routing.estimates import Choice, RoundTripTimes, WorkEstimate
 from carawaybank.routing.limitshares import VmLocality
 from carawaybank.routing.messages import Action, AttemptResult, Finish, Request, Send
+from carawaybank.routing.options import RouterOptions
 from carawaybank.routing.progress import Progress
 from carawaybank.routing.retrylimit import RetryLimit
 from carawaybank.routing.spillover import LocalityShares
@@ -35,35 +35,6 @@
 _CRASH_LIMIT = 3
 
 
-class RouterOptions(NamedTuple):
-    """Locality of this entry VM, and limits that apply to all entry VMs together.
-
-    Attributes:
-        failure_domain: Failure domain of this entry VM.
-        region: Region of this entry VM.
-        vm: Name of this entry VM.
-        retry_share: Retries allowed per request of a service.
-        retry_slack: Additional retries that all entry VMs together may send in a window.
-        retry_window_s: Length of the window in seconds.
-        min_vms: Minimum number of entry VMs among which the slack is divided, even if fewer are
-            known.
-        cold_factor: Factor on a cold target's rate.
-        cold_slack: Additional requests per second to a cold target.
-        max_shift: Maximum share of the requests that may change their region between two windows.
-    """
-
-    failure_domain: str
-    region: str
-    vm: str = ""
-    retry_share: float = 0.2
-    retry_slack: float = 60.0
-    retry_window_s: float = 10.0
-    min_vms: int = 17
-    cold_factor: float = 1.5
-    cold_slack: float = 5.0
-    max_shift: float = 0.15
-
-
 class Router:
     """Routes the requests of one entry VM."""
 
--- a/src/carawaybank/siblings/tables.py
+++ b/src/carawaybank/siblings/tables.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from carawaybank.callers.requests import CallerRequest
-from carawaybank.client import ClientConnection, ClientPool, ExchangeError, HttpCall
+from carawaybank.client import ClientConnection, ExchangeError, HttpCall
+from carawaybank.pool import ClientPool
 from carawaybank.replies import HttpReply
 from carawaybank.rows import HistoryGoneError, Position, Rows, StoreError
 from carawaybank.watch import TableWatch
--- a/src/carawaybank/targets/sender.py
+++ b/src/carawaybank/targets/sender.py
@@ -4,7 +4,8 @@
 from typing import NamedTuple, Protocol
 
 from carawaybank.buffers import BufferBudget
-from carawaybank.client import ClientConnection, ClientPool, ExchangeError, HttpCall
+from carawaybank.client import ClientConnection, ExchangeError, HttpCall
+from carawaybank.pool import ClientPool
 from carawaybank.replies import HttpReply
 from carawaybank.routing.messages import AttemptResult, Send
 from carawaybank.routing.target import LoadReport
--- a/src/carawaybank/transport.py
+++ b/src/carawaybank/transport.py
@@ -15,7 +15,8 @@
 from typing import NamedTuple
 
 from carawaybank import headers
-from carawaybank.client import ClientConnection, ClientPool, ExchangeError, HttpCall
+from carawaybank.client import ClientConnection, ExchangeError, HttpCall
+from carawaybank.pool import ClientPool
 from carawaybank.replies import HttpReply
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
 
--- a/tests/routing/builders.py
+++ b/tests/routing/builders.py
@@ -4,7 +4,8 @@
 
 from carawaybank.routing.configuration import Configuration, Route, Service, WeightedService
 from carawaybank.routing.messages import Request
-from carawaybank.routing.router import Router, RouterOptions
+from carawaybank.routing.options import RouterOptions
+from carawaybank.routing.router import Router
 from carawaybank.routing.target import TargetEntry
 
 HOST = "parts.example"
--- a/tests/routing/simulation.py
+++ b/tests/routing/simulation.py
@@ -12,7 +12,8 @@
 
 from carawaybank.routing.configuration import Configuration, Service, WeightedService
 from carawaybank.routing.messages import AttemptResult, Request, Send
-from carawaybank.routing.router import Router, RouterOptions
+from carawaybank.routing.options import RouterOptions
+from carawaybank.routing.router import Router
 from carawaybank.routing.target import LoadReport, TargetEntry
 from carawaybank.verdicts import Answered, NotRun, Reason
 from tests.routing.builders import HOST, make_route
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from carawaybank.client import ClientConnection, ClientPool, ExchangeError, HttpCall
+from carawaybank.client import ClientConnection, ExchangeError, HttpCall
+from carawaybank.pool import ClientPool
 from carawaybank.verdicts import Reason
 
 ECHO = "X-Id"
