--- a/src/carawaybank/adapters.py
+++ b/src/carawaybank/adapters.py
@@ -16,15 +16,17 @@
 
 
 class Locality(NamedTuple):
-    """Locality of a caller.
+    """Locality of a caller, and the host that it looks up.
 
     Attributes:
         failure_domain: Failure domain of the caller; empty if unknown.
         region: Region of the caller; empty if unknown.
+        host: Host of its requests; empty if unknown.
     """
 
     failure_domain: str
     region: str
+    host: str = ""
 
 
 class FullDialect(CallerDialect, HealthDialect, Protocol):
--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -100,7 +100,7 @@
 
     @classmethod
     async def open(
-        cls, address: str, *, timeout_s: float, keep_alive: bool = False
+        cls, address: str, *, timeout_s: float, keep_alive: bool = False, local_ip: str = ""
     ) -> "ClientConnection":
         """Opens a connection.
 
@@ -109,15 +109,17 @@
             timeout_s: Maximum time in seconds to connect.
             keep_alive: Whether TCP keep-alive is enabled, so that a long wait for a response ends
                 when the peer becomes unreachable.
+            local_ip: IP address to connect from; empty to let the system choose.
 
         Raises:
             ExchangeError: If the peer refuses the connection or does not accept it in time.
         """
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
+        local = (local_ip, 0) if local_ip else None
         try:
             async with asyncio.timeout(timeout_s):
-                _, connection = await loop.create_connection(cls, host, int(port))
+                _, connection = await loop.create_connection(cls, host, int(port), local_addr=local)
         except ConnectionRefusedError:
             message = f"{address} refused the connection"
             raise ExchangeError(
@@ -213,14 +215,14 @@
         if self._has_received_bytes:
             self._reader.end()
             self._process_replies()
-        self._fail(Reason.CONNECTION_LOST, "the peer closed the connection before a whole answer")
+        self.fail(Reason.CONNECTION_LOST, "the peer closed the connection before a whole answer")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the pending exchange, if any."""
         self.is_reusable = False
         cause = type(exc).__name__ if exc else "closed"
-        self._fail(Reason.CONNECTION_LOST, f"the connection broke: {cause}")
+        self.fail(Reason.CONNECTION_LOST, f"the connection broke: {cause}")
 
     def _begin_exchange(self, call: HttpCall) -> None:
         self._call = call
@@ -250,11 +252,11 @@
             return
         if reader.problem:
             reason = Reason.ANSWER_TRUNCATED if reader.has_head else Reason.CONNECTION_LOST
-            self._fail(reason, f"the answer is damaged: {reader.problem}")
+            self.fail(reason, f"the answer is damaged: {reader.problem}")
         elif reader.body_bytes > self._max_body_bytes:
-            self._fail(Reason.ANSWER_TOO_LARGE, "the answer is too large")
+            self.fail(Reason.ANSWER_TOO_LARGE, "the answer is too large")
         elif not self._reserve(reader.body_bytes):
-            self._fail(Reason.ANSWER_TOO_LARGE, "no memory is left for so large an answer")
+            self.fail(Reason.ANSWER_TOO_LARGE, "no memory is left for so large an answer")
 
     def _reserve(self, body_bytes: int) -> bool:
         """Reserves bytes for a response body and returns whether the budget had them left."""
@@ -274,7 +276,7 @@
         if name and echoed is not None and echoed != value:
             self._skip_stray_reply(reply)
         elif len(reply.body) > self._max_body_bytes:
-            self._fail(Reason.ANSWER_TOO_LARGE, "the answer is too large")
+            self.fail(Reason.ANSWER_TOO_LARGE, "the answer is too large")
         else:
             if (
                 self._reader.has_partial_reply
@@ -290,7 +292,7 @@
         """Skips a response to an earlier exchange, or fails after too many of them."""
         self._stray_replies += 1
         if self._stray_replies > _MAX_STRAY_REPLIES or reply.closes:
-            self._fail(Reason.ANSWER_OF_ANOTHER_REQUEST, "the answer carries another request's id")
+            self.fail(Reason.ANSWER_OF_ANOTHER_REQUEST, "the answer carries another request's id")
 
     def _apply_keep_alive(self, reply: HttpReply) -> None:
         for item in (reply.header("keep-alive") or "").split(","):
@@ -298,7 +300,8 @@
             if name == "timeout" and value.isdigit():
                 self.idle_limit_s = float(value)
 
-    def _fail(self, reason: Reason, message: str) -> None:
+    def fail(self, reason: Reason, message: str) -> None:
+        """Fails the pending exchange, if any; the connection is then closed."""
         self.is_reusable = False
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(
--- /dev/null
+++ b/src/carawaybank/congestion.py
@@ -0,0 +1,39 @@
+"""Whether the event loop of this process is too busy to take on work of other VMs.
+
+Load pattern: siblings that are cut off pass all their requests on, until the processor of this VM
+is busy and its own callers wait. Work of others is then refused at once, before that happens.
+"""
+
+import asyncio
+
+#: Seconds between samples of the delay of the event loop.
+SAMPLE_INTERVAL_S = 0.1
+#: Weight of the newest sample in the moving average.
+SAMPLE_WEIGHT = 0.2
+#: Average delay in seconds from which the process is congested.
+MAX_DELAY_S = 0.05
+
+
+class CongestionWatch:
+    """Measures by how much the event loop delays timers."""
+
+    def __init__(self) -> None:
+        """Starts without samples."""
+        self._delay_s = 0.0
+
+    @property
+    def is_congested(self) -> bool:
+        """Whether timers were delayed for longer than is acceptable recently."""
+        return self._delay_s > MAX_DELAY_S
+
+    def record(self, delay_s: float) -> None:
+        """Adds a sample in seconds."""
+        self._delay_s += SAMPLE_WEIGHT * (delay_s - self._delay_s)
+
+    async def run(self) -> None:
+        """Takes samples until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due_at = loop.time() + SAMPLE_INTERVAL_S
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+            self.record(max(0.0, loop.time() - due_at))
--- a/src/carawaybank/counters.py
+++ b/src/carawaybank/counters.py
@@ -55,6 +55,9 @@
         self._requests: Counter[RequestLabels] = Counter()
         self._attempts: Counter[str] = Counter()
         self._limit_events: Counter[str] = Counter()
+        self._relays: Counter[str] = Counter()
+        #: Unix time in seconds at which the paths to a service's targets were lost, by service.
+        self.paths_lost_at: dict[str, float] = {}
         self._latencies: dict[str, HdrHistogram] = {}
         self.lookup_count = 0
         self.abandoned_count = 0
@@ -102,6 +105,16 @@
         with self._lock:
             self._limit_events[event] += 1
 
+    def count_relay(self, event: str) -> None:
+        """Counts a request that was passed on, taken in, or refused for want of room."""
+        with self._lock:
+            self._relays[event] += 1
+
+    def relays(self) -> dict[str, int]:
+        """Returns the number of requests ``passed on``, ``taken in`` and ``refused``."""
+        with self._lock:
+            return dict(self._relays)
+
     def limit_events(self) -> dict[str, int]:
         """Returns the number of ``learned``, ``changed``, ``ended`` and ``ignored`` limits."""
         with self._lock:
--- a/src/carawaybank/dump.py
+++ b/src/carawaybank/dump.py
@@ -149,7 +149,7 @@
         stopping=own.stopping,
         configuration=configuration.version if configuration else 0,
         evacuated=sorted(router.targets.evacuated),
-        requests=router.request_count,
+        requests=len(router.requests),
         connections=connections,
         targets=[_target_state(router, target, now) for target in targets],
         siblings=_sibling_states(vms, now),
--- /dev/null
+++ b/src/carawaybank/endpoints.py
@@ -0,0 +1,113 @@
+"""The endpoints of an entry VM besides requests: readiness, look-ups and metrics."""
+
+import asyncio
+from collections.abc import Callable
+
+from carawaybank import exposition
+from carawaybank.adapters import Adapter
+from carawaybank.callers.listeners import listen, sync_connection_factory
+from carawaybank.callers.requests import CallerRequest
+from carawaybank.counters import Counters
+from carawaybank.deployment import Deployment
+from carawaybank.exposition import Exposition
+from carawaybank.replies import HttpReply
+from carawaybank.routing.router import Router
+from carawaybank.siblings.vms import VmDirectory
+
+#: Maximum time in seconds for which callers may cache the response to a look-up.
+MAX_LOOKUP_TTL_S = 2.0
+#: Port on which metrics are served; the deploy file contains the same number.
+METRICS_PORT = 9464
+
+
+class Endpoints:
+    """Responds to readiness checks, look-ups and scrapes of metrics."""
+
+    def __init__(
+        self,
+        *,
+        adapter: Adapter,
+        router: Router,
+        vms: VmDirectory,
+        counters: Counters,
+        metrics: Exposition,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        """Initializes the endpoints.
+
+        Args:
+            adapter: Decodes look-ups and encodes their responses.
+            router: Knows the regions that may receive the requests of a host.
+            vms: The known entry VMs.
+            counters: Counts look-ups.
+            metrics: Renders metrics.
+            is_ready: Returns whether this VM serves requests.
+        """
+        self._adapter = adapter
+        self._router = router
+        self._vms = vms
+        self._counters = counters
+        self._metrics = metrics
+        self._is_ready = is_ready
+
+    async def listen(
+        self, deployment: Deployment, *, ttl_s: Callable[[], float]
+    ) -> list[asyncio.Server]:
+        """Starts to listen for readiness checks, look-ups and scrapes.
+
+        Args:
+            deployment: The addresses.
+            ttl_s: Returns the maximum seconds for which the response to a look-up may be cached.
+
+        Raises:
+            ListenError: If an address is in use.
+        """
+
+        def handle_lookup(request: CallerRequest) -> HttpReply:
+            return self.handle_lookup(request, max_ttl_s=ttl_s())
+
+        handlers = {
+            deployment.ready_address: self.handle_ready,
+            deployment.directory_address: handle_lookup,
+            f"{deployment.ip}:{METRICS_PORT}": self.handle_metrics,
+        }
+        return [
+            await listen(address, sync_connection_factory(handle))
+            for address, handle in handlers.items()
+        ]
+
+    def handle_ready(self, request: CallerRequest) -> HttpReply:
+        """Responds to a readiness check.
+
+        A VM that reaches no targets stays ready: it serves through siblings, and look-ups list it
+        only where no other VM can serve.
+        """
+        return HttpReply(200 if self._is_ready() else 503, [("content-type", "text/plain")], b"")
+
+    def handle_lookup(self, request: CallerRequest, *, max_ttl_s: float) -> HttpReply:
+        """Responds to a look-up with the VMs that the caller should use.
+
+        Args:
+            request: The look-up.
+            max_ttl_s: Maximum time in seconds for which the response may be cached.
+        """
+        self._counters.count_lookup()
+        lookup = self._adapter.read_lookup(request)
+        now = asyncio.get_running_loop().time()
+        records = self._vms.select_for_caller(
+            lookup.failure_domain,
+            lookup.region,
+            now=now,
+            allowed_regions=self._router.routes.allowed_regions(lookup.host),
+        )
+        return self._adapter.lookup_reply(
+            [record.callers_address for record in records],
+            ttl_s=min(MAX_LOOKUP_TTL_S, max_ttl_s),
+        )
+
+    def handle_metrics(self, request: CallerRequest) -> HttpReply:
+        """Responds to a scrape; 503 until the metrics libraries are loaded."""
+        text = self._metrics.render()
+        if text is None:
+            return HttpReply(503, [], b"metrics are not loaded yet\n")
+        return HttpReply(200, [("content-type", exposition.CONTENT_TYPE)], text)
--- a/src/carawaybank/handler.py
+++ b/src/carawaybank/handler.py
@@ -16,7 +16,16 @@
 from carawaybank.journal import Journal
 from carawaybank.replies import Headers, HttpReply
 from carawaybank.routing.configuration import Limits
-from carawaybank.routing.messages import Action, AttemptResult, Finish, Request, Send
+from carawaybank.routing.messages import (
+    Action,
+    AttemptResult,
+    Finish,
+    Relay,
+    RelayResult,
+    RelayTerms,
+    Request,
+    Send,
+)
 from carawaybank.routing.router import Router
 from carawaybank.targets.sender import TargetDialect, TargetSender
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun
@@ -50,6 +59,13 @@
         """
 
 
+class RelaySender(Protocol):
+    """Passes requests on to siblings."""
+
+    async def send(self, relay: Relay, request: Request, call: HttpCall) -> RelayResult:
+        """Returns the result of the sibling's attempt; failures are part of it."""
+
+
 class Attempt(NamedTuple):
     """An attempt to send a request to a target.
 
@@ -74,6 +90,7 @@
         *,
         router: Router,
         sender: TargetSender,
+        relays: RelaySender,
         dialect: CallerDialect,
         journal: Journal,
         counters: Counters,
@@ -84,6 +101,7 @@
         Args:
             router: Decides which target each request is sent to.
             sender: Sends requests to targets.
+            relays: Passes requests on to siblings.
             dialect: Decodes and encodes the messages of callers.
             journal: Receives a log event for each request and each failed attempt.
             counters: Counts finished and abandoned requests.
@@ -91,6 +109,7 @@
         """
         self._router = router
         self._sender = sender
+        self._relays = relays
         self._dialect = dialect
         self._journal = journal
         self._keys = itertools.count(1)
@@ -125,15 +144,55 @@
             )
         call = self._dialect.make_forwarded_call(request)
         try:
-            finish, last = await self._run(routing_request, call)
+            action = self._router.arrive(routing_request, loop.time())
+            finish, last = await self._run(routing_request, call, action)
         except asyncio.CancelledError:
-            self._router.abandon(routing_request.key, loop.time())
-            self._counters.count_abandoned_request()
-            self._journal.log("request", "caller left", id=routing_request.request_id)
+            self._abandon(routing_request)
             raise
         self._record_outcome(routing_request, finish, last, loop.time() - arrived_at)
         return self._reply(routing_request, finish)
 
+    async def handle_relayed(
+        self, request: Request, call: HttpCall, terms: RelayTerms, *, vm: str
+    ) -> RelayResult:
+        """Makes one attempt for another entry VM and returns its result.
+
+        The connection of that VM cancels this call when it disconnects.
+
+        Args:
+            request: The request, with what is left of its budget.
+            call: The request to send, without the headers for a target.
+            terms: What to observe.
+            vm: Name of the VM that passed the request on.
+        """
+        request = request._replace(key=next(self._keys))
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        try:
+            action = self._router.arrive(request, started_at, terms)
+            finish, last = await self._run(request, call, action)
+        except asyncio.CancelledError:
+            self._abandon(request)
+            raise
+        verdict = finish.verdict
+        self._journal.log(
+            "relays",
+            "taken in",
+            id=request.request_id,
+            sibling=vm,
+            service=finish.service,
+            target=finish.target_id,
+            status=finish.status,
+            reason="" if isinstance(verdict, Answered) else f"{verdict.reason}: {verdict.detail}",
+            ms=round((loop.time() - started_at) * 1000),
+        )
+        return RelayResult(verdict, last.sent.target_id if last else "")
+
+    def _abandon(self, request: Request) -> None:
+        self._router.abandon(request.key, asyncio.get_running_loop().time())
+        self._counters.count_abandoned_request()
+        self._journal.log("request", "caller left", id=request.request_id)
+
     async def _wait_for_configuration(self) -> None:
         """Delays the first requests after a start until a configuration and targets are known."""
         if self._router.configuration is not None:
@@ -146,7 +205,9 @@
         """Wakes waiting requests, because the first configuration and the targets are known."""
         self._configured.set()
 
-    async def _run(self, routing_request: Request, call: HttpCall) -> tuple[Finish, Attempt | None]:
+    async def _run(
+        self, routing_request: Request, call: HttpCall, action: Action
+    ) -> tuple[Finish, Attempt | None]:
         """Performs the router's actions until one finishes the request.
 
         Returns:
@@ -154,8 +215,11 @@
         """
         loop = asyncio.get_running_loop()
         last: Attempt | None = None
-        action: Action = self._router.arrive(routing_request, loop.time())
-        while isinstance(action, Send):
+        while not isinstance(action, Finish):
+            if isinstance(action, Relay):
+                relayed = await self._relay(routing_request, action, call)
+                action = self._router.end_relay(routing_request.key, relayed, loop.time())
+                continue
             sent = action
             result = await self._send(routing_request, sent, call)
             last = Attempt(sent, result)
@@ -166,6 +230,13 @@
                 self._log_attempt(routing_request, sent, result)
         return action, last
 
+    async def _relay(self, request: Request, relay: Relay, call: HttpCall) -> RelayResult:
+        self._counters.count_relay("passed on")
+        attempt = self._relays.send(relay, request, call)
+        if relay.idempotent:
+            return await attempt
+        return await asyncio.shield(asyncio.ensure_future(attempt))
+
     async def _send(self, routing_request: Request, sent: Send, call: HttpCall) -> AttemptResult:
         region = self._router.targets.region_of(sent.target_id)
         round_trip_s = self._router.round_trip_times.estimate_s(sent.failure_domain, region)
@@ -229,6 +300,8 @@
             fields["load"] = last.result.load
         if finish.limited_by:
             fields["limited_by"] = finish.limited_by
+        if finish.relayed_by:
+            fields["relayed_by"] = list(finish.relayed_by)
         configuration = self._router.configuration
         fields["config"] = configuration.version if configuration else None
         fields["ms"] = round(latency_s * 1000)
--- a/src/carawaybank/metrics.py
+++ b/src/carawaybank/metrics.py
@@ -66,6 +66,8 @@
             "carawaybank.control.bytes", [lambda _: [Observation(counters.control_bytes)]], "By"
         )
         counter("carawaybank.limits", [self._observe_limits], description="of targets, by event")
+        counter("carawaybank.relays", [self._observe_relays], description="between VMs, by event")
+        gauge("carawaybank.paths.lost_at", [self._observe_lost_paths], "s")
         gauge("carawaybank.ticket", [lambda _: [Observation(counters.configuration_version)]])
 
     def _observe_requests(self, _: CallbackOptions) -> list[Observation]:
@@ -80,6 +82,14 @@
         counts = self._counters.limit_events()
         return [Observation(count, {"event": event}) for event, count in counts.items()]
 
+    def _observe_relays(self, _: CallbackOptions) -> list[Observation]:
+        counts = self._counters.relays()
+        return [Observation(count, {"event": event}) for event, count in counts.items()]
+
+    def _observe_lost_paths(self, _: CallbackOptions) -> list[Observation]:
+        lost_at = dict(self._counters.paths_lost_at)
+        return [Observation(at, {"service": service}) for service, at in lost_at.items()]
+
 
 class _LatencyCollector(Collector):
     """Collector of the latency histograms of a daemon's services."""
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -8,21 +8,20 @@
 from pathlib import Path
 from typing import Any
 
-from carawaybank import exposition
 from carawaybank.adapters import Adapter
 from carawaybank.background import BackgroundTasks
 from carawaybank.callers.connections import CallerConnection, ConnectionContext
-from carawaybank.callers.listeners import connection_factory, listen, sync_connection_factory
-from carawaybank.callers.requests import CallerRequest
+from carawaybank.callers.listeners import connection_factory, listen
 from carawaybank.control import ControlHandler
 from carawaybank.counters import Counters
 from carawaybank.deployment import Deployment
+from carawaybank.endpoints import Endpoints
 from carawaybank.exceptions import ListenError, TaskError
 from carawaybank.exposition import Exposition
 from carawaybank.handler import RequestHandler
 from carawaybank.journal import Journal
 from carawaybank.operators.rows import OperatorRows
-from carawaybank.replies import HttpReply
+from carawaybank.relays import Relays
 from carawaybank.routing.router import Router
 from carawaybank.rows import INITIAL_POSITION, Position
 from carawaybank.settingsfile import SettingsFile
@@ -56,10 +55,6 @@
 _RESPONSE_MEMORY_FRACTION = 0.125
 #: Seconds between checks of connections, settings and suspension of the machine.
 _MAINTENANCE_INTERVAL_S = 0.5
-#: Maximum time in seconds for which callers may cache the response to a look-up.
-_MAX_LOOKUP_TTL_S = 2.0
-#: Port on which metrics are served; the deploy file contains the same number.
-_METRICS_PORT = 9464
 #: Table with the registrations of VMs and the crash reports, followed by a single watch.
 SHARED_TABLE = "carawaybank"
 
@@ -77,7 +72,7 @@
         self._metrics = Exposition(vm=deployment.vm, counters=self._counters)
         self._rng = random.Random(f"{deployment.vm}.{time.time_ns()}")
         self._router = Router(options=deployment.router_options(), rng=self._rng)
-        self._vms = VmDirectory(own=_own_record(deployment))
+        self._vms = VmDirectory(own=registration.own_record(deployment))
         self._connections: set[CallerConnection] = set()
         self._stopped = asyncio.Event()
         self._limit_exchange = LimitExchange(
@@ -95,16 +90,28 @@
             on_change=self._registrations.record_change,
             on_positions=self._record_sibling_positions,
             on_sent=self._end_heartbeat_round,
-            on_report=self._limit_exchange.receive,
+            on_report=self._receive_report,
         )
 
     def _make_request_path(self) -> None:
         dialect = self._adapter.dialect
         max_buffered_bytes = int(self._deployment.memory_mb * 1_000_000 * _RESPONSE_MEMORY_FRACTION)
         self._sender = TargetSender(dialect=dialect, max_buffered_bytes=max_buffered_bytes)
+        self._relays = Relays(
+            deployment=self._deployment,
+            router=self._router,
+            vms=self._vms,
+            sender=self._sender,
+            send_datagram=self._send_datagram,
+            on_change=self._announce_paths,
+            counters=self._counters,
+            journal=self._journal,
+            rng=self._rng,
+        )
         self._handler = RequestHandler(
             router=self._router,
             sender=self._sender,
+            relays=self._relays.client,
             dialect=dialect,
             journal=self._journal,
             counters=self._counters,
@@ -119,6 +126,7 @@
         self._checks = HealthChecks(
             router=self._router,
             dialect=dialect,
+            paths=self._relays.paths,
             journal=self._journal,
             on_crash=self._crashes.report,
         )
@@ -189,6 +197,7 @@
             self._run_maintenance(),
         ]
         coroutines += [self._bootstrap.run(), self._metrics.load_on_demand()]
+        coroutines += self._relays.coroutines()
         tasks = BackgroundTasks(on_failure=self._stop_on_failure)
         for coroutine in coroutines:
             tasks.start(coroutine)
@@ -213,17 +222,23 @@
             limits=lambda: self._handler.limits,
             is_closing=lambda: self._handler.is_stopping,
         )
-        metrics_address = f"{deployment.ip}:{_METRICS_PORT}"
+        endpoints = Endpoints(
+            adapter=self._adapter,
+            router=self._router,
+            vms=self._vms,
+            counters=self._counters,
+            metrics=self._metrics,
+            is_ready=lambda: self._handler.is_ready and self._registry.is_loaded,
+        )
         servers = [
             await listen(
                 deployment.callers_address,
                 lambda: CallerConnection(context=context, connections=self._connections),
             ),
-            await listen(deployment.ready_address, sync_connection_factory(self._handle_ready)),
             await listen(
-                deployment.directory_address, sync_connection_factory(self._handle_lookup)
+                f"{deployment.ip}:{deployment.sibling_port}", self._relays.serve(self._handler)
             ),
-            await listen(metrics_address, sync_connection_factory(self._handle_metrics)),
+            *await endpoints.listen(deployment, ttl_s=lambda: self._deployment.lookup_ttl_s),
         ]
         if deployment.control_address:
             control = connection_factory(self._control.handle)
@@ -263,11 +278,19 @@
                 # the position is sent to its other VMs as well.
                 self._heartbeat.send_early(include_remote=False)
 
+    def _receive_report(self, data: bytes) -> None:
+        self._limit_exchange.receive(data)
+        self._relays.receive(data)
+
+    def _announce_paths(self) -> None:
+        self._heartbeat.send()
+
     def _send_datagram(self, data: bytes, records: Sequence[VmRecord]) -> None:
         self._heartbeat.send_datagram(data, records)
 
     def _end_heartbeat_round(self) -> None:
         self._limit_exchange.repeat()
+        self._registrations.update_cut_off()
         for watch in self._watches:
             watch.recheck_reader()
 
@@ -296,6 +319,7 @@
             self._recover_from_suspension(suspension.pop_suspended_s())
             self._reload()
             self._sender.pool.close_idle()
+            self._relays.check_timeouts(loop.time())
             for connection in list(self._connections):
                 connection.check_timeouts(loop.time())
 
@@ -305,6 +329,7 @@
             return
         self._journal.log("daemon", "was suspended", seconds=round(suspended_s, 2))
         self._sender.pool.close_all()
+        self._relays.pool.close_all()
         for watch in self._watches:
             watch.restart_call()
 
@@ -330,7 +355,7 @@
             for connection in list(self._connections):
                 if connection.is_idle:
                     connection.close()
-            if not self._connections and self._router.is_idle:
+            if not self._connections and self._router.is_idle and self._relays.is_idle:
                 break
         deregistration.cancel()
         for server in servers:
@@ -348,35 +373,3 @@
         )
         self._deployment = deployment
         self._router.update_options(deployment.router_options())
-
-    def _handle_ready(self, request: CallerRequest) -> HttpReply:
-        ready = self._handler.is_ready and self._registry.is_loaded
-        return HttpReply(200 if ready else 503, [("content-type", "text/plain")], b"")
-
-    def _handle_lookup(self, request: CallerRequest) -> HttpReply:
-        self._counters.count_lookup()
-        locality = self._adapter.read_lookup(request)
-        now = asyncio.get_running_loop().time()
-        records = self._vms.select_for_caller(locality.failure_domain, locality.region, now=now)
-        return self._adapter.lookup_reply(
-            [record.callers_address for record in records],
-            ttl_s=min(_MAX_LOOKUP_TTL_S, self._deployment.lookup_ttl_s),
-        )
-
-    def _handle_metrics(self, request: CallerRequest) -> HttpReply:
-        text = self._metrics.render()
-        if text is None:
-            return HttpReply(503, [], b"metrics are not loaded yet\n")
-        return HttpReply(200, [("content-type", exposition.CONTENT_TYPE)], text)
-
-
-def _own_record(deployment: Deployment) -> VmRecord:
-    return VmRecord(
-        vm=deployment.vm,
-        callers_address=deployment.callers_address,
-        sibling_address=f"{deployment.ip}:{deployment.sibling_port}",
-        failure_domain=deployment.failure_domain,
-        region=deployment.region,
-        incarnation=time.time_ns() // 1_000_000,
-        control_address=deployment.control_address,
-    )
--- a/src/carawaybank/platform/adapter.py
+++ b/src/carawaybank/platform/adapter.py
@@ -67,7 +67,8 @@
     def read_lookup(self, request: CallerRequest) -> Locality:
         """Returns the locality in a look-up's query; a part that is not stated is empty."""
         query = parse_qs(urlsplit(request.path).query)
-        return Locality(query.get("zone", [""])[0], query.get("region", [""])[0])
+        zone, region, name = (query.get(key, [""])[0] for key in ("zone", "region", "name"))
+        return Locality(zone, region, name)
 
     def lookup_reply(self, addresses: Sequence[str], *, ttl_s: float) -> HttpReply:
         """Returns the response to a look-up: 503 if there is no address.
--- a/src/carawaybank/routing/configuration.py
+++ b/src/carawaybank/routing/configuration.py
@@ -127,6 +127,12 @@
                 return route
         return None
 
+    def allowed_regions(self, host: str) -> frozenset[str] | None:
+        """Returns the regions that may run all requests of a host; None if they are not limited."""
+        name = host.lower().partition(":")[0]
+        limited = [r.allowed_regions for r in self._by_host.get(name, ()) if r.allowed_regions]
+        return frozenset.intersection(*limited) if limited else None
+
 
 def choose_service(route: Route, *, point: float) -> str:
     """Returns a service of a route, chosen by weight.
--- a/src/carawaybank/routing/directory.py
+++ b/src/carawaybank/routing/directory.py
@@ -21,12 +21,14 @@
         by_region: Slots by region.
         by_domain: Slots by failure domain within each region.
         new_targets: Targets that joined recently and that this entry VM has not sent a request.
+        down: Slots of the targets that may get requests but are down.
         counted_at: Time of the count in monotonic seconds.
     """
 
     by_region: dict[str, int]
     by_domain: dict[str, dict[str, int]]
     new_targets: list[Target]
+    down: int
     counted_at: float
 
 
@@ -75,6 +77,12 @@
         self._index()
         return self._eligible_targets.get(service, [])
 
+    @property
+    def services(self) -> list[str]:
+        """The services of which any target may get requests."""
+        self._index()
+        return list(self._eligible_targets)
+
     def slot_counts(self, service: str, *, now: float) -> SlotCounts:
         """Returns the slot counts of a service, at most ``SLOT_COUNT_MAX_AGE_S`` old."""
         self._index()
@@ -87,16 +95,18 @@
         by_region: dict[str, int] = {}
         by_domain: dict[str, dict[str, int]] = {}
         new_targets = []
+        down = 0
         for target in self.eligible_targets(service):
+            entry = target.entry
             if target.is_down:
+                down += entry.slots
                 continue
-            entry = target.entry
             by_region[entry.region] = by_region.get(entry.region, 0) + entry.slots
             domains = by_domain.setdefault(entry.region, {})
             domains[entry.failure_domain] = domains.get(entry.failure_domain, 0) + entry.slots
             if target.is_new:
                 new_targets.append(target)
-        return SlotCounts(by_region, by_domain, new_targets, now)
+        return SlotCounts(by_region, by_domain, new_targets, down, now)
 
     def update(self, entry: TargetEntry, *, now: float) -> bool:
         """Applies an announcement of a target.
--- a/src/carawaybank/routing/feedback.py
+++ b/src/carawaybank/routing/feedback.py
@@ -16,6 +16,8 @@
     from carawaybank.routing.router import Router
 
 _UNREACHABLE = frozenset({Reason.CONNECT_FAILED, Reason.CONNECTION_REFUSED})
+#: Failures that a lost path would explain: nothing of a response was received.
+_NO_RESPONSE = _UNREACHABLE | {Reason.TIMEOUT, Reason.CONNECTION_LOST}
 
 
 def record_attempt(
@@ -44,10 +46,18 @@
     if result.address_reused:
         router.targets.remove(target.entry.target_id)
     verdict = result.verdict
+    reason = None if isinstance(verdict, Answered) else verdict.reason
+    if reason in _NO_RESPONSE:
+        router.reachability.record_failure(progress.service, target.entry.target_id, now=now)
+    elif reason is not Reason.PATH_LOST:
+        router.reachability.record_reached(progress.service, now=now)
+    if router.reachability.is_lost(progress.service) and reason is not None:
+        return  # The failure is one of the path and says nothing about the target.
     if isinstance(verdict, Answered) and verdict.status < 500:
         _record_work(router, progress, choice, result)
         target.record_result(failed=False)
-        target.recover()
+        if not router.reachability.is_lost(progress.service):
+            target.recover()
         return
     if isinstance(verdict, NotRun) and verdict.reason is Reason.TARGET_SHED:
         return
@@ -63,11 +73,11 @@
     if reason in _UNREACHABLE:
         choice.target.eject(now=now)
     elif reason is Reason.TIMEOUT:
-        router.record_timeout(target_id)
+        router.suspects.record_timeout(target_id)
         if progress.object_key:
             choice.target.record_slowness(result.latency_s / max(choice.expected_s, 0.001))
     if result.may_have_crashed:
-        router.record_suspect(
+        router.suspects.record_crash(
             CrashReport(progress.request.fingerprint, target_id, router.options.vm)
         )
 
--- a/src/carawaybank/routing/messages.py
+++ b/src/carawaybank/routing/messages.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from carawaybank.routing.helpers import Offer
 from carawaybank.routing.target import LoadReport
 from carawaybank.routing.targetlimits import LimitStatement
 from carawaybank.verdicts import Verdict
@@ -79,6 +80,51 @@
     warmth: float = 0.0
 
 
+class Relay(NamedTuple):
+    """Action: have a sibling send the request, because this VM has lost its paths to targets.
+
+    Attributes:
+        key: Key of the request.
+        offer: The sibling and the address to which the request is passed on.
+        deadline: Time at which the attempt times out.
+        idempotent: Whether the request may run more than once.
+        terms: What the sibling must observe.
+    """
+
+    key: int
+    offer: Offer
+    deadline: float
+    idempotent: bool
+    terms: "RelayTerms"
+
+
+class RelayTerms(NamedTuple):
+    """What the sibling that sends a request for another VM must observe.
+
+    Attributes:
+        service: Service that the request was assigned to.
+        tried_targets: Targets that must not get the request again.
+        configuration_version: Version of the configuration by which the request was routed; an
+            older one must not be used for it.
+    """
+
+    service: str
+    tried_targets: tuple[str, ...]
+    configuration_version: int
+
+
+class RelayResult(NamedTuple):
+    """The result of an attempt that a sibling made for this VM.
+
+    Attributes:
+        verdict: Whether the request ran, and its status or the reason of the failure.
+        target_id: Target that the sibling sent the request to; empty if none, or unknown.
+    """
+
+    verdict: Verdict
+    target_id: str = ""
+
+
 class Finish(NamedTuple):
     """Action: respond to the caller.
 
@@ -92,6 +138,7 @@
         attempts: Number of targets that the request was sent to.
         limited_by: The first target that did not get the request because of the limit that it
             named, with the limit; empty if there was none.
+        relayed_by: Siblings that the request was passed on to, in order.
     """
 
     key: int
@@ -102,6 +149,7 @@
     objective_s: float = 0.0
     attempts: int = 0
     limited_by: str = ""
+    relayed_by: tuple[str, ...] = ()
 
 
-Action = Send | Finish
+Action = Send | Relay | Finish
--- a/src/carawaybank/routing/progress.py
+++ b/src/carawaybank/routing/progress.py
@@ -3,14 +3,21 @@
 from carawaybank.routing.configuration import Route
 from carawaybank.routing.estimates import Choice
 from carawaybank.routing.messages import Request
-from carawaybank.verdicts import Answered, MayHaveRun
+from carawaybank.verdicts import Answered, MayHaveRun, NotRun
 
 
 class Progress:
     """A request that has arrived and is not finished."""
 
     def __init__(
-        self, *, request: Request, route: Route, service: str, now: float, least_urgent_rank: int
+        self,
+        *,
+        request: Request,
+        route: Route,
+        service: str,
+        now: float,
+        least_urgent_rank: int,
+        is_relayed: bool = False,
     ) -> None:
         """Creates the state of a request before its first attempt.
 
@@ -20,6 +27,8 @@
             service: Service that runs the request.
             now: Time of arrival in monotonic seconds.
             least_urgent_rank: Rank of the least urgent route of the service.
+            is_relayed: Whether another VM passed the request on. It then gets a single attempt,
+                and the other VM decides on further ones.
         """
         self.request = request
         self.route = route
@@ -28,9 +37,25 @@
         self.least_urgent_rank = least_urgent_rank
         budget_s = route.timeout_s if request.budget_s is None else request.budget_s
         self.deadline = now + min(budget_s, route.timeout_s)
+        self.is_relayed = is_relayed
+        self._reset_attempts(now)
+
+    def _reset_attempts(self, now: float) -> None:
         self.tried_targets: set[str] = set()
         self.choice: Choice | None = None
         self.last_target_id = ""
+        #: Time at which the attempt in progress was sent.
+        self.sent_at = now
+        #: Targets of ``tried_targets`` to which no connection could be opened.
+        self.unreached_count = 0
+        #: Relays of which no result came back, so that their target is unknown.
+        self.lost_relay_count = 0
+        #: Siblings that the request was passed on to, in order.
+        self.relayed_by: list[str] = []
+        #: Whether the last of these has not responded yet.
+        self.is_at_sibling = False
+        #: Why the last sibling did not send the request; None if it did.
+        self.sibling_refusal: NotRun | None = None
         #: The first target that was passed over because of its limit, with the limit.
         self.limited_by = ""
         #: A target's error response, returned if the retries at other targets do not succeed.
@@ -45,6 +70,11 @@
             return f"{self.route.name}/{self.request.object_key}"
         return ""
 
+    @property
+    def attempt_count(self) -> int:
+        """Number of targets that may have received the request."""
+        return len(self.tried_targets) - self.unreached_count + self.lost_relay_count
+
     @property
     def may_have_run(self) -> bool:
         """Whether a target has run the request or may have run it."""
--- a/src/carawaybank/routing/retrylimit.py
+++ b/src/carawaybank/routing/retrylimit.py
@@ -6,11 +6,14 @@
 constant, so that the sum over the VMs stays below the limit whatever messages are lost.
 """
 
+from carawaybank.routing.options import RouterOptions
 from carawaybank.routing.windows import SlidingCount
 
 #: Fraction of the allowed share that is used; the rest allows for requests that were counted but
 #: that callers abandoned before they were sent.
 USED_SHARE_FRACTION = 0.8
+#: Assumed number of entry VMs per known one, because others may have joined unnoticed.
+UNKNOWN_VM_FACTOR = 1.5
 
 
 class RetryLimit:
@@ -49,3 +52,32 @@
             return False
         self._retries.add(now=now)
         return True
+
+
+class RetryLimits:
+    """The retry limits of one entry VM by service."""
+
+    def __init__(self) -> None:
+        """Starts without recorded requests."""
+        self._limits: dict[str, RetryLimit] = {}
+
+    def of(self, service: str, *, options: RouterOptions, vm_count: int) -> RetryLimit:
+        """Returns the retry limit of a service, with this VM's part of the constant.
+
+        Args:
+            service: Name of the service.
+            options: The limit of all entry VMs together.
+            vm_count: Number of known entry VMs.
+        """
+        vms = max(options.min_vms, UNKNOWN_VM_FACTOR * vm_count)
+        slack = int(options.retry_slack / vms)
+        if service not in self._limits:
+            self._limits[service] = RetryLimit(
+                share=options.retry_share, slack=slack, window_s=options.retry_window_s
+            )
+        self._limits[service].set_slack(slack)
+        return self._limits[service]
+
+    def clear(self) -> None:
+        """Resets all counts."""
+        self._limits.clear()
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -7,27 +7,42 @@
 
 import random
 
-from carawaybank.routing import admission, feedback, selection
+from carawaybank.routing import admission, feedback, relaying, selection
 from carawaybank.routing.coldstart import ColdStartLimit
 from carawaybank.routing.configuration import Configuration, RouteTable, choose_service
 from carawaybank.routing.directory import TargetDirectory
 from carawaybank.routing.estimates import Choice, RoundTripTimes, WorkEstimate
+from carawaybank.routing.helpers import Helpers
 from carawaybank.routing.limitshares import VmLocality
-from carawaybank.routing.messages import Action, AttemptResult, Finish, Request, Send
+from carawaybank.routing.messages import (
+    Action,
+    AttemptResult,
+    Finish,
+    RelayResult,
+    RelayTerms,
+    Request,
+    Send,
+)
 from carawaybank.routing.options import RouterOptions
 from carawaybank.routing.progress import Progress
-from carawaybank.routing.retrylimit import RetryLimit
+from carawaybank.routing.reachability import Reachability
+from carawaybank.routing.retrylimit import RetryLimit, RetryLimits
 from carawaybank.routing.spillover import LocalityShares
+from carawaybank.routing.suspects import SuspectedTargets
 from carawaybank.routing.targetlimits import TargetLimits
-from carawaybank.steering import hashing
-from carawaybank.steering.quarantine import CrashReport, Quarantine
-from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
+from carawaybank.steering.quarantine import Quarantine
+from carawaybank.verdicts import (
+    UNREACHED_REASONS,
+    Answered,
+    MayHaveRun,
+    NotRun,
+    Reason,
+    Verdict,
+)
 
 _RETRYABLE_REASONS = frozenset(
     {Reason.TARGET_SHED, Reason.CONNECT_FAILED, Reason.CONNECTION_REFUSED, Reason.NOT_OWNER}
 )
-#: Assumed number of entry VMs per known one, because others may have joined unnoticed.
-_UNKNOWN_VM_FACTOR = 1.5
 _CRASH_RETENTION_S = 600.0
 _CRASH_CAPACITY = 2_000
 #: Crashes after which a request is not sent again. An unrelated request can be in progress at one
@@ -48,11 +63,12 @@
         self._options = options
         self._rng = rng
         self._configuration: Configuration | None = None
-        self._routes = RouteTable(routes=())
+        #: The routes of the current configuration.
+        self.routes = RouteTable(routes=())
         self._work_estimates: dict[str, WorkEstimate] = {}
         self._least_urgent_ranks: dict[str, int] = {}
         self._requests: dict[int, Progress] = {}
-        self._retry_limits: dict[str, RetryLimit] = {}
+        self._retry_limits = RetryLimits()
         self.cold_starts = ColdStartLimit(vm=options.vm)
         self.limits = TargetLimits(
             vm=options.vm, locality=VmLocality(options.failure_domain, options.region)
@@ -63,14 +79,15 @@
             region=options.region,
             max_shift=options.max_shift,
         )
+        self.reachability = Reachability()
+        self.helpers = Helpers(failure_domain=options.failure_domain, region=options.region)
         self.round_trip_times = RoundTripTimes(
             failure_domain=options.failure_domain, region=options.region
         )
         self.quarantine = Quarantine(
             limit=_CRASH_LIMIT, expiry_s=_CRASH_RETENTION_S, capacity=_CRASH_CAPACITY
         )
-        self._suspected_crashes: list[CrashReport] = []
-        self._timed_out_targets: set[str] = set()
+        self.suspects = SuspectedTargets()
         #: Entry VMs that may currently send to targets, including this one.
         self.vms: tuple[str, ...] = (options.vm,)
         #: Number of entry VMs in the failure domain of this one, including it.
@@ -87,9 +104,14 @@
         return self._options
 
     @property
-    def request_count(self) -> int:
-        """The number of requests that have arrived and are not finished."""
-        return len(self._requests)
+    def rng(self) -> random.Random:
+        """Source of all random numbers."""
+        return self._rng
+
+    @property
+    def requests(self) -> list[Progress]:
+        """The requests that have arrived and are not finished."""
+        return list(self._requests.values())
 
     @property
     def is_idle(self) -> bool:
@@ -119,7 +141,7 @@
         if not (is_newer or supersedes):
             return False
         self._configuration = configuration
-        self._routes = RouteTable(routes=configuration.routes)
+        self.routes = RouteTable(routes=configuration.routes)
         self._least_urgent_ranks = {}
         route_names = {route.name for route in configuration.routes}
         self._work_estimates = {
@@ -131,29 +153,42 @@
                 self._least_urgent_ranks[weighted.service] = max(known_rank, route.priority_rank)
         return True
 
-    def arrive(self, request: Request, now: float) -> Action:
-        """Starts the routing of a new request and returns the first action."""
-        if self._configuration is None:
-            return self._finish_unrouted(
-                request, NotRun(Reason.NO_TICKET, 0.5, "no configuration yet")
-            )
-        route = self._routes.find(request.host, request.path)
+    def arrive(self, request: Request, now: float, terms: RelayTerms | None = None) -> Action:
+        """Starts the routing of a new request and returns the first action.
+
+        Args:
+            request: The request.
+            now: Current time in monotonic seconds.
+            terms: What to observe if another VM passed the request on; None otherwise.
+        """
+        version = self._configuration.version if self._configuration else None
+        if version is None or (terms is not None and version < terms.configuration_version):
+            detail = "no configuration yet" if version is None else "the configuration is older"
+            return self._finish_unrouted(request, NotRun(Reason.NO_TICKET, 0.5, detail))
+        route = self.routes.find(request.host, request.path)
         if route is None:
             return Finish(request.key, NotRun(Reason.UNKNOWN_SERVICE, 0.0, "no such route"), 404)
         if self.quarantine.is_quarantined(request.fingerprint, now=now):
             detail = "this request crashed the targets that ran it"
             return self._finish_unrouted(request, NotRun(Reason.QUARANTINED, 5.0, detail))
         self.targets.has_routed_requests = True
-        service = choose_service(route, point=self._rng.random())
+        point = self._rng.random()
+        if terms is None:
+            service = choose_service(route, point=point)
+            self.retry_limit(service).record_request(now=now)
+        else:
+            service = relaying.choose_relayed_service(route, terms, point=point)
         progress = Progress(
             request=request,
             route=route,
             service=service,
             now=now,
             least_urgent_rank=self._least_urgent_ranks.get(service, route.priority_rank),
+            is_relayed=terms is not None,
         )
+        if terms is not None:
+            progress.tried_targets.update(terms.tried_targets)
         self._requests[request.key] = progress
-        self.retry_limit(service).record_request(now=now)
         return self._dispatch(progress, now)
 
     def end_attempt(self, key: int, result: AttemptResult, now: float) -> Action:
@@ -172,14 +207,37 @@
         if choice is not None:
             feedback.record_attempt(self, progress, choice, result, now)
         verdict = result.verdict
+        if progress.is_relayed:
+            return self._finish(progress, verdict)
         if isinstance(verdict, Answered):
             return self._handle_response(progress, verdict, now)
         if isinstance(verdict, NotRun):
-            if verdict.reason in _RETRYABLE_REASONS and self._try_acquire_retry(progress, now):
+            progress.unreached_count += verdict.reason in UNREACHED_REASONS
+            if verdict.reason in _RETRYABLE_REASONS and (
+                relaying.is_retry_free(self, progress, verdict, now)
+                or self.try_acquire_retry(progress, now)
+            ):
                 return self._dispatch(progress, now)
-            return self._finish(progress, self._final_verdict(progress, verdict))
+            return self.finish(progress, verdict)
         progress.uncertain = verdict
-        if progress.route.idempotent and self._try_acquire_retry(progress, now):
+        if progress.route.idempotent and self.try_acquire_retry(progress, now):
+            return self._dispatch(progress, now)
+        return self._finish(progress, verdict)
+
+    def end_relay(self, key: int, result: RelayResult, now: float) -> Action:
+        """Records the result of a relay and returns the next action for the request.
+
+        Args:
+            key: Key of a request that a sibling has attempted.
+            result: Result of the attempt.
+            now: Current time in monotonic seconds.
+
+        Raises:
+            KeyError: If the request is not known.
+        """
+        progress = self._requests[key]
+        verdict = relaying.end_relay(self, progress, result, now)
+        if verdict is None:
             return self._dispatch(progress, now)
         return self._finish(progress, verdict)
 
@@ -188,49 +246,11 @@
         progress = self._requests.pop(key, None)
         if progress is not None:
             self._release_target(progress)
+            relaying.release(self, progress)
 
     def retry_limit(self, service: str) -> RetryLimit:
         """Returns the retry limit of a service, updated for the current number of entry VMs."""
-        vms = max(self._options.min_vms, _UNKNOWN_VM_FACTOR * len(self.vms))
-        slack = int(self._options.retry_slack / vms)
-        if service not in self._retry_limits:
-            self._retry_limits[service] = RetryLimit(
-                share=self._options.retry_share,
-                slack=slack,
-                window_s=self._options.retry_window_s,
-            )
-        self._retry_limits[service].set_slack(slack)
-        return self._retry_limits[service]
-
-    def record_suspect(self, report: CrashReport) -> None:
-        """Records a request whose connection broke and that may have crashed its target."""
-        self._suspected_crashes.append(report)
-
-    def record_timeout(self, target_id: str) -> None:
-        """Records a target at which a request timed out."""
-        self._timed_out_targets.add(target_id)
-
-    def pop_suspected_crashes(self) -> list[CrashReport]:
-        """Returns and clears the requests whose connection broke.
-
-        Whether the target crashed is not known yet: a check that it still accepts connections
-        distinguishes a crash from a lost response.
-        """
-        popped, self._suspected_crashes = self._suspected_crashes, []
-        return popped
-
-    def pop_timed_out_targets(self) -> set[str]:
-        """Returns and clears the ids of the targets at which a request timed out.
-
-        A target that lost power does not respond; a check that it still accepts connections
-        distinguishes it from a slow one.
-        """
-        popped, self._timed_out_targets = self._timed_out_targets, set()
-        return popped
-
-    def record_crash(self, report: CrashReport, now: float) -> bool:
-        """Records a report of a request that crashed a target; returns whether it is new."""
-        return self.quarantine.add_report(report, now=now)
+        return self._retry_limits.of(service, options=self._options, vm_count=len(self.vms))
 
     def cold_rate(self, service: str) -> float:
         """Returns the requests per second that all entry VMs together may send to a cold target.
@@ -261,18 +281,20 @@
         )
 
     def _dispatch(self, progress: Progress, now: float) -> Action:
+        if self.reachability.is_lost(progress.service) and not progress.is_relayed:
+            return relaying.relay_or_refuse(self, progress, now)
         choice = selection.choose(self, progress, now)
         if choice is None:
             wait_s = selection.min_wait_s(self, progress, now) or progress.route.objective_s
             refusal = admission.refuse(wait_s, rng=self._rng)
             detail = ": ".join(filter(None, ("no target can take it", progress.limited_by)))
-            return self._refuse(progress, refusal, detail)
+            return self._refuse(progress, refusal, detail, now)
         admission_refusal = self._check_admission(progress, choice, now)
         if admission_refusal is not None:
             detail = (
                 f"expected after {choice.expected_s:.3f} s, of them {choice.wait_s:.3f} s waiting"
             )
-            return self._refuse(progress, admission_refusal, detail)
+            return self._refuse(progress, admission_refusal, detail, now)
         return self._send(progress, choice, now)
 
     def _send(self, progress: Progress, choice: Choice, now: float) -> Action:
@@ -283,9 +305,10 @@
                 target.entry.target_id, vms=self.vms, rate=rate, now=now
             ):
                 refusal = admission.refuse(progress.route.objective_s, rng=self._rng)
-                return self._refuse(progress, refusal, "only cold targets are left")
+                return self._refuse(progress, refusal, "only cold targets are left", now)
         self.limits.record_send(target.entry, now=now)
         progress.choice = choice
+        progress.sent_at = now
         progress.tried_targets.add(target.entry.target_id)
         progress.last_target_id = target.entry.target_id
         target.in_flight += 1
@@ -302,14 +325,17 @@
             choice.warmth,
         )
 
-    def _try_acquire_retry(self, progress: Progress, now: float) -> bool:
-        if len(progress.tried_targets) >= progress.route.max_attempts or now >= progress.deadline:
+    def try_acquire_retry(self, progress: Progress, now: float) -> bool:
+        """Counts a retry of a request if its route, deadline and the retry limit allow it."""
+        is_impaired = relaying.is_impaired(self, progress.service, now)
+        attempts = progress.attempt_count if is_impaired else len(progress.tried_targets)
+        if attempts >= progress.route.max_attempts or now >= progress.deadline:
             return False
         return self.retry_limit(progress.service).try_acquire(now=now)
 
     def _handle_response(self, progress: Progress, answer: Answered, now: float) -> Action:
         failed = answer.status >= 500
-        if failed and progress.route.idempotent and self._try_acquire_retry(progress, now):
+        if failed and progress.route.idempotent and self.try_acquire_retry(progress, now):
             progress.fallback = answer
             return self._dispatch(progress, now)
         return self._finish(progress, answer)
@@ -320,14 +346,17 @@
             choice.target.in_flight -= 1
         return choice
 
-    def _refuse(self, progress: Progress, refusal: admission.Refusal, detail: str) -> Action:
-        verdict = NotRun(Reason.NO_CAPACITY, refusal.retry_after_s, detail)
-        return self._finish(progress, self._final_verdict(progress, verdict))
+    def _refuse(
+        self, progress: Progress, refusal: admission.Refusal, detail: str, now: float
+    ) -> Action:
+        relay = relaying.choose_relay(self, progress, now)
+        if relay is not None:
+            return relay
+        return self.finish(progress, NotRun(Reason.NO_CAPACITY, refusal.retry_after_s, detail))
 
-    def _final_verdict(self, progress: Progress, verdict: NotRun) -> Verdict:
-        if progress.fallback is not None:
-            return progress.fallback
-        return progress.uncertain if progress.uncertain is not None else verdict
+    def finish(self, progress: Progress, verdict: NotRun) -> Finish:
+        """Finishes a request that gets no further attempt, with the result of an earlier one."""
+        return self._finish(progress, progress.fallback or progress.uncertain or verdict)
 
     def _finish_unrouted(self, request: Request, verdict: NotRun) -> Finish:
         return Finish(request.key, verdict, 503)
@@ -349,17 +378,9 @@
             progress.route.objective_s,
             len(progress.tried_targets),
             progress.limited_by,
+            tuple(progress.relayed_by),
         )
 
-    def selection_point(self, object_key: str, purpose: str) -> float:
-        """Returns a number in [0, 1) for a weighted selection.
-
-        The number is a hash of the object and the purpose, or random if there is no object.
-        """
-        if not object_key:
-            return self._rng.random()
-        return hashing.score(key=object_key, member=purpose) / 2**64
-
     def work_estimate(self, progress: Progress) -> WorkEstimate:
         """Returns the work estimate of the request's route, and creates it at the first use."""
         route = progress.route
--- a/src/carawaybank/routing/selection.py
+++ b/src/carawaybank/routing/selection.py
@@ -52,7 +52,7 @@
     shares = router.shares.regions(progress.service)
     shares.update(counts.by_region)
     shares.record_request(now=now)
-    region = shares.choose(point=router.selection_point(progress.object_key, "region"))
+    region = shares.choose(point=_selection_point(router, progress.object_key, "region"))
     allowed_regions = progress.route.allowed_regions
     if allowed_regions and region not in allowed_regions:
         region = (
@@ -84,7 +84,7 @@
         return _best(router, progress, region, PREFERRED_WARMTHS, now)
     domains = router.shares.domains(progress.service, region)
     domains.update(counts.by_domain.get(region, {}))
-    domain = domains.choose(point=router.selection_point(progress.object_key, "domain"))
+    domain = domains.choose(point=_selection_point(router, progress.object_key, "domain"))
     local = _best(router, progress, domain, PREFERRED_WARMTHS, now)
     if local is not None and router.accepts(progress, local, now):
         return local
@@ -192,6 +192,16 @@
     return None
 
 
+def _selection_point(router: "Router", object_key: str, purpose: str) -> float:
+    """Returns a number in [0, 1) for a weighted selection.
+
+    The number is a hash of the object and the purpose, or random if there is no object.
+    """
+    if not object_key:
+        return router.rng.random()
+    return hashing.score(key=object_key, member=purpose) / 2**64
+
+
 def _warmth(target: Target, progress: Progress, hash_warmth: float) -> float:
     """Returns the probability that the request's object is warm at a target."""
     if not progress.object_key:
--- a/src/carawaybank/routing/target.py
+++ b/src/carawaybank/routing/target.py
@@ -205,10 +205,17 @@
         self.down_since = None
         self._check_interval_s = CHECK_INTERVAL_RANGE_S[0]
 
-    def _reset(self, now: float) -> None:
-        self._warm_objects.clear()
+    def reset_estimates(self, *, now: float) -> None:
+        """Forgets load, slowness and failures, and ends the ejection.
+
+        After a lost path was restored, what attempts taught about the target is out of date.
+        """
         self._other_requests, self._other_requests_at = 0.0, now
         self._has_load_report = False
         self.slowness, self.failure_share, self.average_load = 1.0, 0.0, 0.0
-        self.cold_until = self._paused_until = 0.0
         self.recover()
+
+    def _reset(self, now: float) -> None:
+        self._warm_objects.clear()
+        self.cold_until = self._paused_until = 0.0
+        self.reset_estimates(now=now)
--- a/src/carawaybank/routing/targetlimits.py
+++ b/src/carawaybank/routing/targetlimits.py
@@ -109,6 +109,14 @@
         self._limits: OrderedDict[str, _Limit] = OrderedDict()
         self._faults: OrderedDict[str, str] = OrderedDict()
         self._events: list[LimitEvent] = []
+        self._held_until = float("-inf")
+
+    def hold(self, until: float) -> None:
+        """Gives up the share of this VM in all limits until a time in monotonic seconds.
+
+        Siblings use it while this VM reaches no targets, and must know of its return first.
+        """
+        self._held_until = until
 
     def update_vms(self, vms: Mapping[str, VmLocality]) -> None:
         """Replaces the entry VMs that share the limits.
@@ -194,6 +202,8 @@
         rate = self.rate_of(entry)
         if rate is None:
             return 0.0
+        if now < self._held_until:
+            return self._held_until - now
         limit = self._limits[entry.target_id]
         if limit.ranked_vms is not self._vms:
             rank = rank_of(self._vm, entry, vms=self._vms)
--- a/src/carawaybank/siblings/heartbeat.py
+++ b/src/carawaybank/siblings/heartbeat.py
@@ -96,16 +96,15 @@
         self._rounds += 1
         own = self._vms.own
         readers = self._vms.readers(now=now)
-        if own not in readers:
-            self._send(self._vms.make_heartbeat(self._positions()), readers)
+        is_reader = own in readers
+        own_reports = self._vms.cut_off_reports(now=now, is_reader=is_reader)
+        if not is_reader:
+            self._send(self._vms.make_heartbeat(self._positions(), own_reports or None), readers)
             return
-        domain = own.failure_domain
-        own_reports = {domain: [self._vms.own_report(now=now)]}
-        other_reports = self._vms.known_reports(now=now)
-        all_reports = {
-            **other_reports,
-            domain: [*other_reports.get(domain, ()), *own_reports[domain]],
-        }
+        own_reports[own.failure_domain] = [self._vms.own_report(now=now)]
+        all_reports = self._vms.known_reports(now=now)
+        for topic, reports in own_reports.items():
+            all_reports[topic] = [*all_reports.get(topic, ()), *reports]
         self._send(self._vms.make_heartbeat(self._positions(), all_reports), self._vms.domain_peers)
         remote = [record for record in self._vms.remote_readers(now=now) if self._is_due(record)]
         self._send(self._vms.make_heartbeat(self._positions(), own_reports), remote)
--- a/src/carawaybank/siblings/liveness.py
+++ b/src/carawaybank/siblings/liveness.py
@@ -161,6 +161,39 @@
         if known is None or made_at > known.made_at:
             reports[report.reporter] = _Report(made_at, frozenset(report.absent))
 
+    def is_reported(self, topic: str, vm: str, *, now: float) -> bool:
+        """Returns whether a valid report on a topic lists a VM.
+
+        What the VM says itself takes precedence over the reports of others that are older.
+        """
+        reports = self._reports.get(topic, {})
+        own = reports.get(vm)
+        oldest = own.made_at if own else float("-inf")
+        return any(
+            vm in report.absent and report.made_at >= oldest
+            for report in reports.values()
+            if now - report.made_at <= REPORT_VALIDITY_S
+        )
+
+    def reported(self, prefix: str, *, now: float) -> set[str]:
+        """Returns the VMs that any valid report on a topic with a prefix lists."""
+        return {
+            vm
+            for topic, reports in self._reports.items()
+            if topic.startswith(prefix)
+            for report in reports.values()
+            if now - report.made_at <= REPORT_VALIDITY_S
+            for vm in report.absent
+        }
+
+    def self_reported(self, topic: str, *, now: float) -> set[str]:
+        """Returns the VMs whose own valid reports on a topic list them."""
+        return {
+            vm
+            for vm, report in self._reports.get(topic, {}).items()
+            if vm in report.absent and now - report.made_at <= READER_TIMEOUT_S
+        }
+
     def valid_reports(self, *, now: float) -> dict[str, list[DomainReport]]:
         """Returns the valid reports by failure domain, to be sent on with heartbeats."""
         self._drop_expired_reports(now)
--- a/src/carawaybank/siblings/registration.py
+++ b/src/carawaybank/siblings/registration.py
@@ -7,9 +7,11 @@
 
 import asyncio
 import random
+import time
 
 import msgspec
 
+from carawaybank.deployment import Deployment
 from carawaybank.journal import Journal
 from carawaybank.routing.limitshares import VmLocality
 from carawaybank.routing.router import Router
@@ -62,6 +64,7 @@
         self._write_requested = asyncio.Event()
         self._write_requested.set()
         self._confirmed_at: float | None = None
+        self._cut_off: frozenset[str] = frozenset()
 
     def apply(self, update: TableUpdate) -> None:
         """Applies changes of the registrations, whose keys are the names of the VMs.
@@ -106,11 +109,25 @@
         self._journal.log("siblings", "vm changed", sibling=record._asdict())
         self._update_router()
 
+    def update_cut_off(self) -> None:
+        """Updates the router if other VMs reach no targets or do so again.
+
+        Those that reach none have no share in the limits of targets.
+        """
+        cut_off = self._vms.cut_off_vms(now=asyncio.get_running_loop().time())
+        if cut_off != self._cut_off:
+            self._cut_off = cut_off
+            self._update_router()
+
     def _update_router(self) -> None:
         records = [self._vms.own, *self._vms.others]
         self._router.vms = self._vms.names
         self._router.limits.update_vms(
-            {record.vm: VmLocality(record.failure_domain, record.region) for record in records}
+            {
+                record.vm: VmLocality(record.failure_domain, record.region)
+                for record in records
+                if record.vm not in self._cut_off
+            }
         )
         self._router.failure_domain_vm_count = 1 + len(self._vms.domain_peers)
 
@@ -160,3 +177,16 @@
             await self._store.remove(self._table, self._key)
         except StoreError as error:
             self._journal.log("store", "deregistration failed", reason=str(error))
+
+
+def own_record(deployment: Deployment) -> VmRecord:
+    """Returns the record of this VM, with a new incarnation."""
+    return VmRecord(
+        vm=deployment.vm,
+        callers_address=deployment.callers_address,
+        sibling_address=f"{deployment.ip}:{deployment.sibling_port}",
+        failure_domain=deployment.failure_domain,
+        region=deployment.region,
+        incarnation=time.time_ns() // 1_000_000,
+        control_address=deployment.control_address,
+    )
--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -5,10 +5,16 @@
 the loss of all others, and lists them all.
 """
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 from carawaybank.rows import Position
-from carawaybank.siblings.liveness import HEARTBEAT_TIMEOUT_S, DomainReport, Liveness
+from carawaybank.siblings.liveness import (
+    HEARTBEAT_TIMEOUT_S,
+    REPORT_VALIDITY_S,
+    DomainReport,
+    Liveness,
+)
 
 #: Number of VMs below which a look-up lists the caller's region instead of its failure domain.
 MIN_LISTED = 2
@@ -18,6 +24,9 @@
 _MAX_ENDED = 4_096
 #: Maximum number of VMs that a look-up lists.
 MAX_LISTED = 64
+#: Prefix of the failure domain under which reports list VMs that reach no targets. VMs of an older
+#: build pass such reports on as those of a failure domain that has no VMs.
+CUT_OFF_PREFIX = "no-targets/"
 
 
 class VmRecord(NamedTuple):
@@ -70,7 +79,8 @@
         stopping: Whether it is shutting down.
         positions: Position up to which it has read each watched table.
         reaches_store: Whether the store responded to its last call.
-        reports: Reports of readers, by failure domain; None if it sends none.
+        reports: Reports of readers, by failure domain, and with ``CUT_OFF_PREFIX`` reports on VMs
+            that reach no targets; None if it sends none.
     """
 
     vm: str
@@ -98,6 +108,9 @@
         self._liveness = Liveness(own=own.vm)
         #: Whether the store responded to the last call of this VM.
         self.reaches_store = True
+        self._is_cut_off = False
+        #: Time until which siblings are told whether this VM or one that it reports is cut off.
+        self._reports_cut_off_until = float("-inf")
 
     @property
     def own(self) -> VmRecord:
@@ -125,6 +138,47 @@
         """Last time at which this VM or another one indicated that it cannot reach the store."""
         return self._liveness.store_unreachable_at
 
+    def find(self, vm: str) -> VmRecord | None:
+        """Returns the record of another VM by its name, or None if it is not known."""
+        return self._records.get(vm)
+
+    def set_cut_off(self, is_cut_off: bool) -> None:
+        """Records whether this VM has lost its paths to the targets of all services."""
+        self._is_cut_off = is_cut_off
+
+    def is_cut_off(self, vm: str, *, now: float) -> bool:
+        """Returns whether a VM is known to reach no targets."""
+        if vm == self._own.vm:
+            return self._is_cut_off
+        record = self._records.get(vm)
+        domain = record.failure_domain if record else ""
+        return self._liveness.is_reported(CUT_OFF_PREFIX + domain, vm, now=now)
+
+    def cut_off_vms(self, *, now: float) -> frozenset[str]:
+        """Returns the names of the other VMs that are known to reach no targets."""
+        named = self._liveness.reported(CUT_OFF_PREFIX, now=now)
+        return frozenset(vm for vm in named if vm in self._records and self.is_cut_off(vm, now=now))
+
+    def cut_off_reports(self, *, now: float, is_reader: bool) -> dict[str, list[DomainReport]]:
+        """Returns the report of this VM on VMs that reach no targets; empty if there are none.
+
+        A reader lists those of its failure domain that say so themselves. The end is reported as
+        long as older reports are valid.
+
+        Args:
+            now: Monotonic seconds.
+            is_reader: Whether this VM is a reader of its failure domain.
+        """
+        topic = CUT_OFF_PREFIX + self._own.failure_domain
+        names = {self._own.vm} if self._is_cut_off else set()
+        if is_reader:
+            names |= self._liveness.self_reported(topic, now=now)
+        if names:
+            self._reports_cut_off_until = now + REPORT_VALIDITY_S
+        if now > self._reports_cut_off_until:
+            return {}
+        return {topic: [DomainReport(self._own.vm, 0.0, tuple(sorted(names)))]}
+
     def start_new_incarnation(self) -> None:
         """Increments the incarnation of this VM, for siblings that consider it ended."""
         self._own = self._own._replace(incarnation=self._own.incarnation + 1)
@@ -259,13 +313,32 @@
         """Returns whether a VM is in the own region."""
         return record.region == self._own.region
 
-    def select_for_caller(self, failure_domain: str, region: str, *, now: float) -> list[VmRecord]:
+    def select_for_caller(
+        self,
+        failure_domain: str,
+        region: str,
+        *,
+        now: float,
+        allowed_regions: Collection[str] | None = None,
+    ) -> list[VmRecord]:
         """Returns the VMs that callers of a failure domain should use, at most ``MAX_LISTED``.
 
         These are the VMs of the failure domain, of the region if those are too few, or all VMs if
-        there is none in the region.
+        there is none in the region. VMs that reach no targets are returned only if there is no
+        other one that the caller may use.
+
+        Args:
+            failure_domain: Failure domain of the caller; empty if unknown.
+            region: Region of the caller; empty if unknown.
+            now: Monotonic seconds.
+            allowed_regions: Regions outside the caller's whose VMs may receive its requests; None
+                for all.
         """
         listed = [record for record in self._candidates(now) if not record.stopping]
+        reaching = [record for record in listed if not self.is_cut_off(record.vm, now=now)]
+        if allowed_regions is not None:
+            reaching = [r for r in reaching if r.region == region or r.region in allowed_regions]
+        listed = reaching or listed
         nearest = [record for record in listed if record.failure_domain == failure_domain]
         if len(nearest) < MIN_LISTED:
             nearest = [record for record in listed if record.region == region] or nearest
--- a/src/carawaybank/targets/checks.py
+++ b/src/carawaybank/targets/checks.py
@@ -11,6 +11,7 @@
 from carawaybank.routing.target import Target
 from carawaybank.routing.targetlimits import LimitStatement
 from carawaybank.steering.quarantine import CrashReport
+from carawaybank.targets.paths import PathChecks
 
 #: Seconds between polls for targets whose check is due.
 _POLL_INTERVAL_S = 0.2
@@ -59,6 +60,7 @@
         *,
         router: Router,
         dialect: HealthDialect,
+        paths: PathChecks,
         journal: Journal,
         on_crash: Callable[[CrashReport], None],
     ) -> None:
@@ -67,11 +69,13 @@
         Args:
             router: Holds the targets and collects the suspected ones.
             dialect: Encodes and decodes health checks.
+            paths: Tells whether this VM reaches other targets.
             journal: Logs the results of checks.
             on_crash: Called with a report for each request that was in flight at a target that
                 crashed.
         """
         self._on_crash = on_crash
+        self._paths = paths
         self._router = router
         self._journal = journal
         self._dialect = dialect
@@ -80,18 +84,20 @@
     async def run(self) -> None:
         """Starts the checks that are due, until cancelled."""
         loop = asyncio.get_running_loop()
+        reachability = self._router.reachability
         while True:
             await asyncio.sleep(_POLL_INTERVAL_S)
             now = loop.time()
             for target in self._router.targets.by_id.values():
                 is_due = target.is_down and now >= target.next_check_at
+                is_due = is_due and not reachability.is_lost(target.entry.service)
                 if is_due and self._router.limits.try_send(target.entry, now=now):
                     target.eject(now=now)
                     self._start_task(self._check_health(target))
             suspected: dict[str, list[CrashReport]] = {
-                target_id: [] for target_id in self._router.pop_timed_out_targets()
+                target_id: [] for target_id in self._router.suspects.pop_timed_out()
             }
-            for report in self._router.pop_suspected_crashes():
+            for report in self._router.suspects.pop_crashes():
                 suspected.setdefault(report.target, []).append(report)
             for target_id, reports in suspected.items():
                 self._start_task(self._check_connection(target_id, reports))
@@ -107,21 +113,35 @@
         if target is None:
             return
         if target.is_down:
-            for report in reports:
-                self._on_crash(report)
+            await self._report_crashes(target, reports)
             return
         try:
             connection = await ClientConnection.open(target.entry.address, timeout_s=_TIMEOUT_S)
         except ExchangeError as error:
-            target.eject(now=asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            target.eject(now=now)
+            self._router.reachability.record_failure(target.entry.service, target_id, now=now)
             self._log_event(
                 target, "unreachable", f"{len(reports)} requests were in flight; {error}"
             )
-            for report in reports:
-                self._on_crash(report)
+            await self._report_crashes(target, reports)
         else:
             connection.close()
 
+    async def _report_crashes(self, target: Target, reports: list[CrashReport]) -> None:
+        """Reports requests that were in flight at a target that is down.
+
+        The connections of a VM that is cut off break too. A crash is therefore reported only if
+        this VM still reaches another target.
+        """
+        if not reports:
+            return
+        if await self._paths.is_cut_off(beyond=target):
+            self._log_event(target, "crash not reported", "no other target can be reached either")
+            return
+        for report in reports:
+            self._on_crash(report)
+
     async def _check_health(self, target: Target) -> None:
         configuration = self._router.configuration
         service = configuration.services.get(target.entry.service) if configuration else None
--- a/src/carawaybank/targets/crashes.py
+++ b/src/carawaybank/targets/crashes.py
@@ -57,7 +57,7 @@
                 self._journal.log("crashes", "row passed over", row=row.key, reason=str(error))
                 continue
             if time.time() - written_at < _RETENTION_S:
-                self._router.record_crash(report, now)
+                self._router.quarantine.add_report(report, now=now)
             elif update.is_full:
                 self._start_task(self._remove(row.key))
         if update.is_backup:
@@ -79,7 +79,7 @@
 
         A report that is new to the router is also logged and written to the store.
         """
-        if self._router.record_crash(report, asyncio.get_running_loop().time()):
+        if self._router.quarantine.add_report(report, now=asyncio.get_running_loop().time()):
             self._journal.log("crashes", "reported", **report._asdict())
             key = f"{KEY_PREFIX}{report.fingerprint}.{report.target}"
             timed_report = (time.time(), report)
--- a/src/carawaybank/targets/sender.py
+++ b/src/carawaybank/targets/sender.py
@@ -1,6 +1,7 @@
 """Sends requests to targets over pooled connections and converts the results into verdicts."""
 
 import asyncio
+from collections.abc import Collection
 from typing import NamedTuple, Protocol
 
 from carawaybank.buffers import BufferBudget
@@ -75,6 +76,7 @@
         self._dialect = dialect
         self._budget = BufferBudget(max_bytes=max_buffered_bytes)
         self._pool = ClientPool()
+        self._exchanging: dict[ClientConnection, Send] = {}
         #: Failure domain and connect time in seconds of each new connection. The owner of the
         #: sender removes the entries that it has processed.
         self.connect_times: list[tuple[str, float]] = []
@@ -136,12 +138,34 @@
     ) -> HttpReply:
         remaining_s = action.deadline - asyncio.get_running_loop().time()
         encoded = self._dialect.encode(call, target_id=action.target_id, remaining_s=remaining_s)
-        return await connection.exchange(
-            encoded,
-            timeout_s=max(0.001, remaining_s),
-            max_body_bytes=min(MAX_RESPONSE_BYTES, self._budget.max_bytes),
-            budget=self._budget,
-        )
+        self._exchanging[connection] = action
+        try:
+            return await connection.exchange(
+                encoded,
+                timeout_s=max(0.001, remaining_s),
+                max_body_bytes=min(MAX_RESPONSE_BYTES, self._budget.max_bytes),
+                budget=self._budget,
+            )
+        finally:
+            del self._exchanging[connection]
+
+    def abort_idempotent(self, target_ids: Collection[str]) -> int:
+        """Ends the idempotent attempts at targets to which the path was lost.
+
+        Others are left to their deadline: their response may still come, and nothing may be sent
+        in their place.
+
+        Returns:
+            The number of attempts that were ended.
+        """
+        aborted = [
+            connection
+            for connection, action in self._exchanging.items()
+            if action.idempotent and action.target_id in target_ids
+        ]
+        for connection in aborted:
+            connection.fail(Reason.PATH_LOST, "the path to the targets was lost")
+        return len(aborted)
 
     def _acquire(self, peer: str, action: Send) -> ClientConnection | None:
         if action.idempotent:
--- a/src/carawaybank/verdicts.py
+++ b/src/carawaybank/verdicts.py
@@ -43,6 +43,7 @@
     PLATFORM_UNREACHABLE = "platform-unreachable"
     PLATFORM_UNKNOWN = "platform-outcome-unknown"
     CONNECTION_LOST = "connection-lost"
+    PATH_LOST = "path-lost"
     ANSWER_TRUNCATED = "answer-truncated"
     ANSWER_TOO_LARGE = "answer-too-large"
     ANSWER_OF_ANOTHER_REQUEST = "answer-of-another-request"
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -67,7 +67,7 @@
 def test_a_look_up_states_the_locality_of_the_caller():
     adapter = PlatformAdapter(store_address="127.0.0.1:1", regions=REGIONS)
     request = CallerRequest("GET", "/resolve?name=a&zone=regina&region=sask", [], b"")
-    assert adapter.read_lookup(request) == Locality("regina", "sask")
+    assert adapter.read_lookup(request) == Locality("regina", "sask", "a")
     assert adapter.read_lookup(request._replace(path="/resolve")) == Locality("", "")
     assert adapter.lookup_reply([], ttl_s=2.0).status == 503
     reply = adapter.lookup_reply(["10.0.0.1:80"], ttl_s=2.0)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -165,8 +165,8 @@
         action = router.arrive(make_request(key, path="/book/1", fingerprint="bad"), 0.0)
         assert isinstance(action, Send)
         router.end_attempt(key, lost(may_have_crashed=True), 0.1)
-        (report,) = router.pop_suspected_crashes()
-        assert router.record_crash(report._replace(target=f"t{key}"), 0.1)
+        (report,) = router.suspects.pop_crashes()
+        assert router.quarantine.add_report(report._replace(target=f"t{key}"), now=0.1)
     action = router.arrive(make_request(4, path="/book/1", fingerprint="bad"), 0.2)
     assert action.verdict.reason is Reason.QUARANTINED
 
@@ -178,7 +178,7 @@
         action = router.arrive(make_request(key, path="/book/1", fingerprint="bad"), 0.0)
         assert isinstance(action, Send)
         router.end_attempt(key, lost(may_have_crashed=True), 0.1)
-        router.pop_suspected_crashes()
+        router.suspects.pop_crashes()
 
 
 def test_retry_slack_is_divided_among_all_known_vms():
@@ -201,8 +201,8 @@
     sent = router.arrive(make_request(1, path="/book/1"), 0.0)
     action = router.end_attempt(1, lost(Reason.TIMEOUT), 2.0)
     assert action.status == 504
-    assert router.pop_timed_out_targets() == {sent.target_id}
-    assert router.pop_timed_out_targets() == set()
+    assert router.suspects.pop_timed_out() == {sent.target_id}
+    assert router.suspects.pop_timed_out() == set()
 
 
 def test_a_new_route_is_served_before_its_work_is_estimated():
--- a/tests/targets/test_checks.py
+++ b/tests/targets/test_checks.py
@@ -1,6 +1,7 @@
 """Health checks of targets that are down, and connection checks of suspected targets."""
 
 import asyncio
+import random
 
 from carawaybank.callers.listeners import listen, sync_connection_factory
 from carawaybank.journal import Journal
@@ -9,6 +10,7 @@
 from carawaybank.routing.messages import AttemptResult, Send
 from carawaybank.routing.targetlimits import LimitStatement
 from carawaybank.targets.checks import HealthChecks
+from carawaybank.targets.paths import PathChecks
 from carawaybank.verdicts import MayHaveRun, Reason
 from tests.routing.builders import make_request, make_router, make_target
 
@@ -36,8 +38,19 @@
         router = make_router(make_target(1, address=address))
         reports = []
         journal = Journal(vm="vm-1", write=lambda _: None)
+        paths = PathChecks(
+            router=router,
+            journal=journal,
+            rng=random.Random(1),
+            on_change=lambda: None,
+            abort_attempts=lambda _: 0,
+        )
         checks = HealthChecks(
-            router=router, dialect=PlatformDialect(), journal=journal, on_crash=reports.append
+            router=router,
+            dialect=PlatformDialect(),
+            paths=paths,
+            journal=journal,
+            on_crash=reports.append,
         )
         task = asyncio.create_task(checks.run())
         await scenario(router, server, address, reports)
