--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -14,7 +14,9 @@
 from carawaybank.replies import Headers, HttpReply, ReplyReader
 from carawaybank.verdicts import Reason
 
-#: Time in milliseconds after which the kernel closes a connection with unacknowledged bytes.
+#: Time in milliseconds after which the kernel closes a connection with unacknowledged bytes. On
+#: connections with keep-alive it also decides when unanswered probes end an idle connection,
+#: whatever their number.
 _USER_TIMEOUT_MS = 2_500
 #: Idle seconds before the first TCP keep-alive probe, and seconds between probes.
 _KEEPALIVE_S = 1
@@ -135,7 +137,12 @@
         return connection
 
     def keep_alive(self) -> None:
-        """Enables TCP keep-alive: the kernel closes the connection after two lost probes."""
+        """Enables TCP keep-alive with probes after each idle second.
+
+        The kernel closes an idle connection at the first probe after ``_USER_TIMEOUT_MS`` without
+        an answer, which is in the third second; the number of probes would end it no earlier. A
+        connection whose peer answers probes stays open, even if it never responds.
+        """
         sock = self._transport.get_extra_info("socket") if self._transport else None
         if sock is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -193,7 +200,11 @@
             self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Stores the transport and limits how long sent bytes may stay unacknowledged."""
+        """Stores the transport and limits how long sent bytes may stay unacknowledged.
+
+        A connection that hangs is closed after ``_USER_TIMEOUT_MS`` if it has sent bytes; an idle
+        one without keep-alive is not noticed until it is used.
+        """
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         sock = transport.get_extra_info("socket")
--- a/tests/siblings/test_vms.py
+++ b/tests/siblings/test_vms.py
@@ -121,3 +121,61 @@
     vms.remove("x", now=later, has_ended=True)
     vms.update(make_record("x")._replace(incarnation=make_record("x").incarnation - 1), now=later)
     assert listed_names(vms, now=later) == {"own", "x"}
+
+
+def _make_reporting(*names, cut_off=()):
+    """Returns directories of VMs of one failure domain that know each other."""
+    vms = {}
+    for name in names:
+        record = VmRecord(name, f"{name}:1", f"{name}:2", "a1", "a", 1)
+        vms[name] = VmDirectory(own=record)
+    for name, directory in vms.items():
+        for other in names:
+            directory.update(vms[other].own, now=0.0)
+        directory.set_cut_off(name in cut_off)
+    return vms
+
+
+def _pass_report(sender, receiver, *, now, is_reader):
+    reports = sender.cut_off_reports(now=now, is_reader=is_reader)
+    receiver.record_heartbeat(sender.make_heartbeat({}, reports), now=now)
+
+
+def test_a_vm_that_reaches_no_targets_is_listed_only_where_no_other_is():
+    """Guards against look-ups that list a VM because its process answers."""
+    vms = _make_reporting("v1", "v2", "v3", cut_off={"v1"})
+    _pass_report(vms["v1"], vms["v2"], now=1.0, is_reader=False)
+    _pass_report(vms["v2"], vms["v3"], now=1.1, is_reader=True)
+    for name in ("v1", "v2", "v3"):
+        if name == "v1":
+            _pass_report(vms["v2"], vms["v1"], now=1.1, is_reader=True)
+        listed = vms[name].select_for_caller("a1", "a", now=1.2)
+        assert {record.vm for record in listed} == {"v2", "v3"}
+    for directory in vms.values():
+        directory.set_cut_off(True)
+    assert len(vms["v1"].select_for_caller("a1", "a", now=1.2)) >= 1
+
+
+def test_the_end_of_a_cut_reaches_siblings_with_the_next_reports():
+    vms = _make_reporting("v1", "v2", "v3", cut_off={"v1"})
+    _pass_report(vms["v1"], vms["v2"], now=1.0, is_reader=False)
+    _pass_report(vms["v2"], vms["v3"], now=1.1, is_reader=True)
+    assert vms["v3"].cut_off_vms(now=1.2) == {"v1"}
+    vms["v1"].set_cut_off(False)
+    _pass_report(vms["v1"], vms["v2"], now=1.3, is_reader=False)
+    _pass_report(vms["v2"], vms["v3"], now=1.4, is_reader=True)
+    assert vms["v3"].cut_off_vms(now=1.5) == set()
+
+
+def test_callers_of_a_route_with_homes_are_not_led_to_other_regions():
+    """Guards against bodies that go to VMs outside the regions of their route."""
+    vms = _make_reporting("v1", cut_off={"v1"})
+    directory = vms["v1"]
+    for name, region in (("b", "b"), ("c", "c")):
+        directory.update(VmRecord(name, f"{name}:1", f"{name}:2", region, region, 1), now=0.0)
+    listed = directory.select_for_caller("a1", "a", now=1.0)
+    assert {record.vm for record in listed} == {"b", "c"}
+    listed = directory.select_for_caller("a1", "a", now=1.0, allowed_regions={"b"})
+    assert {record.vm for record in listed} == {"b"}
+    listed = directory.select_for_caller("a1", "a", now=1.0, allowed_regions={"a"})
+    assert {record.vm for record in listed} == {"v1"}
