Keep requests without objects spread over all targets

These requests update the estimate of the work only, as before there was none. The new unit test failed before.

--- a/src/carawaybank/routing/feedback.py
+++ b/src/carawaybank/routing/feedback.py
@@ -90,6 +90,8 @@
     """Records the request's object as warm, and updates the work estimate and the slowness.
 
     A request without an object shows nothing on a sticky route, where it may have been warm or not.
+    Elsewhere it updates the estimate but no slowness: small differences between targets would
+    direct all such requests to one of them.
 
     Only a run that was not expected to wait updates them. If its target is full, it waited for
     about as many requests as are queued there now; its duration therefore updates the slowness of
@@ -110,6 +112,7 @@
             ratio = estimate.relative_time(work_s / slowness / (1 + load.wait_factor))
         else:
             ratio = estimate.record(work_s / slowness)
-        choice.target.record_slowness(ratio * slowness)
+        if progress.object_key:
+            choice.target.record_slowness(ratio * slowness)
     if progress.object_key:
         choice.target.record_run(progress.object_key)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -354,3 +354,18 @@
         router.end_attempt(key, answer, key / 10 + 0.002)
     actions = [router.arrive(make_request(key, object_key=""), 6.1) for key in range(100, 108)]
     assert all(isinstance(action, Send) for action in actions)
+
+
+def test_requests_without_objects_use_all_targets_although_one_responds_a_little_faster():
+    """Guards against all such requests being sent to one target."""
+    route = make_route(sticky=False)
+    router = make_router(
+        *[make_target(number) for number in range(1, 5)], configuration=make_configuration(route)
+    )
+    targets = set()
+    for key in range(64):
+        sent = router.arrive(make_request(key, object_key=""), key / 10)
+        targets.add(sent.target_id)
+        latency_s = 0.010 if sent.target_id == "t1" else 0.012
+        router.end_attempt(key, AttemptResult(Answered(200), latency_s), key / 10 + latency_s)
+    assert len(targets) == 4
