--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -2,7 +2,7 @@
 
 Memory comes from tracemalloc or /proc, CPU time from the clock or /proc.
 
-Usage: python -m benchmarks.capacity [memory|control|idle|limits]...
+Usage: python -m benchmarks.capacity [memory|control|idle|limits|relays]...
 """
 
 import os
@@ -14,11 +14,17 @@
 import msgspec
 
 from carawaybank import documents
+from carawaybank.client import HttpCall
 from carawaybank.host import Host
+from carawaybank.routing.helpers import ServicePaths
 from carawaybank.routing.limitshares import VmLocality, rank_of
+from carawaybank.routing.messages import RelayTerms, Request
 from carawaybank.routing.target import TargetEntry
 from carawaybank.routing.targetlimits import LimitStatement, TargetLimits
 from carawaybank.siblings.limits import MAX_REPORTS, LimitMessage
+from carawaybank.siblings.liveness import DomainReport
+from carawaybank.siblings.offers import HelpMessage, OfferFields
+from carawaybank.siblings.relays import RelayMessage
 from carawaybank.steering.deduplication import RequestId, RequestMemory
 from carawaybank.steering.exchange import Exchange
 from carawaybank.steering.membership import Member, Status
@@ -194,6 +200,28 @@
         limits.apply_report(report, source=message["vm"], now=1.0)
 
 
+def measure_relays() -> None:
+    """Prints the bytes of requests for help, offers, reports and relays between entry VMs."""
+    vm, services = "edge-chikuzen-hakata-1000", [f"service-{number}" for number in range(4)]
+    regions = {f"region-{number}": 1_000 for number in range(19)}
+    ask = HelpMessage(vm=vm, limits=[], ask=services)
+    paths = {service: ServicePaths(regions, 0.123) for service in services}
+    offer = HelpMessage(vm=vm, limits=[], offer=OfferFields(room=25, services=paths))
+    print(f"request for help: {len(msgspec.json.encode(ask))} bytes for {len(services)} services")
+    print(f"offer: {len(msgspec.json.encode(offer))} bytes for 4 services in 19 regions")
+    report = DomainReport(vm, 0.0, tuple(f"{vm[:-4]}{number}" for number in range(1_000, 1_082)))
+    print(f"report on 82 VMs without targets: {len(msgspec.json.encode(report))} bytes")
+    headers = [("host", "parts.example"), ("x-carawaybank-request-id", "9c41d07be2a35f68")]
+    call = HttpCall("GET", "/lohu930/2f", headers, b"", ("X-Carawaybank-Request-Id", "9c41"))
+    request = Request(1, "9c41d07be2a35f68", "parts.example", "/lohu930/2f", "17", "f" * 32, 3.0)
+    message = RelayMessage(vm, request, call, RelayTerms("service-0", (), 12))
+    data = msgspec.msgpack.encode(message)
+    decode_s = _seconds_per_call(lambda: msgspec.msgpack.decode(data, type=RelayMessage), 10_000)
+    print(
+        f"relay: {len(data)} bytes besides body and HTTP head, decoded in {decode_s * 1e6:.1f} us"
+    )
+
+
 def _process_exchange(host: Host, message: Exchange) -> None:
     sent = documents.encode_json(message)
     received = documents.decode_json(sent, Exchange, source="vm")
@@ -232,6 +260,7 @@
     "control": measure_control,
     "idle": measure_idle,
     "limits": measure_limits,
+    "relays": measure_relays,
 }
 
 if __name__ == "__main__":
--- a/src/carawaybank/relays.py
+++ b/src/carawaybank/relays.py
@@ -19,7 +19,7 @@
 from carawaybank.siblings.relays import RelayClient, RelayServer
 from carawaybank.siblings.vms import VmDirectory, VmRecord
 from carawaybank.targets.paths import PathChecks
-from carawaybank.targets.sender import MAX_RESPONSE_BYTES, TargetSender
+from carawaybank.targets.sender import TargetSender
 
 #: Bytes by which a relay may exceed the body that it carries.
 _ENVELOPE_BYTES = 1_000_000
@@ -71,7 +71,7 @@
         self._on_change = on_change
         self._congestion = CongestionWatch()
         self._connections: set[CallerConnection] = set()
-        self._server: RelayServer | None = None
+        self._server: RelayServer | None = None  # Set by ``serve``.
         self.paths = PathChecks(
             router=router,
             journal=journal,
@@ -79,22 +79,30 @@
             on_change=self._record_change,
             abort_attempts=sender.abort_idempotent,
         )
-        self.client = RelayClient(
+        self.client = self._make_client(deployment, sender)
+        self._offers = self._make_offers(send_datagram)
+
+    def _make_client(self, deployment: Deployment, sender: TargetSender) -> RelayClient:
+        return RelayClient(
             vm=deployment.vm,
             ip=deployment.ip,
-            helpers=router.helpers,
-            journal=journal,
-            max_body_bytes=MAX_RESPONSE_BYTES + _ENVELOPE_BYTES,
+            helpers=self._router.helpers,
+            journal=self._journal,
+            budget=sender.budget,
         )
-        self._offers = OfferExchange(
-            router=router,
-            vms=vms,
+
+    def _make_offers(
+        self, send_datagram: Callable[[bytes, Sequence[VmRecord]], None]
+    ) -> OfferExchange:
+        return OfferExchange(
+            router=self._router,
+            vms=self._vms,
             send=send_datagram,
             room=lambda: self._server.room if self._server else 0,
             on_question=self.paths.refresh,
             on_evidence=self.paths.apply_evidence,
             on_helper_lost=self.client.abort_idempotent,
-            journal=journal,
+            journal=self._journal,
         )
 
     @property
--- a/src/carawaybank/routing/progress.py
+++ b/src/carawaybank/routing/progress.py
@@ -38,9 +38,9 @@
         budget_s = route.timeout_s if request.budget_s is None else request.budget_s
         self.deadline = now + min(budget_s, route.timeout_s)
         self.is_relayed = is_relayed
-        self._reset_attempts(now)
+        self._init_attempts(now)
 
-    def _reset_attempts(self, now: float) -> None:
+    def _init_attempts(self, now: float) -> None:
         self.tried_targets: set[str] = set()
         self.choice: Choice | None = None
         self.last_target_id = ""
--- a/src/carawaybank/siblings/relays.py
+++ b/src/carawaybank/siblings/relays.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from carawaybank.buffers import BufferBudget
 from carawaybank.callers.requests import CallerRequest
 from carawaybank.client import ClientConnection, ExchangeError, HttpCall
 from carawaybank.counters import Counters
@@ -30,6 +31,8 @@
 MAX_RELAYED = 256
 #: Bytes of the bodies of these requests; a response is bounded by the budget for all responses.
 MAX_RELAYED_BYTES = 32_000_000
+#: Maximum size in bytes of a result, which contains a whole response of a target.
+_MAX_RESULT_BYTES = 17_000_000
 #: Time limit in seconds to connect to a sibling.
 _CONNECT_TIMEOUT_S = 0.5
 #: Seconds after the deadline of an attempt for which the sibling's result is awaited.
@@ -91,7 +94,7 @@
     """Passes requests on to siblings over pooled connections."""
 
     def __init__(
-        self, *, vm: str, ip: str, helpers: Helpers, journal: Journal, max_body_bytes: int
+        self, *, vm: str, ip: str, helpers: Helpers, journal: Journal, budget: BufferBudget
     ) -> None:
         """Starts without connections.
 
@@ -100,13 +103,13 @@
             ip: IP address of this entry VM, by which siblings recognize it.
             helpers: Forgets siblings that cannot be reached.
             journal: Logs relays that failed.
-            max_body_bytes: Maximum size of a response body.
+            budget: Memory for all large responses that this VM receives.
         """
         self._vm = vm
         self._ip = ip
         self._helpers = helpers
         self._journal = journal
-        self._max_body_bytes = max_body_bytes
+        self._budget = budget
         self._pool = ClientPool()
         self._numbers = itertools.count(1)
         self._exchanging: dict[ClientConnection, Relay] = {}
@@ -165,7 +168,8 @@
             reply = await connection.exchange(
                 relay_call,
                 timeout_s=remaining_s + _MARGIN_S,
-                max_body_bytes=self._max_body_bytes,
+                max_body_bytes=_MAX_RESULT_BYTES,
+                budget=self._budget,
             )
         except ExchangeError:
             self._pool.close_peer(peer)
--- a/src/carawaybank/targets/sender.py
+++ b/src/carawaybank/targets/sender.py
@@ -86,6 +86,11 @@
         """The pool of idle connections, by target."""
         return self._pool
 
+    @property
+    def budget(self) -> BufferBudget:
+        """The memory that unfinished large responses share."""
+        return self._budget
+
     async def send(self, action: Send, call: HttpCall, *, round_trip_s: float) -> AttemptResult:
         """Performs one attempt.
 
--- a/tests/platform/test_limited_targets.py
+++ b/tests/platform/test_limited_targets.py
@@ -9,6 +9,7 @@
 
 from carawaybank.client import ClientConnection, ExchangeError, HttpCall
 from standins.rowstore import RowStore
+from tests.platform.sites import PORTS, make_settings
 from tests.platform.test_process import (
     CONFIGURATION,
     ROUTE,
@@ -17,7 +18,6 @@
     make_heartbeat,
     run_process,
 )
-from tests.test_deployment import SETTINGS
 
 pytestmark = pytest.mark.processes
 
@@ -78,7 +78,7 @@
         await self.store.put("op", "config", {"version": "00000002", "resources": resources})
         for name, target in (("t1", self.limited), ("t2", self.unlimited)):
             await self.store.put("servers", name, make_heartbeat(await target.start()))
-        self.ports = {old: free_port() for old in ("8100", "8101", "8102", "8103", "8105")}
+        self.ports = {old: free_port() for old in PORTS}
         return self
 
     async def __aexit__(self, *_):
@@ -90,14 +90,12 @@
         self.unlimited.server.close()
 
     async def start_vm(self, name, tmp_path):
-        control = 'directory_address = "127.0.0.1:8102"\ncontrol_address = "127.0.0.1:8105"'
-        text = SETTINGS.replace('directory_address = "127.0.0.1:8102"', control)
-        text = text.replace("127.0.0.1", self.ip(name)).replace("regina-1", name)
-        text = text.replace(f"{self.ip(name)}:8104", self.store_address)
-        seeds = ", ".join(f'"{self.ip(vm)}:8105"' for vm in VMS)
-        text = text.replace(f'"{self.ip(name)}:9"', seeds)
-        for old, new in self.ports.items():
-            text = text.replace(old, str(new))
+        text = make_settings(
+            name,
+            ips={vm: self.ip(vm) for vm in VMS},
+            ports=self.ports,
+            store_address=self.store_address,
+        )
         path = tmp_path / f"{name}.toml"
         path.write_text(text)
         with (tmp_path / f"{name}.log").open("wb") as log:
--- a/tests/platform/test_stranded_vms.py
+++ b/tests/platform/test_stranded_vms.py
@@ -16,8 +16,8 @@
 from carawaybank.siblings.relays import RELAY_PATH, RelayMessage
 from standins.links import Cut, Link
 from standins.rowstore import RowStore
+from tests.platform.sites import PORTS, make_settings
 from tests.platform.test_process import CONFIGURATION, ROUTE, Target, free_port, make_heartbeat
-from tests.test_deployment import SETTINGS
 
 pytestmark = pytest.mark.processes
 
@@ -71,7 +71,7 @@
         self.target_addresses = [await target.start() for target in self.targets]
         for number, address in enumerate(self.target_addresses):
             await self.store.put("servers", f"t{number}", make_heartbeat(address))
-        self.ports = {old: free_port() for old in ("8100", "8101", "8102", "8103", "8105")}
+        self.ports = {old: free_port() for old in PORTS}
         return self
 
     async def __aexit__(self, *_):
@@ -91,14 +91,12 @@
             self.links[name] = [Link(target_address=address) for address in self.target_addresses]
             for link in self.links[name]:
                 await link.start()
-        control = 'directory_address = "127.0.0.1:8102"\ncontrol_address = "127.0.0.1:8105"'
-        text = SETTINGS.replace('directory_address = "127.0.0.1:8102"', control)
-        text = text.replace("127.0.0.1", self.ip(name)).replace("regina-1", name)
-        text = text.replace(f"{self.ip(name)}:8104", self.store_address)
-        seeds = ", ".join(f'"{self.ip(vm)}:8105"' for vm in VMS)
-        text = text.replace(f'"{self.ip(name)}:9"', seeds)
-        for old, new in self.ports.items():
-            text = text.replace(old, str(new))
+        text = make_settings(
+            name,
+            ips={vm: self.ip(vm) for vm in VMS},
+            ports=self.ports,
+            store_address=self.store_address,
+        )
         path = tmp_path / f"{name}.toml"
         path.write_text(text)
         addresses = [link.address for link in self.links[name]]
--- a/tests/siblings/test_offers.py
+++ b/tests/siblings/test_offers.py
@@ -25,7 +25,7 @@
 class Vm:
     """A VM that records the datagrams that it sends, and what it was told."""
 
-    def __init__(self, name, *, others=(), room=6):
+    def __init__(self, *, name, others=(), room=6):
         self.sent, self.evidence, self.lines = [], [], []
         self.router = make_router(*TARGETS, vm=name)
         self.directory = VmDirectory(own=make_record(name))
@@ -55,14 +55,14 @@
 
 
 def test_nothing_is_sent_while_targets_are_reached():
-    vm = Vm("a1-1", others=["a1-2", "b1-1"])
+    vm = Vm(name="a1-1", others=["a1-2", "b1-1"])
     vm.exchange.ask(10.0)
     assert vm.sent == []
 
 
 def test_siblings_near_and_in_each_region_are_asked():
     others = [f"{domain}-{number}" for domain in DOMAINS for number in range(2, 8)]
-    vm = Vm("a1-1", others=others)
+    vm = Vm(name="a1-1", others=others)
     vm.eject_all(10.0)
     vm.exchange.ask(10.0)
     ((_, asked),) = vm.sent
@@ -72,7 +72,7 @@
 
 def test_an_answer_states_what_is_reached_and_becomes_an_offer():
     def scenario(now):
-        asking, helping = Vm("a1-1", others=["a1-2"]), Vm("a1-2", others=["a1-1"])
+        asking, helping = Vm(name="a1-1", others=["a1-2"]), Vm(name="a1-2", others=["a1-1"])
         asking.eject_all(now)
         helping.router.reachability.record_reached("ledger", now=now)
         asking.exchange.ask(now)
@@ -91,7 +91,7 @@
     """Guards against VMs that are cut off and pass their requests on to each other."""
 
     def scenario(now):
-        asking, other = Vm("a1-1", others=["a1-2"]), Vm("a1-2", others=["a1-1"])
+        asking, other = Vm(name="a1-1", others=["a1-2"]), Vm(name="a1-2", others=["a1-1"])
         for vm in (asking, other):
             vm.eject_all(now)
         asking.exchange.ask(now)
@@ -106,7 +106,7 @@
 
 def test_room_is_divided_among_the_vms_that_ask():
     def scenario(_):
-        helping = Vm("a1-2", others=["a1-1", "a1-3", "b1-1"])
+        helping = Vm(name="a1-2", others=["a1-1", "a1-3", "b1-1"])
         for name in ("a1-1", "a1-3", "b1-1"):
             helping.exchange.receive(
                 msgspec.json.encode(HelpMessage(vm=name, limits=[], ask=["ledger"]))
@@ -119,7 +119,7 @@
 
 def test_datagrams_of_strangers_and_malformed_ones_are_not_answered():
     def scenario(_):
-        vm = Vm("a1-2")
+        vm = Vm(name="a1-2")
         stranger = HelpMessage(vm="z9-1", limits=[], ask=["ledger"])
         for data in (msgspec.json.encode(stranger), b"{", b'{"vm":1}'):
             vm.exchange.receive(data)
