--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -164,13 +164,13 @@
         version = self._configuration.version if self._configuration else None
         if version is None or (terms is not None and version < terms.configuration_version):
             detail = "no configuration yet" if version is None else "the configuration is older"
-            return self._finish_unrouted(request, NotRun(Reason.NO_TICKET, 0.5, detail))
+            return Finish(request.key, NotRun(Reason.NO_TICKET, 0.5, detail), 503)
         route = self.routes.find(request.host, request.path)
         if route is None:
             return Finish(request.key, NotRun(Reason.UNKNOWN_SERVICE, 0.0, "no such route"), 404)
         if self.quarantine.is_quarantined(request.fingerprint, now=now):
             detail = "this request crashed the targets that ran it"
-            return self._finish_unrouted(request, NotRun(Reason.QUARANTINED, 5.0, detail))
+            return Finish(request.key, NotRun(Reason.QUARANTINED, 5.0, detail), 503)
         self.targets.has_routed_requests = True
         point = self._rng.random()
         if terms is None:
@@ -239,9 +239,7 @@
         verdict = relaying.end_relay(self, progress, result, now)
         if verdict is None:
             return self._dispatch(progress, now)
-        if isinstance(verdict, NotRun):
-            return self.finish(progress, verdict)
-        return self._finish(progress, verdict)
+        return self.finish(progress, verdict)
 
     def abandon(self, key: int, now: float) -> None:
         """Drops a request whose caller disconnected, and releases its slot at the target."""
@@ -356,12 +354,11 @@
             return relay
         return self.finish(progress, NotRun(Reason.NO_CAPACITY, refusal.retry_after_s, detail))
 
-    def finish(self, progress: Progress, verdict: NotRun) -> Finish:
-        """Finishes a request that gets no further attempt, with the result of an earlier one."""
-        return self._finish(progress, progress.fallback or progress.uncertain or verdict)
-
-    def _finish_unrouted(self, request: Request, verdict: NotRun) -> Finish:
-        return Finish(request.key, verdict, 503)
+    def finish(self, progress: Progress, verdict: Verdict) -> Finish:
+        """Finishes a request; a failure gives way to the result of an earlier attempt."""
+        is_answered = isinstance(verdict, Answered)
+        earlier = None if is_answered else progress.fallback or progress.uncertain
+        return self._finish(progress, earlier or verdict)
 
     def _finish(self, progress: Progress, verdict: Verdict) -> Finish:
         self._requests.pop(progress.request.key, None)
