Notice a silent connection to the store or a sibling after 2 s instead of 3 s

All open connections had gone silent 0.56 s before the confirmation, and TCP keep-alive ended them 3 s later, after two unanswered probes. That is longer than the smallest bound of a configuration.

One unanswered probe now ends a connection with keep-alive; probes cannot be sent more often than once a second. The user timeout says the same, since it takes precedence over the number of probes on Linux.

--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -20,6 +20,10 @@
 #: connections with keep-alive it also decides when unanswered probes end an idle connection,
 #: whatever their number.
 _USER_TIMEOUT_MS = 2_500
+#: The same for connections with keep-alive, whose calls are repeated over a new connection. It ends
+#: a silent connection at the second probe, so that a change that was not received over it can still
+#: be applied within the smallest bound, which is 2.5 s.
+_KEEPALIVE_USER_TIMEOUT_MS = 1_500
 #: Idle seconds before the first TCP keep-alive probe, and seconds between probes.
 _KEEPALIVE_S = 1
 #: Responses to earlier exchanges that are skipped in one exchange before it fails.
@@ -146,16 +150,17 @@
     def keep_alive(self) -> None:
         """Enables TCP keep-alive with probes after each idle second.
 
-        The kernel closes an idle connection at the first probe after ``_USER_TIMEOUT_MS`` without
-        an answer, which is in the third second; the number of probes would end it no earlier. A
-        connection whose peer answers probes stays open, even if it never responds.
+        An idle connection is closed when a probe stays unanswered for a second, which is in the
+        second second. The user timeout says the same as the number of probes, because it takes
+        precedence. A connection whose peer answers probes stays open, even if it never responds.
         """
         sock = self._transport.get_extra_info("socket") if self._transport else None
         if sock is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
             for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
                 sock.setsockopt(socket.IPPROTO_TCP, option, _KEEPALIVE_S)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _KEEPALIVE_USER_TIMEOUT_MS)
 
     async def exchange(
         self,
