Repeat a poll whose connection breaks at once, over a new connection

Each VM paused as if the store were down, and each reader told its siblings that it cannot read the store, so that all roles moved at once.

A connection that breaks says nothing about a new one. The poll is repeated once at once and is not held; only if that fails too is it a failure. The store still counts as unreachable until then, because rows of targets may have expired meanwhile.

--- a/src/carawaybank/platform/store.py
+++ b/src/carawaybank/platform/store.py
@@ -10,7 +10,15 @@
 from carawaybank.client import ClientConnection, ExchangeError, HttpCall
 from carawaybank.pool import ClientPool
 from carawaybank.replies import HttpReply
-from carawaybank.rows import HistoryGoneError, Position, Row, Rows, StoreError
+from carawaybank.rows import (
+    ConnectionBrokenError,
+    HistoryGoneError,
+    Position,
+    Row,
+    Rows,
+    StoreError,
+)
+from carawaybank.verdicts import Reason
 
 #: Timeout of a call, in addition to the time for which the store may hold it.
 _CALL_TIMEOUT_S = 2.0
@@ -139,7 +147,9 @@
         try:
             reply = await self._exchange(call, timeout_s)
         except ExchangeError as error:
-            raise StoreError(message=f"{name}: {error}") from None
+            is_broken = error.reason is Reason.CONNECTION_LOST
+            error_type = ConnectionBrokenError if is_broken else StoreError
+            raise error_type(message=f"{name}: {error}") from None
         if reply.status == 410:
             raise HistoryGoneError(message=f"{name}: history is gone", status=410)
         if reply.status != 200:
--- a/src/carawaybank/rows.py
+++ b/src/carawaybank/rows.py
@@ -18,6 +18,10 @@
         self.status = status
 
 
+class ConnectionBrokenError(StoreError):
+    """The connection of a call broke, which does not show whether a new one would work."""
+
+
 class HistoryGoneError(StoreError):
     """The store or reader no longer has the changes since the requested position."""
 
--- a/src/carawaybank/siblings/sources.py
+++ b/src/carawaybank/siblings/sources.py
@@ -140,6 +140,11 @@
     def _exclude(self, reader: RowReader, reason: str) -> None:
         for address, sibling in self._siblings.items():
             if sibling is reader:
+    def record_break(self, reader: RowReader) -> None:
+        """Records that an open connection broke; the store may have been unreachable until now."""
+        if reader is self._store:
+            self._vms.record_store_unreachable(now=asyncio.get_running_loop().time())
+
                 now = asyncio.get_running_loop().time()
                 self._excluded_until[address] = now + _EXCLUSION_S
                 self._journal.log("siblings", "reader passed over", address=address, reason=reason)
--- a/src/carawaybank/siblings/tables.py
+++ b/src/carawaybank/siblings/tables.py
@@ -12,7 +12,8 @@
 from carawaybank.client import ClientConnection, ExchangeError, HttpCall
 from carawaybank.pool import ClientPool
 from carawaybank.replies import HttpReply
-from carawaybank.rows import HistoryGoneError, Position, Rows, StoreError
+from carawaybank.rows import ConnectionBrokenError, HistoryGoneError, Position, Rows, StoreError
+from carawaybank.verdicts import Reason
 from carawaybank.watch import TableWatch
 
 TABLE_PATH = "/table"
@@ -169,7 +170,9 @@
                 )
             reply = await connection.exchange(call, timeout_s=timeout_s)
         except ExchangeError as error:
-            raise StoreError(message=f"{self._address}: {error}") from None
+            is_broken = error.reason is Reason.CONNECTION_LOST
+            error_type = ConnectionBrokenError if is_broken else StoreError
+            raise error_type(message=f"{self._address}: {error}") from None
         self._pool.release(self._address, connection)
         if reply.status == _GONE:
             raise HistoryGoneError(message=f"{self._address} lacks these changes", status=_GONE)
--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -142,6 +142,10 @@
         """Last time at which this VM or another one indicated that it cannot reach the store."""
         return self._liveness.store_unreachable_at
 
+    def record_store_unreachable(self, *, now: float) -> None:
+        """Records that this VM could not reach the store until now, although it can again."""
+        self._liveness.store_unreachable_at = now
+
     def find(self, vm: str) -> VmRecord | None:
         """Returns the record of another VM by its name, or None if it is not known."""
         return self._records.get(vm)
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -18,6 +18,7 @@
 from carawaybank.journal import Journal
 from carawaybank.rows import (
     INITIAL_POSITION,
+    ConnectionBrokenError,
     HistoryGoneError,
     Position,
     Row,
@@ -90,6 +91,9 @@
     def record_failure(self, reader: RowReader, error: StoreError) -> None:
         """Records a failed call to a reader."""
 
+    def record_break(self, reader: RowReader) -> None:
+        """Records that an open connection to a reader broke."""
+
     def record_lag(self, reader: RowReader) -> None:
         """Records that a reader lacks a change that another sibling has."""
 
@@ -301,9 +305,7 @@
         is_reader_confirmed = reader is self._last_responder and not self._is_call_uncertain
         wait_s = _LONG_POLL_WAIT_S if is_reader_confirmed and not self._failures else 0.0
         self._is_call_uncertain = False
-        update = await self._run_cancellable(
-            reader.poll_changes(self._table, after=self._position, wait_s=wait_s)
-        )
+        update = await self._poll_changes(reader, self._position, wait_s)
         if update.era < self._position.era:
             raise StoreError(message="its response is from an older era than the last one read")
         return update
@@ -313,6 +315,20 @@
             self._begin_recovery(update)
         self._era = update.era
         removed = set(self._rows) - {row.key for row in update.rows} if is_full else set()
+    async def _poll_changes(self, reader: RowReader, after: Position, wait_s: float) -> Rows:
+        """Polls for changes; a call whose connection breaks is repeated over a new one.
+
+        Silent connections are noticed late and all at once, so a search for another reader would
+        only add to the delay.
+        """
+        poll = reader.poll_changes
+        try:
+            return await self._run_cancellable(poll(self._table, after=after, wait_s=wait_s))
+        except ConnectionBrokenError as error:
+            self._journal.log("store", "connection broke", table=self._table, reason=str(error))
+            self._selector.record_break(reader)
+            return await self._run_cancellable(poll(self._table, after=after, wait_s=0.0))
+
         self._position = max(update.position, self._position or INITIAL_POSITION)
         self._needs_full_read = False
         positions = (Position(update.era, row.version) for row in update.rows)
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -100,7 +100,7 @@
         """Discards all changes and closes all connections; watches of older versions get 410."""
         self.oldest_version = self.version
         self.changes.clear()
-        self._close_connections()
+        self.close_connections()
 
     def make_backup(self) -> Backup:
         """Returns a backup from which the store can be restored."""
@@ -111,7 +111,7 @@
         self.version, self.oldest_version = backup.version, backup.oldest_version
         self.rows, self.changes = dict(backup.rows), list(backup.changes)
         self.era += 1
-        self._close_connections()
+        self.close_connections()
 
     def set_error_status(self, status: int) -> None:
         """Closes all connections and responds to each call with an error status.
@@ -121,9 +121,10 @@
         """
         self.error_status = status
         if status:
-            self._close_connections()
+            self.close_connections()
 
-    def _close_connections(self) -> None:
+    def close_connections(self) -> None:
+        """Closes all connections; new ones are accepted."""
         for connection in list(self._connections):
             connection.close()
 
--- a/tests/siblings/test_sources.py
+++ b/tests/siblings/test_sources.py
@@ -7,9 +7,11 @@
 import msgspec
 import pytest
 
-from carawaybank.callers.listeners import connection_factory, listen
+from carawaybank.callers.connections import CallerConnection, ConnectionContext
+from carawaybank.callers.listeners import listen
+from carawaybank.routing.configuration import Limits
 from carawaybank.rows import Position, Row, Rows, StoreError
-from carawaybank.siblings import liveness, tables
+from carawaybank.siblings import heartbeat, liveness, tables
 from carawaybank.siblings.sources import TableSource
 from carawaybank.siblings.tables import TableServer
 from carawaybank.siblings.vms import VmDirectory, VmRecord
@@ -21,6 +23,8 @@
 #: Time limit in seconds for a change to reach all VMs while a reader is lost. It is the smallest
 #: limit of the deployments for bringing a configuration into force.
 TIME_LIMIT_S = 2.5
+#: What is left of that limit when TCP keep-alive has ended a silent connection.
+TIME_LEFT_S = 0.5
 
 
 class Vm:
@@ -34,7 +38,11 @@
         self.outages = 0
 
     async def start(self):
-        self.server = await listen("127.0.0.1:0", connection_factory(self.handle))
+        context = ConnectionContext(handle=self.handle, limits=Limits, is_closing=lambda: False)
+        self.connections = set()
+        self.server = await listen(
+            "127.0.0.1:0", lambda: CallerConnection(context=context, connections=self.connections)
+        )
         address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
         name = f"vm-{self.number}"
         self.record = VmRecord(name, "", "", "a1", "a", 1, control_address=address)
@@ -82,7 +90,8 @@
 class Fleet:
     """The VMs of a failure domain, which exchange heartbeats."""
 
-    def __init__(self, *, world):
+    def __init__(self, *, world, heartbeat_s=HEARTBEAT_S):
+        self.heartbeat_s = heartbeat_s
         self.vms = [Vm(world=world, number=number) for number in range(VM_COUNT)]
 
     async def __aenter__(self):
@@ -110,7 +119,7 @@
             for vm in self.vms:
                 if not vm.is_unresponsive:
                     vm.send_heartbeat(self.vms, now)
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(self.heartbeat_s)
 
     @property
     def readers(self):
@@ -125,14 +134,21 @@
         self.vms[0].world.store.set_error_status(503)
         await wait_until(lambda: not any(vm.vms.reaches_store for vm in readers))
 
+    def break_connections(self):
+        """Breaks all connections to the store and between VMs; new ones work."""
+        self.vms[0].world.store.close_connections()
+        for vm in self.vms:
+            for connection in list(vm.connections):
+                connection.close()
+
     async def wait_until_all_have(self, targets, timeout_s=TIME_LIMIT_S):
         live = [vm for vm in self.vms if not vm.is_unresponsive]
         await wait_until(lambda: all(vm.targets == targets for vm in live), timeout_s)
 
 
-def run_fleet(scenario):
+def run_fleet(scenario, **options):
     async def run(world):
-        async with Fleet(world=world) as fleet:
+        async with Fleet(world=world, **options) as fleet:
             await world.store.put("servers", "t1", target_row(1))
             await fleet.wait_until_all_have({"t1"})
             await scenario(world, fleet)
@@ -225,6 +241,22 @@
     run_fleet(scenario)
 
 
+def test_connections_that_break_together_delay_no_change():
+    """Guards against a pause, or a search for other readers, after the loss of open connections.
+
+    All silent connections are noticed at the same moment, by TCP keep-alive.
+    """
+
+    async def scenario(world, fleet):
+        await wait_until(lambda: world.store.waiting_watches)
+        fleet.break_connections()
+        await world.store.put("servers", "t2", target_row(2))
+        await fleet.wait_until_all_have({"t1", "t2"}, TIME_LEFT_S)
+        assert not world.has_logged('"lost"')
+
+    run_fleet(scenario, heartbeat_s=heartbeat.INTERVAL_S)
+
+
 def test_rows_of_lagging_sibling_are_rejected():
     """Guards against replacing rows by older ones of a sibling that is lagging."""
 
