Hold no poll for a sibling while the table is read from another sibling

When both readers of a failure domain lost the store at the same moment, each VM took a sibling for the new reader that did the same.

A VM that follows a sibling now answers polls at once, with what it has, and refuses with 409 to hold one. A chain longer than one VM cannot form, so no circle can. The follower uses another reader, or the store.

--- a/src/carawaybank/siblings/tables.py
+++ b/src/carawaybank/siblings/tables.py
@@ -27,6 +27,7 @@
 _CONNECT_TIMEOUT_S = 0.6
 _OK = 200
 _NOT_LOADED = 503
+_FOLLOWS_SIBLING = 409
 _GONE = 410
 _HEADERS = [("content-type", "application/octet-stream")]
 #: Header with the seconds since the store had nothing newer than the sender, in decimal notation;
@@ -63,7 +64,9 @@
         """Returns the response to a sibling's request for a table or its changes.
 
         The status is 400 for an invalid query, 404 for an unknown table, 410 if the changes since
-        the position are not kept any more, and 503 if the table has not been read yet.
+        the position are not kept any more, 503 if the table has not been read yet, and 409 if the
+        call would wait although this VM follows a sibling itself. VMs that follow each other in a
+        circle would wait for each other.
         """
         parts = urlsplit(request.path)
         query = parse_qs(parts.query)
@@ -77,6 +80,8 @@
         try:
             after = Position(int(query["era"][0]), int(query["after"][0]))
             wait_ms = int(query["wait_ms"][0])
+            if wait_ms and watch.is_read_from_sibling:
+                return HttpReply(_FOLLOWS_SIBLING, [], b"")
             table_rows = await watch.changes_since(after, wait_s=min(_MAX_HOLD_S, wait_ms / 1000))
         except (KeyError, ValueError):
             return HttpReply(400, [], b"")
@@ -176,6 +181,9 @@
         self._pool.release(self._address, connection)
         if reply.status == _GONE:
             raise HistoryGoneError(message=f"{self._address} lacks these changes", status=_GONE)
+        if reply.status == _FOLLOWS_SIBLING:
+            message = f"{self._address} follows a sibling itself"
+            raise StoreError(message=message, status=reply.status)
         if reply.status != _OK:
             message = f"{self._address}: status {reply.status}: it has not read the table"
             raise StoreError(message=message, status=reply.status)
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -168,6 +168,11 @@
         """Whether rows are available, read by this VM or fetched from a sibling."""
         return self._position is not None
 
+    @property
+    def is_read_from_sibling(self) -> bool:
+        """Whether the calls of this VM go to a sibling instead of the store."""
+        return self._reader is not None and not self._selector.is_store(self._reader)
+
     @property
     def is_recovering(self) -> bool:
         """Whether the store was restored from a backup less than the recovery time ago."""
@@ -310,11 +315,6 @@
             raise StoreError(message="its response is from an older era than the last one read")
         return update
 
-    def _apply(self, update: Rows, *, is_full: bool) -> None:
-        if self._era is not None and update.era > self._era:
-            self._begin_recovery(update)
-        self._era = update.era
-        removed = set(self._rows) - {row.key for row in update.rows} if is_full else set()
     async def _poll_changes(self, reader: RowReader, after: Position, wait_s: float) -> Rows:
         """Polls for changes; a call whose connection breaks is repeated over a new one.
 
@@ -329,6 +329,11 @@
             self._selector.record_break(reader)
             return await self._run_cancellable(poll(self._table, after=after, wait_s=0.0))
 
+    def _apply(self, update: Rows, *, is_full: bool) -> None:
+        if self._era is not None and update.era > self._era:
+            self._begin_recovery(update)
+        self._era = update.era
+        removed = set(self._rows) - {row.key for row in update.rows} if is_full else set()
         self._position = max(update.position, self._position or INITIAL_POSITION)
         self._needs_full_read = False
         positions = (Position(update.era, row.version) for row in update.rows)
--- a/tests/siblings/test_sources.py
+++ b/tests/siblings/test_sources.py
@@ -257,6 +257,21 @@
     run_fleet(scenario, heartbeat_s=heartbeat.INTERVAL_S)
 
 
+def test_no_vm_waits_for_a_sibling_that_does_not_read_the_store():
+    """Guards against VMs that follow each other after all readers lost the store together."""
+
+    async def scenario(world, fleet):
+        await asyncio.sleep(2 * heartbeat.INTERVAL_S)
+        world.store.set_error_status(503)
+        fleet.break_connections()
+        await wait_until(lambda: not any(vm.vms.reaches_store for vm in fleet.readers))
+        world.store.set_error_status(0)
+        await world.store.put("servers", "t2", target_row(2))
+        await fleet.wait_until_all_have({"t1", "t2"}, 2 * TIME_LEFT_S)
+
+    run_fleet(scenario, heartbeat_s=heartbeat.INTERVAL_S)
+
+
 def test_rows_of_lagging_sibling_are_rejected():
     """Guards against replacing rows by older ones of a sibling that is lagging."""
 
