End the pauses of all tables with the first response of the store

While the store does not respond, the three tables of a reader call it one at a time, each after a pause of up to 0.7 s. A response now ends the pauses of the other tables.

The new test failed before (TimeoutError after 0.1 s).

--- a/src/carawaybank/siblings/sources.py
+++ b/src/carawaybank/siblings/sources.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 
 from carawaybank.journal import Journal
@@ -56,6 +57,7 @@
         self._lagging_until = float("-inf")
         self._failures = 0
         self._call_lock = asyncio.Lock()
+        self._has_responded = asyncio.Event()
         self._current_reader = ""
 
     @property
@@ -107,7 +109,10 @@
         ]
 
     async def wait_for_call_slot(self, reader: RowReader) -> None:
-        """Waits for a pause, one call at a time, before a call to a store that does not respond."""
+        """Waits for a pause, one call at a time, before a call to a store that does not respond.
+
+        The pause ends when another call gets a response.
+        """
         if reader is not self._store or not self._failures:
             return
         async with self._call_lock:
@@ -115,22 +120,31 @@
                 return
             low, high = _PAUSES_S
             pause_s = min(high, low * _PAUSE_GROWTH ** min(self._failures, _MAX_GROWTH_STEPS))
-            await asyncio.sleep(pause_s * self._rng.uniform(0.8, 1.2))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause_s * self._rng.uniform(0.8, 1.2)):
+                    await self._has_responded.wait()
 
     def record_success(self, reader: RowReader) -> None:
         """Records a response; from the store, it ends the pauses between calls."""
         if reader is self._store:
             self._failures = 0
+            self._has_responded.set()
             self._vms.reaches_store = True
 
     def record_failure(self, reader: RowReader, error: StoreError) -> None:
         """Records a failed call: lengthens the pauses for the store, or excludes the sibling."""
         if reader is self._store:
             self._failures += 1
+            self._has_responded.clear()
             self._vms.reaches_store = False
         else:
             self._exclude(reader, str(error))
 
+    def record_break(self, reader: RowReader) -> None:
+        """Records that an open connection broke; the store may have been unreachable until now."""
+        if reader is self._store:
+            self._vms.record_store_unreachable(now=asyncio.get_running_loop().time())
+
     def record_lag(self, reader: RowReader) -> None:
         """Records that a reader lacks a change that another sibling has; ignored for the store."""
         if reader is not self._store:
@@ -140,11 +154,6 @@
     def _exclude(self, reader: RowReader, reason: str) -> None:
         for address, sibling in self._siblings.items():
             if sibling is reader:
-    def record_break(self, reader: RowReader) -> None:
-        """Records that an open connection broke; the store may have been unreachable until now."""
-        if reader is self._store:
-            self._vms.record_store_unreachable(now=asyncio.get_running_loop().time())
-
                 now = asyncio.get_running_loop().time()
                 self._excluded_until[address] = now + _EXCLUSION_S
                 self._journal.log("siblings", "reader passed over", address=address, reason=reason)
--- a/tests/siblings/test_sources.py
+++ b/tests/siblings/test_sources.py
@@ -363,6 +363,22 @@
     run_scenario(scenario)
 
 
+def test_the_first_response_of_the_store_ends_the_pauses_of_all_tables():
+    """Guards against tables that are read one pause after the other once the store responds."""
+
+    async def scenario(world):
+        source = world.make_source(world.vms, world.client)
+        for _ in range(20):
+            source.record_failure(world.client, StoreError(message="no response"))
+        slots = [asyncio.create_task(source.wait_for_call_slot(world.client)) for _ in range(3)]
+        await asyncio.wait(slots, return_when=asyncio.FIRST_COMPLETED)
+        source.record_success(world.client)
+        async with asyncio.timeout(0.1):
+            await asyncio.gather(*slots)
+
+    run_scenario(scenario)
+
+
 def test_readers_of_other_domains_are_read_after_those_of_the_own_one_lagged():
     """Guards against a failure domain that tries its lagging readers one after the other.
 
