Earn retries with requests, so that restarts and moving callers add none

Retries beyond the limit multiply the load while targets fail.

Each VM allowed 0.16 of its requests of the last 10 s and a part of the constant. The sum of these is no bound: a new process had its part of the constant again; a process spent the share of requests before a restart, and its successor that of requests after it; callers that moved counted at both VMs; a VM that knew no sibling took the part of one in 17; and a changed settings file reset the counts.

Now each request earns credit, of which a third has to be used soon and the rest within a window, and a process starts with none.

Evidence: the new property test (restarts, moves, outages, 1 to 30 VMs) fails on the old limit with two distinct failures and passes now, and a second of failures after a calm time is still retried. Tests that use a router state that its process has run for a while.

--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -72,7 +72,9 @@
         self._counters = Counters()
         self._metrics = Exposition(vm=deployment.vm, counters=self._counters)
         self._rng = random.Random(f"{deployment.vm}.{time.time_ns()}")
-        self._router = Router(options=deployment.router_options(), rng=self._rng)
+        self._router = Router(
+            options=deployment.router_options(), rng=self._rng, started_at=time.monotonic()
+        )
         self._vms = VmDirectory(
             own=registration.own_record(deployment), own_size=capacity_weight(deployment.capacity)
         )
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -49,12 +49,13 @@
 class Router:
     """Routes the requests of one entry VM."""
 
-    def __init__(self, *, options: RouterOptions, rng: random.Random) -> None:
+    def __init__(self, *, options: RouterOptions, rng: random.Random, started_at: float) -> None:
         """Creates a router without configuration and targets.
 
         Args:
             options: Limits, and the locality of this entry VM.
             rng: Source of all random numbers.
+            started_at: Time in monotonic seconds at which the process started.
         """
         self._options = options
         self._rng = rng
@@ -63,7 +64,7 @@
         self.routes = RouteTable(routes=())
         self._work_estimates = WorkEstimates()
         self._requests: dict[int, Progress] = {}
-        self._retry_limits = RetryLimits()
+        self._retry_limits = RetryLimits(started_at=started_at)
         self.identification = Identification(
             is_strict=options.revoke_strict, revoke_within_s=options.revoke_within_s
         )
@@ -88,8 +89,9 @@
         self.suspects = SuspectedTargets()
         #: Returns whether the memory for responses that wait for slow callers is not used up.
         self.has_response_room: Callable[[], bool] = lambda: True
-        #: Entry VMs that may currently send to targets, including this one.
-        self.vms: tuple[str, ...] = (options.vm,)
+        #: Entry VMs that may currently send to targets, including this one; empty until they are
+        #: known.
+        self.vms: tuple[str, ...] = ()
         #: Number of entry VMs in the failure domain of this one, including it.
         self.failure_domain_vm_count = 1
 
@@ -119,10 +121,9 @@
         return not self._requests
 
     def update_options(self, options: RouterOptions) -> None:
-        """Replaces the limits and resets the retry counts; the locality must stay the same."""
+        """Replaces the limits; the locality must stay the same."""
         self._options = options
         self.targets.pace.is_enabled = options.paces_returns
-        self._retry_limits.clear()
         self.identification.revocation.update(
             is_strict=options.revoke_strict, within_s=options.revoke_within_s
         )
@@ -190,7 +191,7 @@
         point = self._rng.random()
         if relay_terms is None:
             service = choose_service(route, point=point)
-            self.retry_limit(service).record_request(now=now)
+            self.retry_limit(service, now=now).record_request(now=now)
         else:
             service = relaying.choose_relayed_service(route, relay_terms, point=point)
         progress = Progress(
@@ -266,9 +267,11 @@
             self._release_target(progress)
             relaying.release(self, progress)
 
-    def retry_limit(self, service: str) -> RetryLimit:
+    def retry_limit(self, service: str, *, now: float) -> RetryLimit:
         """Returns the retry limit of a service, updated for the current number of entry VMs."""
-        return self._retry_limits.of(service, options=self._options, vm_count=len(self.vms))
+        return self._retry_limits.of(
+            service, options=self._options, vm_count=len(self.vms), now=now
+        )
 
     def cold_rate(self, service: str) -> float:
         """Returns the requests per second that all entry VMs together may send to a cold target.
@@ -352,7 +355,7 @@
         attempts = progress.attempt_count if is_impaired else len(progress.tried_targets)
         if attempts >= progress.route.max_attempts or now >= progress.deadline:
             return False
-        return self.retry_limit(progress.service).try_acquire(now=now)
+        return self.retry_limit(progress.service, now=now).try_acquire(now=now)
 
     def _handle_response(self, progress: Progress, answer: Answered, now: float) -> Action:
         failed = answer.status >= 500
--- a/tests/routing/builders.py
+++ b/tests/routing/builders.py
@@ -9,6 +9,8 @@
 from carawaybank.routing.target import TargetEntry
 
 HOST = "parts.example"
+#: Seconds for which the process of a router has run, so that it has all its credit for retries.
+UPTIME_S = 100.0
 
 
 def make_route(
@@ -46,7 +48,9 @@
     router = Router(
         options=RouterOptions(**{"failure_domain": "a1", "region": "a", "vm": "vm-1", **options}),
         rng=random.Random(7),
+        started_at=now - UPTIME_S,
     )
+    router.vms = (router.options.vm,)
     router.apply_configuration(configuration or make_configuration())
     for entry in targets:
         router.targets.update(entry, now=now)
--- a/tests/routing/simulation.py
+++ b/tests/routing/simulation.py
@@ -17,7 +17,7 @@
 from carawaybank.routing.router import Router
 from carawaybank.routing.target import LoadReport, TargetEntry
 from carawaybank.verdicts import Answered, NotRun, Reason
-from tests.routing.builders import HOST, make_route
+from tests.routing.builders import HOST, UPTIME_S, make_route
 
 COLD_S = 0.36
 WARM_FRACTION = 0.3
@@ -162,7 +162,9 @@
 
     def _make_router(self, name, region, configuration, options, now=0.0):
         settings = RouterOptions(failure_domain=region, region=region, vm=name, **options)
-        router = Router(options=settings, rng=random.Random(name))
+        started_at = now - UPTIME_S if now == 0.0 else now
+        router = Router(options=settings, rng=random.Random(name), started_at=started_at)
+        router.vms = (name,)
         router.apply_configuration(configuration)
         for entry in self.entries.values():
             router.targets.update(entry, now=now)
--- a/tests/routing/test_relaying.py
+++ b/tests/routing/test_relaying.py
@@ -112,7 +112,7 @@
     router = make_router(*TARGETS, retry_slack=0.0)
     for key in range(100):
         router.arrive(make_request(key), NOW, RelayTerms("ledger", (), 1))
-    assert not router.retry_limit("ledger").try_acquire(now=NOW)
+    assert not router.retry_limit("ledger", now=NOW).try_acquire(now=NOW)
 
 
 def test_a_sibling_without_room_is_followed_by_another_one():
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -187,7 +187,7 @@
     def count_retries(vms):
         router = make_router(*TARGETS, retry_slack=184.0)
         router.vms = tuple(f"vm-{number}" for number in range(vms))
-        limit = router.retry_limit("ledger")
+        limit = router.retry_limit("ledger", now=0.0)
         return sum(limit.try_acquire(now=0.0) for _ in range(184))
 
     assert count_retries(11) * 11 <= 184
--- a/tests/routing/test_shared_limits.py
+++ b/tests/routing/test_shared_limits.py
@@ -1,13 +1,16 @@
 """Tests that limits on the sum over all entry VMs hold without messages between the VMs."""
 
+import bisect
 import random
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from carawaybank.routing.coldstart import ColdStartLimit
-from carawaybank.routing.retrylimit import RetryLimit
+from carawaybank.routing.options import RouterOptions
+from carawaybank.routing.retrylimit import RetryLimit, RetryLimits
 from carawaybank.routing.spillover import SHIFT_WINDOW_S, DomainShares, RegionShares
+from tests.routing.builders import UPTIME_S
 
 WINDOW_S = 1.0
 MAX_SHIFT = 0.15
@@ -49,7 +52,7 @@
     rng = random.Random(seed)
     requests, retries = [], []
     for request_rate in rates:
-        limit = RetryLimit(share=share, slack=slack // 17, window_s=window_s)
+        limit = RetryLimit(share=share, slack=slack / 17, window_s=window_s, started_at=-UPTIME_S)
         now = 0.0
         while now < 25.0:
             now += rng.expovariate(request_rate)
@@ -63,6 +66,81 @@
         assert len(retries_within) <= share * len(requests_within) + slack
 
 
+class RetryingVms:
+    """Entry VMs of which each retries whatever its limit allows, until it is restarted."""
+
+    def __init__(self, *, count, knows_all):
+        self.options = RouterOptions("a1", "a", retry_slack=62.0)
+        self.knows_all = knows_all
+        self.requests, self.retries = [], []
+        self.limits = [RetryLimits(started_at=-UPTIME_S) for _ in range(count)]
+
+    def restart(self, number, now):
+        self.limits[number] = RetryLimits(started_at=now)
+
+    def serve(self, number, now, *, fails):
+        known = len(self.limits) if self.knows_all else min(2, len(self.limits))
+        limit = self.limits[number].of("ledger", options=self.options, vm_count=known, now=now)
+        limit.record_request(now=now)
+        self.requests.append(now)
+        while fails and limit.try_acquire(now=now):
+            self.retries.append(now)
+
+    def excess(self):
+        """Returns by how much the retries of the worst window exceed the limit, at least 0."""
+        window_s, worst = self.options.retry_window_s, 0.0
+        for start in self.retries:
+            requests = max(
+                count_within(self.requests, start - back, window_s)
+                for back in (0.0, window_s / 2, window_s)
+            )
+            allowed = self.options.retry_share * requests + self.options.retry_slack
+            worst = max(worst, count_within(self.retries, start, window_s) - allowed)
+        return worst
+
+
+def count_within(times, start, window_s):
+    return bisect.bisect_left(times, start + window_s) - bisect.bisect_left(times, start)
+
+
+@given(
+    vms=st.integers(1, 30),
+    knows_all=st.booleans(),
+    restarts=st.lists(st.floats(0.0, 30.0), max_size=4),
+    outages=st.lists(st.tuples(st.floats(0.0, 30.0), st.floats(0.2, 15.0)), min_size=1, max_size=3),
+    moves=st.lists(st.floats(0.0, 30.0), max_size=3),
+    seed=st.integers(0, 10_000),
+)
+def test_retries_stay_within_the_limit_when_vms_restart_and_callers_move(
+    vms, knows_all, restarts, outages, moves, seed
+):
+    """Guards against restarts, and callers that change the VM, which add to the sum of all VMs."""
+    rng = random.Random(seed)
+    fleet = RetryingVms(count=vms, knows_all=knows_all or vms <= 11)
+    restarts, moves = sorted(restarts), sorted(moves)
+    used, now = list(range(vms)), 0.0
+    while (now := now + rng.expovariate(100.0)) < 35.0:
+        while restarts and restarts[0] <= now:
+            for number in range(vms):
+                fleet.restart(number, restarts[0])
+            restarts.pop(0)
+        if moves and moves[0] <= now:
+            moves.pop(0)
+            used = rng.sample(range(vms), max(1, vms // 2))
+        fails = any(start <= now < start + length for start, length in outages)
+        fleet.serve(rng.choice(used), now, fails=fails)
+    assert fleet.excess() <= 0.0
+
+
+def test_retries_after_a_calm_window_cover_a_short_outage():
+    """Guards against a limit that wastes what it allows: a second of failures after a calm time."""
+    fleet = RetryingVms(count=11, knows_all=True)
+    for request in range(2_000):
+        fleet.serve(request % 11, request / 100, fails=request >= 1_900)
+    failed = 100
+    assert len(fleet.retries) >= failed / 2
+
+
 @given(
     slots=st.dictionaries(st.sampled_from("abcd"), st.integers(1, 60), min_size=1),
     local=st.sampled_from("abcd"),
--- a/tests/test_handler_allotments.py
+++ b/tests/test_handler_allotments.py
@@ -17,7 +17,7 @@
 from carawaybank.routing.options import RouterOptions
 from carawaybank.routing.router import Router
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason
-from tests.routing.builders import HOST, make_route, make_target
+from tests.routing.builders import HOST, UPTIME_S, make_route, make_target
 
 TENANT = Tenant("acme", rate=2.0)
 
@@ -63,7 +63,10 @@
 def handle(gate, verdicts, *, tenant=TENANT, targets=3):
     """Returns the reply to one request, the number of attempts, and the log line."""
     lines = []
-    router = Router(options=RouterOptions("a1", "a", "vm"), rng=random.Random(1))
+    router = Router(
+        options=RouterOptions("a1", "a", "vm"), rng=random.Random(1), started_at=-UPTIME_S
+    )
+    router.vms = ("vm",)
     route = make_route("r", prefix="/x/", max_attempts=3, objective_s=0.3)
     services = {weighted.service: Service(weighted.service) for weighted in route.services}
     router.apply_configuration(Configuration(1, (route,), services))
