Take a refusal on a kept connection only if it names its request

A faulty target that writes an earlier refusal again, without a request id, made the VM tell the caller of the next request on the connection 'not run, try again' while the target ran it (REFUSED, or TWICE after the caller's retry). A copy with the id did the same to the next attempt of the refused request itself, which has the same id.

A refusal is a promise, so it needs evidence of its own attempt. On a connection that carried earlier requests, one without an id is skipped like any late response, also with status 421; the answer that follows is delivered. A request is not sent again over a connection that carried its id, and one without an id gets a new connection, where a refusal can only be its own. A target that never names the request in its refusals lets requests on kept connections wait for their deadline; the platform's targets name it.

The product's own interface requires the id in each response already.

--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -8,7 +8,8 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import AsyncIterator
+from collections import deque
+from collections.abc import AsyncIterator, Callable
 from typing import NamedTuple
 
 from carawaybank.buffers import BufferBudget
@@ -26,6 +27,8 @@
 _KEEPALIVE_USER_TIMEOUT_MS = 1_500
 #: Idle seconds before the first TCP keep-alive probe, and seconds between probes.
 _KEEPALIVE_S = 1
+#: Number of request ids that a connection remembers. A request is sent again soon or never.
+_MAX_REMEMBERED_IDS = 64
 #: Responses to earlier exchanges that are skipped in one exchange before it fails.
 _MAX_STRAY_REPLIES = 2
 #: Maximum size in bytes of a response body if the caller of an exchange sets no limit.
@@ -97,6 +100,8 @@
         self._waiter: asyncio.Future[HttpReply] | None = None
         self._max_body_bytes = _DEFAULT_MAX_BODY_BYTES
         self._budget: BufferBudget | None = None
+        self._needs_echo: Callable[[HttpReply], bool] | None = None
+        self._sent_ids: deque[str] = deque(maxlen=_MAX_REMEMBERED_IDS)
         self._reserved_bytes = 0
         self._stray_replies = 0
         self._has_received_bytes = False
@@ -111,6 +116,13 @@
         transport = self._transport
         return self.is_reusable and transport is not None and not transport.is_closing()
 
+    def has_carried(self, request_id: str) -> bool:
+        """Returns whether a request with this id was sent on the connection before.
+
+        A late response to it could not be told from that to another attempt.
+        """
+        return request_id in self._sent_ids
+
     @classmethod
     async def open(
         cls, address: str, *, timeout_s: float, keep_alive: bool = False, local_ip: str = ""
@@ -169,6 +181,7 @@
         timeout_s: float,
         max_body_bytes: int | None = None,
         budget: BufferBudget | None = None,
+        needs_echo: Callable[[HttpReply], bool] | None = None,
     ) -> HttpReply:
         """Sends a request and returns the complete response.
 
@@ -177,6 +190,8 @@
             timeout_s: Maximum time in seconds until the complete response is received.
             max_body_bytes: Maximum size of the response body; None for 16 MB.
             budget: Shared budget in which a large response reserves bytes until it is complete.
+            needs_echo: Returns whether a response must identify its request. Without an echo, it is
+                then taken for one to an earlier exchange of the connection if there was any.
 
         Raises:
             ExchangeError: If the request cannot be sent, or no complete response is received in
@@ -189,6 +204,7 @@
         self._begin_exchange(call)
         self._max_body_bytes = _DEFAULT_MAX_BODY_BYTES if max_body_bytes is None else max_body_bytes
         self._budget = budget
+        self._needs_echo = needs_echo
         self._transport.write(data)
         assert self._waiter is not None
         try:
@@ -253,6 +269,7 @@
         self._waiter = asyncio.get_running_loop().create_future()
         self._stray_replies = 0
         self._has_received_bytes = False
+        self._sent_ids.append(call.expected_echo[1])
         self.exchanges += 1
 
     def _end_exchange(self) -> None:
@@ -296,7 +313,8 @@
         assert self._waiter is not None
         name, value = self._call.expected_echo
         echoed = reply.header(name) if name else None
-        if name and echoed is not None and echoed != value:
+        is_stray = echoed != value if echoed is not None else self._lacks_needed_echo(reply)
+        if name and is_stray:
             self._skip_stray_reply(reply)
         elif len(reply.body) > self._max_body_bytes:
             self.fail(Reason.ANSWER_TOO_LARGE, "the answer is too large")
@@ -311,6 +329,10 @@
             self._apply_keep_alive(reply)
             self._waiter.set_result(reply)
 
+    def _lacks_needed_echo(self, reply: HttpReply) -> bool:
+        has_earlier = self.exchanges > 1
+        return has_earlier and self._needs_echo is not None and self._needs_echo(reply)
+
     def _skip_stray_reply(self, reply: HttpReply) -> None:
         """Skips a response to an earlier exchange, or fails after too many of them."""
         self._stray_replies += 1
--- a/src/carawaybank/platform/dialect.py
+++ b/src/carawaybank/platform/dialect.py
@@ -187,6 +187,10 @@
             headers.append((_TENANT, tenant.encode().decode("latin-1")))
         return call._replace(headers=headers)
 
+    def is_refusal(self, reply: HttpReply) -> bool:
+        """Returns whether a response promises that its request has not run."""
+        return reply.status == _MISDIRECTED_REQUEST or reply.header(_NOT_RUN) is not None
+
     def decode(self, call: HttpCall, reply: HttpReply) -> TargetReply:
         """Returns the verdict and the target's state according to its response to a call."""
         load = read_load(reply)
@@ -195,7 +199,7 @@
             return TargetReply(verdict, load, address_reused=True)
         is_draining = reply.header(_SERVER_LEAVING) == "1"
         pause_s = read_pause_s(reply)
-        if reply.header(_NOT_RUN) is not None:
+        if self.is_refusal(reply):
             shed = NotRun(Reason.TARGET_SHED, pause_s or 0.5, "the target is full")
             return TargetReply(
                 shed,
--- a/src/carawaybank/targets/sender.py
+++ b/src/carawaybank/targets/sender.py
@@ -63,6 +63,9 @@
     def decode(self, call: HttpCall, reply: HttpReply) -> TargetReply:
         """Returns the decoded response to a call."""
 
+    def is_refusal(self, reply: HttpReply) -> bool:
+        """Returns whether a response promises that its request has not run."""
+
 
 class TargetSender:
     """Sends requests to targets, one attempt each, over pooled connections."""
@@ -130,7 +133,7 @@
 
     async def _attempt(self, action: Send, call: HttpCall, round_trip_s: float) -> HttpReply:
         peer = f"{action.target_id}@{action.address}"
-        connection = self._acquire(peer, action)
+        connection = self._acquire(peer, action, request_id=call.expected_echo[1])
         if connection is None:
             connection = await self._open(action, round_trip_s)
         try:
@@ -155,6 +158,7 @@
                 timeout_s=max(0.001, remaining_s),
                 max_body_bytes=min(MAX_RESPONSE_BYTES, self._budget.max_bytes),
                 budget=self._budget,
+                needs_echo=self._dialect.is_refusal,
             )
         finally:
             del self._exchanging[connection]
@@ -177,10 +181,18 @@
             connection.fail(Reason.PATH_LOST, "the path to the targets was lost")
         return len(aborted)
 
-    def _acquire(self, peer: str, action: Send) -> ClientConnection | None:
+    def _acquire(self, peer: str, action: Send, *, request_id: str) -> ClientConnection | None:
+        """Returns an idle connection on which no late response can belong to the same id."""
+        if not request_id:
+            return None
         if action.idempotent:
-            return self._pool.acquire(peer)
-        return self._pool.acquire(peer, max_idle_s=NON_IDEMPOTENT_MAX_IDLE_S)
+            connection = self._pool.acquire(peer)
+        else:
+            connection = self._pool.acquire(peer, max_idle_s=NON_IDEMPOTENT_MAX_IDLE_S)
+        if connection is not None and connection.has_carried(request_id):
+            self._pool.release(peer, connection)
+            return None
+        return connection
 
     async def _open(self, action: Send, round_trip_s: float) -> ClientConnection:
         loop = asyncio.get_running_loop()
