Give no answer when a target closes after an informational response

A target that sent '100 Continue' and closed made the VM send its caller a response with status 100 and an empty body, as if it were the whole answer. The head of the informational response has no length, so the end of the connection was taken for the end of its body.

An informational response now leaves no state behind. The caller gets 502, or another target is tried where the request may run twice.

--- a/src/carawaybank/replies.py
+++ b/src/carawaybank/replies.py
@@ -140,7 +140,7 @@
     def on_message_complete(self) -> None:
         """Completes a response and ignores informational ones; called by the parser."""
         if self._parser.get_status_code() in _INFORMATIONAL_STATUSES:
-            self.has_partial_reply = False
+            self.has_partial_reply = self._has_head = self._is_ended_by_close = False
         else:
             self._finish(closes=not self._parser.should_keep_alive())
 
