Bound what a row or message of another program may hold where it is decoded

Another writer's odd entry among those of the targets stopped the VMs that read it: with slots of 400 digits a VM answered nobody and followed nothing, also after a restart; a port out of range raised OverflowError, which ended checks and requests silently; a field nested deeply raised RecursionError, after which the rows were applied one by one and a removed target stayed in use. Slots of 2^64, port 0, ports in other digits, names for addresses and keys with a line break were taken as sound.

Rows of targets, operators, VMs, weights and crash reports and datagrams of siblings are decoded by one function, which rejects what is nested too deeply and numbers beyond 63 bits. Addresses have to be IPv4 with a port that exists; slots, cold time and keys of targets have bounds. What is beyond is one log line, a count (carawaybank_rows_rejected_total) and no target: a row that becomes odd ends the target, like a removed one. If an update raises all the same, it is applied without the rows that raise alone, and still shows which rows are missing. Short background tasks that fail are logged.

--- a/src/carawaybank/background.py
+++ b/src/carawaybank/background.py
@@ -1,6 +1,7 @@
 """Background tasks of a process.
 
-A task that fails is reported at once, so that the process does not go on without it.
+A long-running task that fails is reported at once, so that the process does not go on without it. A
+short one, such as a check of a target, is logged if it fails, and the process goes on.
 """
 
 import asyncio
@@ -8,6 +9,7 @@
 from typing import Any
 
 from carawaybank.exceptions import TaskError
+from carawaybank.journal import Journal
 
 
 class BackgroundTasks:
@@ -52,3 +54,33 @@
             failure.__cause__ = cause
             self._first_failure = self._first_failure or failure
             self._on_failure(failure)
+
+
+class ShortTasks:
+    """Runs coroutines that end by themselves, and logs those that fail."""
+
+    def __init__(self, *, part: str, journal: Journal) -> None:
+        """Creates an empty set of tasks.
+
+        Args:
+            part: Component that the log lines name.
+            journal: Logs the tasks that fail.
+        """
+        self._part = part
+        self._journal = journal
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def start(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        """Starts a task for the coroutine; must be called on the event loop."""
+        task = asyncio.create_task(
+            coroutine, name=getattr(coroutine, "__qualname__", repr(coroutine))
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._handle_done)
+
+    def _handle_done(self, task: "asyncio.Task[Any]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._journal.log(
+                self._part, "task failed", task=task.get_name(), reason=repr(task.exception())
+            )
--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -150,7 +150,7 @@
             raise ExchangeError(
                 reason=Reason.CONNECTION_REFUSED, message=message, may_have_sent=False
             ) from None
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:  # A port out of range overflows.
             message = f"no connection to {address}: {type(error).__name__}"
             raise ExchangeError(
                 reason=Reason.CONNECT_FAILED, message=message, may_have_sent=False
@@ -342,7 +342,7 @@
     def _apply_keep_alive(self, reply: HttpReply) -> None:
         for item in (reply.header("keep-alive") or "").split(","):
             name, _, value = item.strip().partition("=")
-            if name == "timeout" and value.isdigit():
+            if name == "timeout" and value.isascii() and value.isdigit():
                 self.idle_limit_s = float(value)
 
     def fail(self, reason: Reason, message: str) -> None:
--- a/src/carawaybank/counters.py
+++ b/src/carawaybank/counters.py
@@ -71,6 +71,7 @@
         self._attempts: Counter[str] = Counter()
         self._limit_events: Counter[str] = Counter()
         self._relays: Counter[str] = Counter()
+        self._rejected_rows: Counter[str] = Counter()
         self._machine_reports: Counter[str] = Counter()
         self._allotments: Counter[AllotmentLabels] = Counter()
         self._allotment_tenants: set[str] = set()
@@ -131,6 +132,16 @@
         with self._lock:
             self._limit_events[event] += 1
 
+    def count_rejected_row(self, table: str) -> None:
+        """Counts a row of another program that cannot be used."""
+        with self._lock:
+            self._rejected_rows[table] += 1
+
+    def rejected_rows(self) -> dict[str, int]:
+        """Returns the number of rows that cannot be used, by table."""
+        with self._lock:
+            return dict(self._rejected_rows)
+
     def count_relay(self, event: str) -> None:
         """Counts a request that was passed on, taken in, or refused for want of room."""
         with self._lock:
--- a/src/carawaybank/documents.py
+++ b/src/carawaybank/documents.py
@@ -22,7 +22,19 @@
 
 _T = TypeVar("_T")
 
-__all__ = ["TypedDict", "convert", "decode_json", "decode_toml", "encode_json", "load_toml"]
+__all__ = [
+    "MAX_NUMBER",
+    "TypedDict",
+    "convert",
+    "decode_json",
+    "decode_message",
+    "decode_toml",
+    "encode_json",
+    "load_toml",
+]
+
+#: Largest absolute value of a number in a message; calculations with it cannot overflow.
+MAX_NUMBER = 2**63 - 1
 
 
 def convert(raw: object, expected_type: type[_T], *, source: str) -> _T:
@@ -54,6 +66,37 @@
     return convert(raw, expected_type, source=source)
 
 
+def decode_message(data: bytes, expected_type: type[_T], *, source: str) -> _T:
+    """Returns a JSON message or row of another program converted to the expected type.
+
+    Unknown keys are ignored, since other versions may add some.
+
+    Raises:
+        DocumentError: If the data is not JSON, is nested too deeply or not of the expected type, or
+            contains a number whose absolute value is larger than ``MAX_NUMBER``.
+    """
+    try:
+        message = msgspec.json.decode(data, type=expected_type)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise DocumentError(source=source, faults=(str(error),)) from None
+    if _has_large_number(message):
+        raise DocumentError(source=source, faults=("a number is too large",))
+    return message
+
+
+def _has_large_number(message: object) -> bool:
+    pending = [message]
+    while pending:
+        value = pending.pop()
+        if isinstance(value, Mapping):
+            pending.extend(value.values())
+        elif isinstance(value, list | tuple):
+            pending.extend(value)
+        elif isinstance(value, int | float) and not -MAX_NUMBER <= value <= MAX_NUMBER:
+            return True
+    return False
+
+
 def decode_toml(data: bytes, expected_type: type[_T], *, source: str) -> _T:
     """Returns a TOML document converted to the expected type.
 
--- a/src/carawaybank/metrics.py
+++ b/src/carawaybank/metrics.py
@@ -66,6 +66,7 @@
             "carawaybank.control.bytes", [lambda _: [Observation(counters.control_bytes)]], "By"
         )
         counter("carawaybank.limits", [self._observe_limits], description="of targets, by event")
+        counter("carawaybank.rows.rejected", [self._observe_rows], description="by table")
         counter("carawaybank.relays", [self._observe_relays], description="between VMs, by event")
         counter("carawaybank.machine_reports", [self._observe_machines], description="by state")
         counter("carawaybank.allotments", [self._observe_allotments], description="by tenant")
@@ -103,6 +104,10 @@
         counts = self._counters.limit_events()
         return [Observation(count, {"event": event}) for event, count in counts.items()]
 
+    def _observe_rows(self, _: CallbackOptions) -> list[Observation]:
+        counts = self._counters.rejected_rows()
+        return [Observation(count, {"table": table}) for table, count in counts.items()]
+
     def _observe_relays(self, _: CallbackOptions) -> list[Observation]:
         counts = self._counters.relays()
         return [Observation(count, {"event": event}) for event, count in counts.items()]
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -193,6 +193,7 @@
             router=self._router,
             read_target=adapter.read_target,
             expiry_grace_s=self._deployment.lapse_grace_s,
+            counters=self._counters,
             journal=self._journal,
         )
         self._registrations = Registrations(
--- a/src/carawaybank/operators/rows.py
+++ b/src/carawaybank/operators/rows.py
@@ -77,6 +77,7 @@
             parsed = self._read_row(row)
         except DocumentError as error:
             self._journal.log("config", "passed over", row=row.key, reason=str(error))
+            self._counters.count_rejected_row("operators")
             return
         if isinstance(parsed, Evacuation) and row.removed:
             self._evacuated_domains.discard(parsed.failure_domain)
--- a/src/carawaybank/platform/decoding.py
+++ b/src/carawaybank/platform/decoding.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from carawaybank.addresses import is_ip_endpoint
+from carawaybank.documents import decode_message
 from carawaybank.exceptions import DocumentError
 from carawaybank.routing.configuration import (
     Configuration,
@@ -23,6 +25,10 @@
 _EVACUATION_PREFIX = "evacuate/"
 #: Kinds of routes whose requests may run more than once. Unknown kinds are not among them.
 _IDEMPOTENT_KINDS = frozenset({"idempotent", "download"})
+#: A target runs no more requests at a time than one caller has ports for connections to it.
+_MAX_SLOTS = 65_535
+#: A longer cold time in milliseconds is a fault; targets are cold for seconds.
+_MAX_COLD_MS = 86_400_000.0
 
 
 class _SplitService(TypedDict):
@@ -115,10 +121,10 @@
     Raises:
         DocumentError: If the value cannot be decoded.
     """
+    document = decode_message(value, _Document, source="configuration")
     try:
-        document = msgspec.json.decode(value, type=_Document)
         return _make_configuration(document)
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError, KeyError) as error:
+    except (msgspec.MsgspecError, ValueError, KeyError) as error:
         raise DocumentError(source="configuration", faults=(str(error),)) from None
 
 
@@ -131,14 +137,13 @@
 
     Raises:
         DocumentError: If the row cannot be decoded, a field is missing, its state or failure domain
-            is unknown, or its address or slots are unusable.
+            is unknown, or its key, address or numbers are unusable.
     """
-    source = f"entry {row.key}"
-    try:
-        heartbeat = msgspec.json.decode(row.value, type=_Heartbeat)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise DocumentError(source=source, faults=(str(error),)) from None
+    source = f"entry {row.key[:80]!r}"
+    heartbeat = decode_message(row.value, _Heartbeat, source=source)
     faults = _find_faults(heartbeat, regions)
+    if not (row.key.isascii() and row.key.isprintable() and row.key == row.key.strip()):
+        faults.append("the key cannot be sent in a header")
     if faults:
         raise DocumentError(source=source, faults=tuple(faults))
     return TargetEntry(
@@ -243,7 +248,10 @@
         faults.append(f"unknown state {heartbeat['state']!r}")
     if heartbeat["zone"] not in regions:
         faults.append(f"unknown failure domain {heartbeat['zone']!r}")
-    host, _, port = heartbeat["addr"].rpartition(":")
-    if not host or not port.isdigit() or heartbeat["slots"] < 1:
-        faults.append("no usable address or slots")
+    if not is_ip_endpoint(heartbeat["addr"]):
+        faults.append(f"no usable address: {heartbeat['addr'][:40]!r}")
+    if not 1 <= heartbeat["slots"] <= _MAX_SLOTS:
+        faults.append("the number of slots is out of range")
+    if heartbeat.get("coldLeftMs", 0.0) > _MAX_COLD_MS:
+        faults.append("the cold time is out of range")
     return faults
--- a/src/carawaybank/platform/dialect.py
+++ b/src/carawaybank/platform/dialect.py
@@ -37,6 +37,7 @@
 _SERVER_LIMIT = "Server-Limit"
 #: A load report; other digits than those of ASCII, which ``int`` may reject, are invalid.
 _LOAD = re.compile(r" *([0-9]{1,9}) *, *([0-9]{1,9}) *, *([0-9]{1,9}) *(?:,([^,]*))?")
+_WHOLE = re.compile(r"[0-9]{1,12}")
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?|\.[0-9]{1,9}")
 _RETRY_AFTER = "Retry-After"
 #: Name of the tenant that holds the request's key.
@@ -83,7 +84,7 @@
             object_key=request.header(_AFFINITY_KEY) or "",
             fingerprint=fingerprint,
             budget_s=max(0, int(deadline_ms)) / 1000
-            if deadline_ms and deadline_ms.isdigit()
+            if deadline_ms and _WHOLE.fullmatch(deadline_ms)
             else None,
             credential=read_credential(request.headers),
         )
@@ -161,7 +162,7 @@
         return Health(
             is_healthy=reply.status == 200,
             target_id=reply.header(_INSTANCE_ID) or "",
-            cold_left_s=int(cold_ms) / 1000 if cold_ms.isdigit() else 0.0,
+            cold_left_s=int(cold_ms) / 1000 if _WHOLE.fullmatch(cold_ms) else 0.0,
             is_draining=reply.header(_SERVER_LEAVING) == "1",
             limit=_read_named_limit(reply),
         )
--- a/src/carawaybank/platform/store.py
+++ b/src/carawaybank/platform/store.py
@@ -26,6 +26,7 @@
 _PAGE_ROWS = 500
 #: Set on all responses: a number that rises when the store is restored from an older backup.
 _ERA_HEADER = "Store-Era"
+_MAX_ERA_DIGITS = 18
 
 
 class _WireRow(TypedDict, total=False):
@@ -186,8 +187,8 @@
         StoreError: If the era is not a number.
     """
     text = reply.header(_ERA_HEADER) or "0"
-    if not (text.isascii() and text.isdigit()):
-        raise StoreError(message=f"the store sent an invalid era: {text!r}")
+    if not (text.isascii() and text.isdigit() and len(text) <= _MAX_ERA_DIGITS):
+        raise StoreError(message=f"the store sent an invalid era: {text[:40]!r}")
     return int(text)
 
 
--- a/src/carawaybank/siblings/allotments.py
+++ b/src/carawaybank/siblings/allotments.py
@@ -18,6 +18,8 @@
 import msgspec
 
 from carawaybank.counters import Counters
+from carawaybank.documents import decode_message
+from carawaybank.exceptions import DocumentError
 from carawaybank.journal import Journal
 from carawaybank.routing.allotmentmessages import (
     AskBatch,
@@ -282,8 +284,8 @@
         if not data.startswith(_PREFIX):
             return False
         try:
-            message = msgspec.json.decode(data, type=AllotmentMessage)
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            message = decode_message(data, AllotmentMessage, source="datagram")
+        except DocumentError as error:
             self._journal.log("allotments", "datagram ignored", reason=str(error))
             return True
         if self._vms.find(message["vm"]) is None:
--- a/src/carawaybank/siblings/heartbeat.py
+++ b/src/carawaybank/siblings/heartbeat.py
@@ -15,6 +15,8 @@
 
 import msgspec
 
+from carawaybank.documents import decode_message
+from carawaybank.exceptions import DocumentError
 from carawaybank.rows import Position
 from carawaybank.siblings.vms import Heartbeat, VmDirectory, VmRecord
 
@@ -71,8 +73,8 @@
             self._on_report(data)
             return
         try:
-            heartbeat = msgspec.json.decode(data, type=Heartbeat)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+            heartbeat = decode_message(data, Heartbeat, source="heartbeat")
+        except DocumentError:
             return
         changed = self._vms.record_heartbeat(heartbeat, now=asyncio.get_running_loop().time())
         if changed is not None:
--- a/src/carawaybank/siblings/limits.py
+++ b/src/carawaybank/siblings/limits.py
@@ -16,6 +16,8 @@
 import msgspec
 
 from carawaybank.counters import Counters
+from carawaybank.documents import decode_message
+from carawaybank.exceptions import DocumentError
 from carawaybank.journal import Journal
 from carawaybank.routing.targetlimits import LimitReport, TargetLimits
 from carawaybank.siblings.vms import VmDirectory, VmRecord
@@ -91,8 +93,8 @@
         logged and ignored.
         """
         try:
-            message = msgspec.json.decode(data, type=LimitMessage)
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            message = decode_message(data, LimitMessage, source="datagram")
+        except DocumentError as error:
             self._journal.log("limits", "report ignored", reason=str(error))
             return
         self.publish()
--- a/src/carawaybank/siblings/offers.py
+++ b/src/carawaybank/siblings/offers.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from carawaybank.documents import decode_message
+from carawaybank.exceptions import DocumentError
 from carawaybank.journal import Journal
 from carawaybank.routing import relaying
 from carawaybank.routing.helpers import Offer, ServicePaths
@@ -122,8 +124,8 @@
     def receive(self, data: bytes) -> None:
         """Answers a sibling that asks, or applies its offer; an invalid datagram is logged."""
         try:
-            message = msgspec.json.decode(data, type=HelpMessage)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            message = decode_message(data, HelpMessage, source="datagram")
+        except DocumentError as error:
             self._journal.log("relays", "datagram ignored", reason=str(error))
             return
         record = self._vms.find(message["vm"])
--- a/src/carawaybank/siblings/registration.py
+++ b/src/carawaybank/siblings/registration.py
@@ -12,6 +12,8 @@
 import msgspec
 
 from carawaybank.deployment import Deployment
+from carawaybank.documents import decode_message
+from carawaybank.exceptions import DocumentError
 from carawaybank.journal import Journal
 from carawaybank.routing.limitshares import VmLocality
 from carawaybank.routing.router import Router
@@ -86,8 +88,8 @@
                     self._handle_missing(now, is_certain=True)
                 continue
             try:
-                record = msgspec.json.decode(row.value, type=VmRecord)
-            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+                record = decode_message(row.value, VmRecord, source="registration")
+            except DocumentError as error:
                 self._journal.log("siblings", "row passed over", vm=row.key, reason=str(error))
                 continue
             if record.vm != row.key or not is_usable(record):
--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
+from carawaybank.addresses import is_ip_endpoint
 from carawaybank.routing import callerlists
 from carawaybank.rows import Position
 from carawaybank.siblings.liveness import (
@@ -20,7 +21,6 @@
 
 #: Number of VMs below which a look-up lists the caller's region instead of its failure domain.
 MIN_LISTED = 2
-_PORT_COUNT = 65_536
 #: Maximum number of ended VMs that are remembered, so that an older backup of the store does not
 #: add them again.
 _MAX_ENDED = 4_096
@@ -57,7 +57,7 @@
 
 
 def is_usable(record: VmRecord) -> bool:
-    """Returns whether all addresses of a record have a host and a valid port.
+    """Returns whether all addresses of a record are IP addresses with a port.
 
     >>> record = VmRecord("vm", "10.0.0.1:80", "10.0.0.1:90", "a1", "a", 1)
     >>> is_usable(record), is_usable(record._replace(sibling_address="10.0.0.1"))
@@ -65,11 +65,7 @@
     """
     addresses = [record.callers_address, record.sibling_address]
     addresses += [record.control_address] if record.control_address else []
-    parts = [address.rpartition(":") for address in addresses]
-    return all(
-        host and port.isascii() and port.isdigit() and 0 < int(port) < _PORT_COUNT
-        for host, _, port in parts
-    )
+    return all(is_ip_endpoint(address) for address in addresses)
 
 
 class Heartbeat(NamedTuple):
--- a/src/carawaybank/siblings/weights.py
+++ b/src/carawaybank/siblings/weights.py
@@ -14,6 +14,8 @@
 
 from carawaybank.congestion import CongestionWatch
 from carawaybank.counters import Counters
+from carawaybank.documents import decode_message
+from carawaybank.exceptions import DocumentError
 from carawaybank.journal import Journal
 from carawaybank.routing.vmweights import (
     CONGESTED_FACTOR,
@@ -134,8 +136,8 @@
 
     def _read(self, vm: str, value: bytes) -> float | None:
         try:
-            size = msgspec.json.decode(value, type=WeightRow)["weight"]
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            size = decode_message(value, WeightRow, source="weight")["weight"]
+        except DocumentError as error:
             self._journal.log("weights", "row passed over", sibling=vm, reason=str(error))
             return None
         if not (math.isfinite(size) and 0.0 < size <= _MAX_WEIGHT):
--- a/src/carawaybank/targets/checks.py
+++ b/src/carawaybank/targets/checks.py
@@ -1,9 +1,10 @@
 """Health checks of targets that are down, and connection checks of targets that may be down."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any, NamedTuple, Protocol
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
 
+from carawaybank.background import ShortTasks
 from carawaybank.client import ClientConnection, ExchangeError, HttpCall
 from carawaybank.journal import Journal
 from carawaybank.replies import HttpReply
@@ -79,7 +80,7 @@
         self._router = router
         self._journal = journal
         self._dialect = dialect
-        self._running: set[asyncio.Task[None]] = set()
+        self._tasks = ShortTasks(part="checks", journal=journal)
 
     async def run(self) -> None:
         """Starts the checks that are due, until cancelled."""
@@ -93,19 +94,14 @@
                 is_due = is_due and not reachability.is_lost(target.entry.service)
                 if is_due and self._router.limits.try_send(target.entry, now=now):
                     target.eject(now=now)
-                    self._start_task(self._check_health(target))
+                    self._tasks.start(self._check_health(target))
             suspected: dict[str, list[CrashReport]] = {
                 target_id: [] for target_id in self._router.suspects.pop_timed_out()
             }
             for report in self._router.suspects.pop_crashes():
                 suspected.setdefault(report.target, []).append(report)
             for target_id, reports in suspected.items():
-                self._start_task(self._check_connection(target_id, reports))
-
-    def _start_task(self, check: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(check)
-        self._running.add(task)
-        task.add_done_callback(self._running.discard)
+                self._tasks.start(self._check_connection(target_id, reports))
 
     async def _check_connection(self, target_id: str, reports: list[CrashReport]) -> None:
         """Marks a target as down and reports its lost requests if it accepts no connections."""
--- a/src/carawaybank/targets/crashes.py
+++ b/src/carawaybank/targets/crashes.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine
-from typing import Any
 
 import msgspec
 
+from carawaybank.background import ShortTasks
+from carawaybank.documents import decode_message
+from carawaybank.exceptions import DocumentError
 from carawaybank.journal import Journal
 from carawaybank.routing.router import Router
 from carawaybank.rows import RowStore, StoreError
@@ -37,7 +38,7 @@
         self._store = store
         self._table = table
         self._journal = journal
-        self._writes: set[asyncio.Task[None]] = set()
+        self._tasks = ShortTasks(part="crashes", journal=journal)
         #: Own reports by key, each with the wall-clock time at which it was made.
         self._own_reports: dict[str, tuple[float, CrashReport]] = {}
 
@@ -52,14 +53,16 @@
             if row.removed:
                 continue
             try:
-                written_at, report = msgspec.json.decode(row.value, type=tuple[float, CrashReport])
-            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+                written_at, report = decode_message(
+                    row.value, tuple[float, CrashReport], source="crash report"
+                )
+            except DocumentError as error:
                 self._journal.log("crashes", "row passed over", row=row.key, reason=str(error))
                 continue
             if time.time() - written_at < _RETENTION_S:
                 self._router.quarantine.add_report(report, now=now)
             elif update.is_full:
-                self._start_task(self._remove(row.key))
+                self._tasks.start(self._remove(row.key))
         if update.is_backup:
             self._rewrite_missing({KEY_PREFIX + row.key for row in update.rows})
 
@@ -72,7 +75,7 @@
             if timed_report[0] > retained_since
         }
         for key in self._own_reports.keys() - present:
-            self._start_task(self._write(key, self._own_reports[key]))
+            self._tasks.start(self._write(key, self._own_reports[key]))
 
     def report(self, report: CrashReport) -> None:
         """Records a request that was in flight at a target that crashed.
@@ -86,12 +89,7 @@
             self._own_reports[key] = timed_report
             if len(self._own_reports) > _MAX_OWN_REPORTS:
                 del self._own_reports[next(iter(self._own_reports))]
-            self._start_task(self._write(key, timed_report))
-
-    def _start_task(self, write: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(write)
-        self._writes.add(task)
-        task.add_done_callback(self._writes.discard)
+            self._tasks.start(self._write(key, timed_report))
 
     async def _write(self, key: str, timed_report: tuple[float, CrashReport]) -> None:
         value = msgspec.json.encode(timed_report)
--- a/src/carawaybank/targets/paths.py
+++ b/src/carawaybank/targets/paths.py
@@ -7,9 +7,9 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Iterable
-from typing import Any
+from collections.abc import Callable, Iterable
 
+from carawaybank.background import ShortTasks
 from carawaybank.client import ClientConnection, ExchangeError
 from carawaybank.journal import Journal
 from carawaybank.routing import relaying
@@ -51,7 +51,7 @@
         self._rng = rng
         self._on_change = on_change
         self._abort_attempts = abort_attempts
-        self._running: set[asyncio.Task[Any]] = set()
+        self._tasks = ShortTasks(part="paths", journal=journal)
 
     async def run(self) -> None:
         """Starts the checks that are due, until cancelled."""
@@ -119,12 +119,7 @@
 
     def _check(self, targets: list[Target], count: int) -> None:
         for target in self._spread(targets, count):
-            self._start(self._check_target(target))
-
-    def _start(self, check: Coroutine[Any, Any, Any]) -> None:
-        task = asyncio.create_task(check)
-        self._running.add(task)
-        task.add_done_callback(self._running.discard)
+            self._tasks.start(self._check_target(target))
 
     async def _check_target(self, target: Target) -> None:
         service, target_id = target.entry.service, target.entry.target_id
--- a/src/carawaybank/targets/registry.py
+++ b/src/carawaybank/targets/registry.py
@@ -4,6 +4,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
+from carawaybank.counters import Counters
 from carawaybank.exceptions import DocumentError
 from carawaybank.journal import Journal
 from carawaybank.routing.router import Router
@@ -16,6 +17,8 @@
 _EXPIRED_SHARE = 0.5
 #: Maximum number of removed targets whose last announcement is remembered.
 _MAX_REMOVED = 4_096
+#: Maximum number of characters of a key or a fault in a log line.
+_MAX_LOGGED_CHARS = 200
 
 
 class Registry:
@@ -38,6 +41,7 @@
         router: Router,
         read_target: Callable[[Row], TargetEntry],
         expiry_grace_s: float,
+        counters: Counters,
         journal: Journal,
     ) -> None:
         """Starts without targets.
@@ -47,11 +51,13 @@
             read_target: Returns the target that a row announces; raises ``DocumentError``.
             expiry_grace_s: Seconds after an outage or a restore of the store for which expired rows
                 may reappear.
+            counters: Counts the rows that cannot be read.
             journal: Logs changes of targets.
         """
         self._router = router
         self._read_target = read_target
         self._expiry_grace_s = expiry_grace_s
+        self._counters = counters
         self._journal = journal
         self._removals: dict[str, asyncio.TimerHandle] = {}
         #: Incarnation and sequence of the last announcement of each removed target.
@@ -61,15 +67,16 @@
     def apply(self, update: TableUpdate) -> None:
         """Applies changed rows, or all rows, of the registry to the targets.
 
-        A row that cannot be read is logged and skipped.
+        A row that cannot be read is logged and names no target, like a missing one.
         """
-        present = {row.key for row in update.rows if not row.removed}
-        missing = {row.key for row in update.rows if row.removed}
+        entries = {row.key: None if row.removed else self._read(row) for row in update.rows}
+        missing = {key for key, entry in entries.items() if entry is None}
         if update.is_full:
-            missing |= set(self._router.targets.by_id) - present
+            missing |= set(self._router.targets.by_id) - set(entries)
         for row in update.rows:
-            if not row.removed:
-                self._apply_row(row, is_backup=update.is_backup)
+            entry = entries[row.key]
+            if entry is not None:
+                self._apply_entry(entry, version=row.version, is_backup=update.is_backup)
         expired = self._find_expired(missing) if update.after_outage else set()
         if update.is_backup:
             expired = missing
@@ -89,17 +96,21 @@
                 expired |= missing_targets
         return expired
 
-    def _apply_row(self, row: Row, *, is_backup: bool) -> None:
-        pending = self._removals.pop(row.key, None)
-        if pending is not None:
-            pending.cancel()
+    def _read(self, row: Row) -> TargetEntry | None:
         try:
-            entry = self._read_target(row)
+            return self._read_target(row)
         except DocumentError as error:
-            self._journal.log("registry", "entry passed over", target=row.key, reason=str(error))
-            return
+            key, reason = row.key[:_MAX_LOGGED_CHARS], str(error)[:_MAX_LOGGED_CHARS]
+            self._journal.log("registry", "entry passed over", target=key, reason=reason)
+            self._counters.count_rejected_row("targets")
+            return None
+
+    def _apply_entry(self, entry: TargetEntry, *, version: int, is_backup: bool) -> None:
+        pending = self._removals.pop(entry.target_id, None)
+        if pending is not None:
+            pending.cancel()
         if is_backup and self._is_outdated(entry):
-            self._journal.log("registry", "outdated entry passed over", target=row.key)
+            self._journal.log("registry", "outdated entry passed over", target=entry.target_id)
             return
         now = asyncio.get_running_loop().time()
         if self._router.targets.update(entry, now=now):
@@ -110,7 +121,7 @@
                 failure_domain=entry.failure_domain,
                 draining=entry.draining,
                 cold_left_s=entry.cold_left_s,
-                version=row.version,
+                version=version,
             )
 
     def _is_outdated(self, entry: TargetEntry) -> bool:
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -385,26 +385,31 @@
         self._publish(TableUpdate(rows, is_full=True, after_outage=False, era=self._position.era))
 
     def _publish(self, update: TableUpdate) -> None:
-        """Delivers an update; if the callback fails, delivers its rows one by one.
+        """Delivers an update; if the callback fails, delivers it without the rows that fail alone.
 
-        One malformed row must not block the others. If its exception ended the process, it would
-        do so again after each restart, and on all VMs.
+        One malformed row must not block the others, nor hide that a row is missing. If its
+        exception ended the process, it would do so again after each restart, and on all VMs.
         """
-        try:
-            self._on_update(update)
-        except Exception as error:
-            self._journal.log("store", "changes not taken", table=self._table, reason=repr(error))
-            for row in update.rows:
-                self._publish_single_row(update._replace(rows=[row], is_full=False))
+        if self._try_publish(update, "changes not taken"):
+            return
+        taken = [
+            row
+            for row in update.rows
+            if self._try_publish(
+                update._replace(rows=[row], is_full=False), "row not taken", row=row.key
+            )
+        ]
+        if update.is_full:
+            self._try_publish(update._replace(rows=taken), "changes not taken")
 
-    def _publish_single_row(self, update: TableUpdate) -> None:
+    def _try_publish(self, update: TableUpdate, event: str, **fields: object) -> bool:
+        """Delivers an update and returns whether the callback succeeded; logs a failure."""
         try:
             self._on_update(update)
         except Exception as error:
-            row = update.rows[0].key
-            self._journal.log(
-                "store", "row not taken", table=self._table, row=row, reason=repr(error)
-            )
+            self._journal.log("store", event, table=self._table, reason=repr(error), **fields)
+            return False
+        return True
 
     async def _run_cancellable(self, call: Coroutine[Any, Any, Rows]) -> Rows:
         """Runs a call as a task, so that :meth:`restart_call` and others can cancel it."""
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -17,6 +17,7 @@
 from standins.rowstore import RowStore
 from tests.platform.sites import choose_ports, replace_ports, wait_until_ready
 from tests.test_deployment import SETTINGS
+from tests.test_odd_rows import ODD_ROWS
 
 pytestmark = pytest.mark.processes
 
@@ -282,6 +283,31 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_a_vm_beside_odd_rows_serves_and_follows_also_after_a_restart(tmp_path):
+    """Guards against one row of another program that ends, or stops, all VMs that read it."""
+
+    async def scenario(node):
+        async def serve_and_follow(version, prefix):
+            for number in range(10):
+                assert (await node.call("8100", f"/x/{number}", method="POST")).status == 200
+            await node.store.put("op", "config", configuration(version, "/x/", prefix))
+            async with asyncio.timeout(CALL_S):
+                while (await node.call("8100", f"{prefix}1")).status != 200:
+                    await asyncio.sleep(0.05)
+
+        for number, value in enumerate(ODD_ROWS.values()):
+            await node.store.put("servers", f"odd-{number}", value)
+            await node.store.put("carawaybank", f"vm/odd-{number}", value)
+            await node.store.put("carawaybank", f"crash/odd-{number}", value)
+        await serve_and_follow(3, "/new/")
+        node.process.kill()
+        await node.process.wait()
+        await node.start(tmp_path)
+        await serve_and_follow(4, "/newer/")
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_a_reload_of_valid_or_invalid_settings_does_not_end_the_process(tmp_path):
     async def scenario(node):
         node.path.write_text(node.text.replace("retry_slack = 62", "retry_slack = 17"))
--- a/tests/store_world.py
+++ b/tests/store_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from carawaybank.counters import Counters
 from carawaybank.journal import Journal
 from carawaybank.platform.adapter import PlatformAdapter
 from carawaybank.siblings.sources import TableSource
@@ -47,6 +48,7 @@
     def __init__(self):
         self.lines = []
         self.journal = Journal(vm="vm-1", write=self.lines.append, lines_per_s=10_000)
+        self.counters = Counters()
         self.router = make_router()
         self.store = RowStore()
 
@@ -69,6 +71,7 @@
             router=router,
             read_target=self.adapter.read_target,
             expiry_grace_s=EXPIRY_GRACE_S,
+            counters=self.counters,
             journal=self.journal,
         )
 
