Log whom a configuration was read from, and the retries of each service

The incident could not be answered from the logs: 'installed' did not say whom a VM had read a version from, and no line or metric had the retries that a VM's limit allowed, so that the sum over all VMs in a window could not be made.

--- a/src/carawaybank/counters.py
+++ b/src/carawaybank/counters.py
@@ -49,6 +49,18 @@
     event: str
 
 
+class RetryLabels(NamedTuple):
+    """Labels of the counter of retries.
+
+    Attributes:
+        service: Name of the service.
+        event: ``allowed`` or ``refused``.
+    """
+
+    service: str
+    event: str
+
+
 class LatencyHistogram(NamedTuple):
     """Latency histogram of one service.
 
@@ -72,6 +84,7 @@
         self._limit_events: Counter[str] = Counter()
         self._relays: Counter[str] = Counter()
         self._rejected_rows: Counter[str] = Counter()
+        self._retries: Counter[RetryLabels] = Counter()
         self._machine_reports: Counter[str] = Counter()
         self._allotments: Counter[AllotmentLabels] = Counter()
         self._allotment_tenants: set[str] = set()
@@ -132,6 +145,17 @@
         with self._lock:
             self._limit_events[event] += 1
 
+    def count_retries(self, service: str, *, allowed: int, refused: int) -> None:
+        """Counts retries that the limit of a service allowed and refused."""
+        with self._lock:
+            self._retries[RetryLabels(service, "allowed")] += allowed
+            self._retries[RetryLabels(service, "refused")] += refused
+
+    def retries(self) -> dict[RetryLabels, int]:
+        """Returns the number of retries by service and event."""
+        with self._lock:
+            return dict(self._retries)
+
     def count_rejected_row(self, table: str) -> None:
         """Counts a row of another program that cannot be used."""
         with self._lock:
--- a/src/carawaybank/maintenance.py
+++ b/src/carawaybank/maintenance.py
@@ -7,6 +7,7 @@
 from carawaybank.journal import Journal
 from carawaybank.pacing import PaceReports
 from carawaybank.relays import Relays
+from carawaybank.retryreports import RetryReports
 from carawaybank.siblings.allotments import AllotmentExchange
 from carawaybank.suspension import SuspensionWatch
 from carawaybank.targets.sender import TargetSender
@@ -27,6 +28,7 @@
         relays: Relays,
         allotments: AllotmentExchange,
         pacing: PaceReports,
+        retries: RetryReports,
         watches: Sequence[TableWatch],
         reload: Callable[[], None],
         journal: Journal,
@@ -39,6 +41,7 @@
             relays: Keeps connections to siblings.
             allotments: Gives up what this VM owns after a suspension.
             pacing: Logs the pace of targets.
+            retries: Logs the retries of requests.
             watches: The followed tables.
             reload: Applies changed settings.
             journal: Logs suspensions.
@@ -48,6 +51,7 @@
         self._relays = relays
         self._allotments = allotments
         self._pacing = pacing
+        self._retries = retries
         self._watches = watches
         self._reload = reload
         self._journal = journal
@@ -61,6 +65,7 @@
             self._recover_from_suspension(suspension.pop_suspended_s())
             self._reload()
             self._pacing.publish()
+            self._retries.publish()
             self._sender.pool.close_idle()
             self._relays.check_timeouts(loop.time())
             for connection in list(self._connections):
--- a/src/carawaybank/metrics.py
+++ b/src/carawaybank/metrics.py
@@ -66,6 +66,7 @@
             "carawaybank.control.bytes", [lambda _: [Observation(counters.control_bytes)]], "By"
         )
         counter("carawaybank.limits", [self._observe_limits], description="of targets, by event")
+        counter("carawaybank.retries", [self._observe_retries], description="by service")
         counter("carawaybank.rows.rejected", [self._observe_rows], description="by table")
         counter("carawaybank.relays", [self._observe_relays], description="between VMs, by event")
         counter("carawaybank.machine_reports", [self._observe_machines], description="by state")
@@ -104,6 +105,10 @@
         counts = self._counters.limit_events()
         return [Observation(count, {"event": event}) for event, count in counts.items()]
 
+    def _observe_retries(self, _: CallbackOptions) -> list[Observation]:
+        counts = self._counters.retries()
+        return [Observation(count, labels._asdict()) for labels, count in counts.items()]
+
     def _observe_rows(self, _: CallbackOptions) -> list[Observation]:
         counts = self._counters.rejected_rows()
         return [Observation(count, {"table": table}) for table, count in counts.items()]
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -26,6 +26,7 @@
 from carawaybank.operators.rows import OperatorRows
 from carawaybank.pacing import PaceReports
 from carawaybank.relays import Relays
+from carawaybank.retryreports import RetryReports
 from carawaybank.routing.router import Router
 from carawaybank.routing.vmweights import capacity_weight
 from carawaybank.rows import INITIAL_POSITION, Position
@@ -99,6 +100,9 @@
             relays=self._relays,
             allotments=self._allotments,
             pacing=self._pacing,
+            retries=RetryReports(
+                limits=self._router.retry_limits, counters=self._counters, journal=self._journal
+            ),
             watches=self._watches,
             reload=self._reload,
             journal=self._journal,
--- a/src/carawaybank/operators/rows.py
+++ b/src/carawaybank/operators/rows.py
@@ -98,7 +98,14 @@
             self._configuration_era = update.era
         if installed:
             self._counters.configuration_version = configuration.version
-            self._journal.log("config", "installed", version=configuration.version, era=update.era)
+            self._journal.log(
+                "config",
+                "installed",
+                version=configuration.version,
+                era=update.era,
+                row_version=row.version,
+                reader=update.reader,
+            )
             for fault in find_faults(configuration, self._regions)[:_MAX_LOGGED_FAULTS]:
                 self._journal.log("config", "fault", version=configuration.version, reason=fault)
         elif self._configuration_era < update.era:
--- a/src/carawaybank/routing/retrylimit.py
+++ b/src/carawaybank/routing/retrylimit.py
@@ -17,6 +17,7 @@
 """
 
 from collections import deque
+from typing import NamedTuple
 
 from carawaybank.routing.options import RouterOptions
 
@@ -34,6 +35,20 @@
 _EXPIRY_STEP = 0.01
 
 
+class RetryCounts(NamedTuple):
+    """What a retry limit has counted since it was created.
+
+    Attributes:
+        requests: Requests of callers.
+        allowed: Retries that were allowed.
+        refused: Retries that were refused.
+    """
+
+    requests: int = 0
+    allowed: int = 0
+    refused: int = 0
+
+
 class _KeptCredit:
     """Credit of the requests of one expiry step.
 
@@ -75,9 +90,12 @@
         self._bucket = 0.0
         self._filled_at = started_at
         self._kept: deque[_KeptCredit] = deque()
-        #: Number of retries that were allowed and refused.
-        self.allowed_count = 0
-        self.refused_count = 0
+        self._request_count = self._allowed_count = self._refused_count = 0
+
+    @property
+    def counts(self) -> RetryCounts:
+        """The numbers of requests and retries so far."""
+        return RetryCounts(self._request_count, self._allowed_count, self._refused_count)
 
     def set_slack(self, slack: float, *, now: float) -> None:
         """Sets this entry VM's part of the constant, which depends on the number of VMs."""
@@ -87,6 +105,7 @@
 
     def record_request(self, *, now: float) -> None:
         """Adds the credit of a caller's request."""
+        self._request_count += 1
         self._bucket += _SOON_FRACTION * self._share
         self._fill(now)
         if not self._kept or now - self._kept[-1].earned_at > _EXPIRY_STEP * self._window_s:
@@ -103,7 +122,7 @@
     def try_acquire(self, *, now: float) -> bool:
         """Uses up the credit of a retry if there is enough; returns whether there was."""
         if self.credit(now=now) < 1.0:
-            self.refused_count += 1
+            self._refused_count += 1
             return False
         needed = max(0.0, 1.0 - self._bucket)
         self._bucket = max(0.0, self._bucket - 1.0)
@@ -113,7 +132,7 @@
             needed -= used
             if self._kept[0].amount <= 0.0:
                 self._kept.popleft()
-        self.allowed_count += 1
+        self._allowed_count += 1
         return True
 
     def _fill(self, now: float) -> None:
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -267,6 +267,11 @@
             self._release_target(progress)
             relaying.release(self, progress)
 
+    @property
+    def retry_limits(self) -> RetryLimits:
+        """The retry limits by service."""
+        return self._retry_limits
+
     def retry_limit(self, service: str, *, now: float) -> RetryLimit:
         """Returns the retry limit of a service, updated for the current number of entry VMs."""
         return self._retry_limits.of(
--- a/src/carawaybank/siblings/sources.py
+++ b/src/carawaybank/siblings/sources.py
@@ -16,6 +16,7 @@
 from carawaybank.siblings.tables import SiblingTables
 from carawaybank.siblings.vms import VmDirectory, VmRecord
 
+_STORE_NAME = "the store"
 #: Bounds in seconds of the pause between calls to a store that does not respond.
 _PAUSES_S = (0.1, 0.6)
 #: Growth factor of these pauses, and the number of failures after which they stop growing.
@@ -53,6 +54,7 @@
         self._journal = journal
         self._rng = rng
         self._siblings: dict[str, SiblingTables] = {}
+        self._by_name: dict[str, SiblingTables] = {}
         self._excluded_until: dict[str, float] = {}
         self._lagging_until = float("-inf")
         self._failures = 0
@@ -69,6 +71,12 @@
         """Returns whether a reader is the store itself."""
         return reader is self._store
 
+    def reader_name(self, reader: RowReader) -> str:
+        """Returns the name of a sibling, or ``the store``."""
+        if self.is_store(reader):
+            return _STORE_NAME
+        return next((name for name, known in self._by_name.items() if known is reader), "")
+
     @property
     def is_after_outage(self) -> bool:
         """Whether this VM, or another one known to it, recently failed to reach the store."""
@@ -98,6 +106,7 @@
         address = chosen.control_address
         if address not in self._siblings:
             self._siblings[address] = SiblingTables(address=address)
+        self._by_name[chosen.vm] = self._siblings[address]
         return self._log_choice(chosen.vm, self._siblings[address])
 
     def _usable(self, readers: list[VmRecord], now: float) -> list[VmRecord]:
@@ -161,5 +170,5 @@
     def _log_choice(self, name: str, reader: RowReader) -> RowReader:
         if name != self._current_reader:
             self._current_reader = name
-            self._journal.log("siblings", "tables are read", reader=name or "the store")
+            self._journal.log("siblings", "tables are read", reader=name or _STORE_NAME)
         return reader
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -51,6 +51,7 @@
         is_backup: Whether the store has just been restored from a backup and these are its rows:
             some may be outdated, and missing rows may be written again.
         era: Era of the store in which the rows were read.
+        reader: From whom they were read: the name of a sibling, or ``the store``.
     """
 
     rows: list[Row]
@@ -58,6 +59,7 @@
     after_outage: bool
     is_backup: bool = False
     era: int = 0
+    reader: str = ""
 
     def with_prefix(self, prefix: str) -> "TableUpdate":
         """Returns the update with only the rows whose keys have a prefix, which is removed."""
@@ -75,6 +77,9 @@
     def is_store(self, reader: RowReader) -> bool:
         """Returns whether a reader is the store itself."""
 
+    def reader_name(self, reader: RowReader) -> str:
+        """Returns the name of a sibling, or ``the store``."""
+
     @property
     def is_after_outage(self) -> bool:
         """Whether the store was recently unreachable, for this VM or for another that it knows."""
@@ -197,7 +202,7 @@
         """Uses a sibling's rows while the store cannot be read, if only the sibling read them."""
         if self._position is None and rows.version:
             self._journal.log("store", "read by a sibling", table=self._table, rows=len(rows.rows))
-            self._apply(rows, is_full=True)
+            self._apply(rows, is_full=True, reader="a seed")
 
     async def changes_since(self, position: Position, *, wait_s: float) -> Rows:
         """Waits at most ``wait_s`` seconds for changes after a sibling's position; returns them.
@@ -289,7 +294,7 @@
             update = update._replace(after_outage=True)
         self._failures = 0
         self._read_at = asyncio.get_running_loop().time()
-        self._apply(update, is_full=is_full)
+        self._apply(update, is_full=is_full, reader=self._selector.reader_name(reader))
         if update.rows and not is_full:
             await asyncio.sleep(self._batch_delay_s())
 
@@ -329,7 +334,7 @@
             self._selector.record_break(reader)
             return await self._run_cancellable(poll(self._table, after=after, wait_s=0.0))
 
-    def _apply(self, update: Rows, *, is_full: bool) -> None:
+    def _apply(self, update: Rows, *, is_full: bool, reader: str) -> None:
         if self._era is not None and update.era > self._era:
             self._begin_recovery(update)
         self._era = update.era
@@ -351,7 +356,9 @@
         )
         if update.rows or is_full or update.after_outage:
             is_backup = is_full and self.is_recovering
-            delivery = TableUpdate(update.rows, is_full, update.after_outage, is_backup, update.era)
+            delivery = TableUpdate(
+                update.rows, is_full, update.after_outage, is_backup, update.era, reader
+            )
             self._publish(delivery)
 
     def _begin_recovery(self, update: Rows) -> None:
