Read a change from the VM that reports it when the own readers lag

A lag that was noticed during a pause, or while calls failed one after the other, was dropped.

A heartbeat says who has the change, so that VM is asked for it: once, not held, by readers and followers alike, and at once where the store fails. A VM that lags itself says so in its heartbeat (under a name of its own in the positions, which older builds ignore), because it can only pass on that there is something newer.

--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -57,6 +57,9 @@
 #: Fraction of the process memory that unfinished large responses of targets may use. Joining the
 #: parts of a response briefly doubles its memory.
 _RESPONSE_MEMORY_FRACTION = 0.125
+#: Added to the name of a table for the position up to which a VM that lags has read it. Builds that
+#: do not know it take it for a table that they do not follow.
+_READ_SUFFIX = "/read"
 #: Table with the registrations of VMs and the crash reports, followed by a single watch.
 SHARED_TABLE = "carawaybank"
 
@@ -131,7 +134,7 @@
     def _make_heartbeat(self) -> None:
         self._heartbeat = HeartbeatTask(
             vms=self._vms,
-            positions=lambda: {watch.table: watch.newest_known_position for watch in self._watches},
+            positions=self._positions,
             on_change=self._registrations.record_change,
             on_positions=self._record_sibling_positions,
             on_sent=self._end_heartbeat_round,
@@ -337,9 +340,19 @@
         """
         return 0.0 if self._router.targets.has_routed_requests else _BATCH_DELAY_S
 
-    def _record_sibling_positions(self, positions: dict[str, Position]) -> None:
+    def _positions(self) -> dict[str, Position]:
+        """Returns the newest known position of each table, and the one read where it is older."""
+        positions = {watch.table: watch.newest_known_position for watch in self._watches}
         for watch in self._watches:
-            is_newer = watch.record_sibling_position(positions.get(watch.table, INITIAL_POSITION))
+            if watch.newest_read_position < positions[watch.table]:
+                positions[watch.table + _READ_SUFFIX] = watch.newest_read_position
+        return positions
+
+    def _record_sibling_positions(self, positions: dict[str, Position], vm: str) -> None:
+        for watch in self._watches:
+            position = positions.get(watch.table, INITIAL_POSITION)
+            has_read = watch.table + _READ_SUFFIX not in positions
+            is_newer = watch.record_sibling_position(position, vm=vm if has_read else "")
             if is_newer and watch.is_lagging and watch.table == self._adapter.operator_table:
                 # The readers of this failure domain may have lost their connection to the store, so
                 # the position is sent to its other VMs as well.
--- a/src/carawaybank/siblings/heartbeat.py
+++ b/src/carawaybank/siblings/heartbeat.py
@@ -39,7 +39,7 @@
         vms: VmDirectory,
         positions: Callable[[], dict[str, Position]],
         on_change: Callable[[VmRecord], None],
-        on_positions: Callable[[dict[str, Position]], None],
+        on_positions: Callable[[dict[str, Position], str], None],
         on_sent: Callable[[], None] = lambda: None,
         on_report: Callable[[bytes], None] = lambda _: None,
     ) -> None:
@@ -49,7 +49,8 @@
             vms: Records heartbeats and selects their recipients.
             positions: Returns the position up to which each watched table has been read.
             on_change: Called with the record of a VM that a heartbeat changed.
-            on_positions: Called with the positions up to which another VM has read the tables.
+            on_positions: Called with the positions up to which another VM has read the tables, and
+                its name.
             on_sent: Called after each round, when readers may have changed.
             on_report: Called with each datagram that is a JSON object, which is no heartbeat.
         """
@@ -79,7 +80,7 @@
         changed = self._vms.record_heartbeat(heartbeat, now=asyncio.get_running_loop().time())
         if changed is not None:
             self._on_change(changed)
-        self._on_positions(heartbeat.positions)
+        self._on_positions(heartbeat.positions, heartbeat.vm)
 
     async def run(self) -> None:
         """Sends a round of heartbeats every ``INTERVAL_S`` seconds, until cancelled."""
--- a/src/carawaybank/siblings/sources.py
+++ b/src/carawaybank/siblings/sources.py
@@ -71,6 +71,13 @@
         """Returns whether a reader is the store itself."""
         return reader is self._store
 
+    def sibling_reader(self, vm: str) -> RowReader | None:
+        """Returns the tables of a sibling; None if it is unknown or serves none."""
+        record = self._vms.find(vm)
+        if record is None or not record.control_address:
+            return None
+        return self._tables_of(record)
+
     def reader_name(self, reader: RowReader) -> str:
         """Returns the name of a sibling, or ``the store``."""
         if self.is_store(reader):
@@ -103,11 +110,14 @@
             return self._log_choice("", self._store)
         # The names of VMs distribute them over the readers.
         chosen = usable[sum(own.vm.encode()) % len(usable)]
-        address = chosen.control_address
+        return self._log_choice(chosen.vm, self._tables_of(chosen))
+
+    def _tables_of(self, record: VmRecord) -> SiblingTables:
+        address = record.control_address
         if address not in self._siblings:
             self._siblings[address] = SiblingTables(address=address)
-        self._by_name[chosen.vm] = self._siblings[address]
-        return self._log_choice(chosen.vm, self._siblings[address])
+        self._by_name[record.vm] = self._siblings[address]
+        return self._siblings[address]
 
     def _usable(self, readers: list[VmRecord], now: float) -> list[VmRecord]:
         return [
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -12,7 +12,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol, TypeVar
 
 from carawaybank.history import History
 from carawaybank.journal import Journal
@@ -27,6 +27,8 @@
     StoreError,
 )
 
+_T = TypeVar("_T")
+
 #: Seconds for which the store or a reader may hold a long poll while there is no change.
 _LONG_POLL_WAIT_S = 29.0
 #: Seconds for which a watch may lag behind a sibling's before its call is cancelled and repeated.
@@ -77,6 +79,9 @@
     def is_store(self, reader: RowReader) -> bool:
         """Returns whether a reader is the store itself."""
 
+    def sibling_reader(self, vm: str) -> RowReader | None:
+        """Returns the tables of a sibling; None if it is unknown or serves none."""
+
     def reader_name(self, reader: RowReader) -> str:
         """Returns the name of a sibling, or ``the store``."""
 
@@ -141,10 +146,13 @@
         self._failures = 0
         self._newest_read_position = INITIAL_POSITION
         self._max_reported = INITIAL_POSITION
+        self._most_advanced_vm = ""  #: The last VM known to have read up to this position.
+        #: Whether the next call goes to that VM instead of the reader, because the watch lags.
+        self._catches_up = self._is_catch_up_call = False
         self._lag_check: asyncio.TimerHandle | None = None
         #: Whether the last call was cancelled for its lag, so that the next one must not be held.
         self._is_call_uncertain = False
-        self._open_call: asyncio.Task[Rows] | None = None
+        self._open_call: asyncio.Task[Any] | None = None
         self._reader: RowReader | None = None
         self._last_responder: RowReader | None = None  #: None if the last call failed.
         self._rows: dict[str, Row] = {}
@@ -212,13 +220,20 @@
         """
         return await self._history.changes_since(position, wait_s=wait_s)
 
-    def record_sibling_position(self, position: Position) -> bool:
+    def record_sibling_position(self, position: Position, *, vm: str = "") -> bool:
         """Records a sibling's newest position and returns whether it is newer than all known.
 
-        If the open call does not return it within the lag limit, another reader is called instead.
+        If the open call does not return it within the lag limit, the sibling is asked for it.
+
+        Args:
+            position: Position up to which the sibling knows of changes.
+            vm: Name of the sibling; empty if it has not read these changes itself.
         """
         is_newer = position > self.newest_known_position
-        self._max_reported = max(self._max_reported, position)
+        if position > self._max_reported:
+            self._max_reported, self._most_advanced_vm = position, vm
+        elif position == self._max_reported and vm:
+            self._most_advanced_vm = vm
         if self.is_lagging and self._lag_check is None:
             loop = asyncio.get_running_loop()
             self._lag_check = loop.call_later(self._lag_limit_s(), self._check_lag, self._open_call)
@@ -229,10 +244,17 @@
         """Whether a sibling has reported a change that this VM has not read."""
         return self._position is not None and self._max_reported > self._position
 
-    def _check_lag(self, call: "asyncio.Task[Rows] | None") -> None:
-        """Cancels the call that was open when the lag was noticed, if the watch still lags."""
+    def _check_lag(self, call: "asyncio.Task[Any] | None") -> None:
+        """Cancels the call that was open when the lag was noticed, if the watch still lags.
+
+        The next call goes to the sibling that reported the newer position: the reader and the store
+        may be as unreachable for this VM as they are slow.
+        """
         self._lag_check = None
-        if not self.is_lagging or self._open_call is None:
+        if not self.is_lagging:
+            return
+        self._catches_up = True
+        if self._open_call is None:
             return
         if call is not self._open_call:
             self.record_sibling_position(self._max_reported)
@@ -250,10 +272,14 @@
 
     def recheck_reader(self) -> None:
         """Cancels the open call if the selector would now select another reader."""
-        if self._open_call is not None and self._selector.select_reader() is not self._reader:
+        if self._open_call is None or self._is_catch_up_call:
+            return
+        if self._selector.select_reader() is not self._reader:
             self._open_call.cancel()
 
     def _lag_limit_s(self) -> float:
+        if self._failures:
+            return 0.0
         reader = self._reader
         from_store = reader is None or self._selector.is_store(reader)
         return _STORE_LAG_LIMIT_S if from_store else _READER_LAG_LIMIT_S
@@ -261,7 +287,7 @@
     async def run(self) -> None:
         """Follows the table until cancelled."""
         while True:
-            reader = self._reader = self._selector.select_reader()
+            reader = self._reader = self._select_reader()
             try:
                 await self._poll_once(reader)
             except asyncio.CancelledError:
@@ -272,11 +298,21 @@
                 self._journal.log("store", "history gone", table=self._table, seen=self._position)
                 self._needs_full_read = True
                 await asyncio.sleep(_REREAD_PAUSE_S)
+                continue
             except StoreError as error:
                 self._record_failure(reader, error)
+            self._catches_up = self._catches_up and not self._is_catch_up_call
+
+    def _select_reader(self) -> RowReader:
+        self._catches_up = self._catches_up and self.is_lagging
+        sibling = None
+        if self._catches_up:
+            sibling = self._selector.sibling_reader(self._most_advanced_vm)
+        self._is_catch_up_call = sibling is not None
+        return sibling or self._selector.select_reader()
 
     async def _poll_once(self, reader: RowReader) -> None:
-        await self._selector.wait_for_call_slot(reader)
+        await self._run_cancellable(self._selector.wait_for_call_slot(reader))
         is_full = self._needs_full_read
         update = await self._read(reader)
         # Failures counted here matter as well: at the end of an outage, another VM that did not
@@ -312,7 +348,9 @@
             return update
         # The first call after an outage or to another reader does not wait for a change, because
         # its response confirms that the reader is reachable and contains the era.
-        is_reader_confirmed = reader is self._last_responder and not self._is_call_uncertain
+        is_reader_confirmed = reader is self._last_responder and not (
+            self._is_call_uncertain or self._is_catch_up_call
+        )
         wait_s = _LONG_POLL_WAIT_S if is_reader_confirmed and not self._failures else 0.0
         self._is_call_uncertain = False
         update = await self._poll_changes(reader, self._position, wait_s)
@@ -418,13 +456,18 @@
             return False
         return True
 
-    async def _run_cancellable(self, call: Coroutine[Any, Any, Rows]) -> Rows:
-        """Runs a call as a task, so that :meth:`restart_call` and others can cancel it."""
-        self._open_call = asyncio.create_task(call)
+    async def _run_cancellable(self, call: Coroutine[Any, Any, _T]) -> _T:
+        """Runs a call or a pause as a task, so that :meth:`restart_call` and others can cancel it.
+
+        Raises:
+            asyncio.CancelledError: If it was cancelled.
+        """
+        task: asyncio.Task[_T] = asyncio.create_task(call)
+        self._open_call = task
         try:
-            return await self._open_call
+            return await task
         finally:
-            self._open_call.cancel()
+            task.cancel()
             self._open_call = None
 
     def _record_failure(self, reader: RowReader, error: StoreError) -> None:
--- a/tests/siblings/test_allotments.py
+++ b/tests/siblings/test_allotments.py
@@ -48,7 +48,7 @@
             vms=self.vms,
             positions=dict,
             on_change=lambda _: None,
-            on_positions=lambda _: None,
+            on_positions=lambda read, vm: None,
             on_report=self.exchange.receive,
         )
 
--- a/tests/siblings/test_limits.py
+++ b/tests/siblings/test_limits.py
@@ -159,7 +159,7 @@
         vms=vms,
         positions=dict,
         on_change=lambda _: None,
-        on_positions=positions.append,
+        on_positions=lambda read, vm: positions.append(read),
         on_report=reports.append,
     )
 
--- a/tests/siblings/test_sources.py
+++ b/tests/siblings/test_sources.py
@@ -30,7 +30,8 @@
 class Vm:
     """A VM that follows the table of targets and serves it to siblings."""
 
-    def __init__(self, *, world, number):
+    def __init__(self, *, world, number, domain="a1"):
+        self.domain = domain
         self.world = world
         self.number = number
         self.store = make_adapter(world.address).store
@@ -45,7 +46,7 @@
         )
         address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
         name = f"vm-{self.number}"
-        self.record = VmRecord(name, "", "", "a1", "a", 1, control_address=address)
+        self.record = VmRecord(name, "", "", self.domain, "a", 1, control_address=address)
         self.vms = VmDirectory(own=self.record)
         source = TableSource(
             vms=self.vms, store=self.store, journal=self.world.journal, rng=random.Random(1)
@@ -83,7 +84,10 @@
         for other in others:
             if other is not self:
                 other.vms.record_heartbeat(heartbeat, now=now)
-                other.watch.record_sibling_position(heartbeat.positions["servers"])
+                position = heartbeat.positions["servers"]
+                has_read = self.watch.newest_read_position >= position
+                name = heartbeat.vm if has_read else ""
+                other.watch.record_sibling_position(position, vm=name)
         self.watch.recheck_reader()
 
 
@@ -279,7 +283,8 @@
         follower = next(vm for vm in fleet.vms if not vm.is_reader)
         follower.watch._newest_read_position = Position(1, 10_000)
         follower.watch._needs_full_read = True
-        follower.watch._open_call.cancel()
+        await wait_until(lambda: follower.watch._open_call)
+        follower.watch.restart_call()
         await wait_until(lambda: world.has_logged("it has read less than is known here"))
 
     run_fleet(scenario)
@@ -312,6 +317,38 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("is_refused", [False, True])
+def test_a_failure_domain_without_the_store_gets_changes_from_the_vm_that_reports_them(is_refused):
+    """Guards against VMs that wait for readers which are cut off from the store as they are."""
+
+    async def scenario(world, fleet):
+        far = Vm(world=world, number=VM_COUNT, domain="b1")
+        await far.start()
+        far.task = asyncio.create_task(far.watch.run())
+        now = asyncio.get_running_loop().time()
+        for vm in fleet.vms:
+            vm.vms.update(far.record, now=now)
+        unresponsive = await asyncio.start_server(send_nothing, "127.0.0.1", 0)
+        port = unresponsive.sockets[0].getsockname()[1]
+        readers = fleet.readers
+        for vm in fleet.vms:
+            vm.store._address = "127.0.0.1:1" if is_refused else f"127.0.0.1:{port}"
+            vm.store._pool.close_all()
+            vm.watch.restart_call()
+        await world.store.put("servers", "t2", target_row(2))
+        await wait_until(lambda: far.targets == {"t1", "t2"})
+        started_at = asyncio.get_running_loop().time()
+        while not all(vm.targets == {"t1", "t2"} for vm in fleet.vms):
+            far.send_heartbeat(readers, asyncio.get_running_loop().time())
+            await asyncio.sleep(heartbeat.INTERVAL_S / 4)
+            assert asyncio.get_running_loop().time() - started_at < TIME_LIMIT_S
+        far.task.cancel()
+        far.server.close()
+        unresponsive.close()
+
+    run_fleet(scenario, heartbeat_s=heartbeat.INTERVAL_S)
+
+
 async def send_nothing(reader, writer):
     await reader.read()
     writer.close()
