Send nothing to cold targets just after the start of a process

The same class as the retries: the limit on requests to cold targets is a sum over VMs of which each counts since the start of its process. A cold target crashes above its rate.

A new process now waits for as long as after a request, and until it knows the entry VMs.

--- a/src/carawaybank/routing/coldstart.py
+++ b/src/carawaybank/routing/coldstart.py
@@ -22,7 +22,7 @@
 class ColdStartLimit:
     """Limits the rate of requests from one entry VM to cold targets.
 
-    >>> limit = ColdStartLimit(vm="a")
+    >>> limit = ColdStartLimit(vm="a", started_at=-9.0)
     >>> limit.try_send("t", vms=("a", "b"), rate=11.0, now=0.0)
     True
     >>> limit.try_send("t", vms=("a", "b"), rate=11.0, now=1.0)
@@ -31,13 +31,16 @@
     True
     """
 
-    def __init__(self, *, vm: str) -> None:
+    def __init__(self, *, vm: str, started_at: float) -> None:
         """Creates a limit without recorded requests.
 
         Args:
             vm: Name of this entry VM.
+            started_at: Time in monotonic seconds at which the process started. The one before may
+                have sent a request to any target just then.
         """
         self._vm = vm
+        self._started_at = started_at
         self._last_sent_at: dict[str, float] = {}
 
     def may_send(self, target: str, *, vms: Sequence[str], rate: float, now: float) -> bool:
@@ -45,12 +48,14 @@
 
         Args:
             target: Id of the target.
-            vms: Entry VMs that may send to the target, including this one.
+            vms: Entry VMs that may send to the target, including this one; empty if not known yet.
             rate: Requests per second that the target tolerates from all entry VMs together.
             now: Current time in monotonic seconds.
         """
+        if not vms:
+            return False
         interval_s = JITTER_FACTOR * max(1.0, 1.0 / rate)
-        if now - self._last_sent_at.get(target, float("-inf")) < interval_s:
+        if now - self._last_sent_at.get(target, self._started_at) < interval_s:
             return False
         max_senders = max(1, int(rate))
         return (
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -68,7 +68,7 @@
         self.identification = Identification(
             is_strict=options.revoke_strict, revoke_within_s=options.revoke_within_s
         )
-        self.cold_starts = ColdStartLimit(vm=options.vm)
+        self.cold_starts = ColdStartLimit(vm=options.vm, started_at=started_at)
         self.limits = TargetLimits(
             vm=options.vm, locality=VmLocality(options.failure_domain, options.region)
         )
--- a/tests/routing/test_components.py
+++ b/tests/routing/test_components.py
@@ -118,7 +118,7 @@
         router.arrive(make_request(key, object_key=""), 0.0)
         router.abandon(key, 0.0)
     assert len(router.targets.pools._ranks) <= RANKINGS_WITHOUT_OBJECT
-    limit = ColdStartLimit(vm="a")
+    limit = ColdStartLimit(vm="a", started_at=-10.0)
     for number in range(3 * MAX_TRACKED_TARGETS):
         limit.try_send(f"t{number}", vms=("a",), rate=10.0, now=float(number))
     assert len(limit._last_sent_at) <= MAX_TRACKED_TARGETS
--- a/tests/routing/test_shared_limits.py
+++ b/tests/routing/test_shared_limits.py
@@ -34,7 +34,7 @@
     names = tuple(f"vm-{i}" for i in range(vms))
     times = []
     for name in names:
-        limit, now = ColdStartLimit(vm=name), 0.0
+        limit, now = ColdStartLimit(vm=name, started_at=-UPTIME_S), 0.0
         while now < 6.0:
             now += rng.expovariate(30.0)
             if limit.try_send("t", vms=names, rate=rate, now=now):
@@ -66,6 +66,22 @@
         assert len(retries_within) <= share * len(requests_within) + slack
 
 
+@given(vms=st.integers(1, 24), restart_s=st.floats(0.3, 2.0), seed=st.integers(0, 10_000))
+def test_vms_that_restart_send_no_more_to_cold_targets(vms, restart_s, seed):
+    """Guards against a process that sends to a target just after the one before it has."""
+    rng = random.Random(seed)
+    names, rate, times = tuple(f"vm-{i}" for i in range(vms)), 8.0, []
+    for name in names:
+        now, limit = 0.0, ColdStartLimit(vm=name, started_at=-UPTIME_S)
+        for start in (restart_s, 2 * restart_s, 3 * restart_s):
+            while (now := now + rng.expovariate(30.0)) < start:
+                if limit.try_send("t", vms=names, rate=rate, now=now):
+                    times.append(now)
+            limit = ColdStartLimit(vm=name, started_at=start)
+            assert not limit.try_send("t", vms=(), rate=rate, now=start + 10.0)
+    assert busiest_window(times) <= rate
+
+
 class RetryingVms:
     """Entry VMs of which each retries whatever its limit allows, until it is restarted."""
 
