--- a/tests/routing/test_shared_limits.py
+++ b/tests/routing/test_shared_limits.py
@@ -10,7 +10,7 @@
 from carawaybank.routing.options import RouterOptions
 from carawaybank.routing.retrylimit import RetryLimit, RetryLimits
 from carawaybank.routing.spillover import SHIFT_WINDOW_S, DomainShares, RegionShares
-from tests.routing.builders import UPTIME_S
+from tests.routing.builders import UPTIME_S, make_router
 
 WINDOW_S = 1.0
 MAX_SHIFT = 0.15
@@ -148,6 +148,18 @@
     assert fleet.excess() <= 0.0
 
 
+def test_changed_settings_leave_the_credit_as_it_is():
+    """Guards against a reload of the settings that allows the retries of a window again."""
+    router = make_router()
+    limit = router.retry_limit("ledger", now=0.0)
+    while limit.try_acquire(now=0.0):
+        pass
+    router.update_options(router.options._replace(max_shift=0.3))
+    assert not router.retry_limit("ledger", now=0.0).try_acquire(now=0.0)
+    router.update_options(router.options._replace(retry_share=0.3))
+    assert not router.retry_limit("ledger", now=0.0).try_acquire(now=0.0)
+
+
 def test_retries_after_a_calm_window_cover_a_short_outage():
     """Guards against a limit that wastes what it allows: a second of failures after a calm time."""
     fleet = RetryingVms(count=11, knows_all=True)
