--- a/review/common/site.py
+++ b/review/common/site.py
@@ -157,6 +157,7 @@
             request_id = headers.get(ID.lower(), "")
             self.runs.setdefault(request_id, []).append(time.monotonic())
             self.record.add(f"{self.name} begins {method} {path} id={request_id}")
+            self.begin(writer)
             try:
                 await asyncio.sleep(self.work_s)
             finally:
@@ -165,8 +166,15 @@
         if reply is not None:
             writer.write(reply)
             await writer.drain()
+            self.end(writer)
         return reply is not None
 
+    def begin(self, writer):
+        """Is called when a request begins to run; a sound server does nothing."""
+
+    def end(self, writer):
+        """Is called when a response was written; a sound server does nothing."""
+
     def answer(self, method, path, headers, body):
         """Returns the bytes of the response to a request that has run."""
         return encode(200, self.headers(headers), b"done " + path.encode())
