Answer all requests that a stopping VM has read, and tell every connection to close

Bookings that came late in the grace were cut in the same way.

Cause: a connection closed only with a response that left its queue empty, which a caller that pipelines never meets; reading went on, requests were passed on whatever time was left, and the clock alone ended the stop.

routing/stopping.py now decides, without I/O, what is read, passed on, refused, waited for, given up and closed by the time that is left. Nothing is read behind a request in progress, so each connection ends with the response to the last request that was read; callers send what is behind it again. The router refuses what it may not finish. A socket with unread bytes is read until the caller has closed, since closing it would reset the connection and may cost the caller its last response.

--- a/src/carawaybank/callers/connections.py
+++ b/src/carawaybank/callers/connections.py
@@ -5,6 +5,9 @@
 responses become ready, no further response is written and no further request is read; a caller that
 reads nothing for some seconds is disconnected. When the caller closes its connection, the
 requests that still run for it are cancelled.
+
+When the VM stops, nothing is read behind a request that waits for its response, and the response to
+the last request that was read closes the connection. Callers send what was not read again.
 """
 
 import asyncio
@@ -19,12 +22,16 @@
 from carawaybank.callers.requests import CallerRequest, InvalidRequestError, RequestParser
 from carawaybank.replies import HttpReply
 from carawaybank.routing.configuration import Limits
+from carawaybank.routing.stopping import ConnectionState
 
 #: Requests of one connection that run concurrently. Reading pauses at this number of requests and
 #: resumes when responses have been written.
 _MAX_PIPELINED = 32
 #: Statuses whose responses have neither a body nor a Content-Length header.
 _BODILESS_STATUSES = frozenset({204, 304})
+#: Seconds for which a connection is read on after the response that closes it. A socket that is
+#: closed with unread bytes resets the connection, which may cost the caller this response.
+_CLOSE_WAIT_S = 1.0
 
 
 Handler = Callable[[CallerRequest], Awaitable[HttpReply]]
@@ -36,15 +43,17 @@
     Attributes:
         handle: Returns the response to a request; cancelled when the caller closes its connection.
         limits: Returns the limits in force.
-        is_closing: Returns whether a connection closes after a response that leaves no request
-            in its queue.
+        is_closing: Returns whether connections close with the response to the last request that was
+            read from them.
         backlog: Counts the responses that wait for slow callers; None to count none.
+        on_told_to_close: Called for each connection that closes for this reason.
     """
 
     handle: Handler
     limits: Callable[[], Limits]
     is_closing: Callable[[], bool]
     backlog: ResponseBacklog | None = None
+    on_told_to_close: Callable[[], None] = lambda: None
 
 
 class _Exchange:
@@ -83,11 +92,20 @@
         self._is_continue_sent = False
         self._head_started_at: float | None = None
         self._idle_since = self._loop.time()
+        self._close_timer: asyncio.TimerHandle | None = None
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is being received, run or responded to."""
-        return not (self._queue or self._parser.is_in_head or self._parser.is_in_body)
+        return not any(self.state)
+
+    @property
+    def state(self) -> ConnectionState:
+        """What is in progress on the connection."""
+        return ConnectionState(
+            is_answering=bool(self._queue) or self._close_timer is not None,
+            is_receiving=self._parser.is_in_head or self._parser.is_in_body,
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and adds this connection to the open ones."""
@@ -107,6 +125,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and starts the requests that are complete."""
+        self._end_input_if_closing()
         if self._is_input_ended:
             return
         try:
@@ -119,6 +138,7 @@
             self._head_started_at = self._loop.time()
         if len(self._queue) >= _MAX_PIPELINED:
             self._pause_reading()
+        self._end_input_if_closing()
         self._send_continue()
 
     def eof_received(self) -> bool:
@@ -144,6 +164,8 @@
         """Cancels the requests that still run for the caller."""
         self._connections.discard(self)
         self._is_input_ended = True
+        if self._close_timer is not None:
+            self._close_timer.cancel()
         for exchange in self._queue:
             if exchange.task is not None:
                 exchange.task.cancel()
@@ -157,6 +179,20 @@
         if self._transport is not None:
             self._transport.close()
 
+    def refuse_unfinished(self, detail: str) -> bool:
+        """Refuses the request that is being received and closes the connection.
+
+        Args:
+            detail: The text of the response.
+
+        Returns:
+            Whether there was one.
+        """
+        if self._is_input_ended or not self.state.is_receiving:
+            return False
+        self._refuse(503, detail)
+        return True
+
     def check_timeouts(self, now: float) -> None:
         """Enforces the header and idle timeouts, and aborts the connection if it is not read.
 
@@ -166,6 +202,8 @@
         limits = self._context.limits()
         if self._backlog is not None and self._backlog.abort_if_unread(now):
             return
+        if self._is_input_ended:
+            return
         if (
             self._head_started_at is not None
             and not self._is_writing_paused
@@ -216,8 +254,21 @@
         self._queue.append(exchange)
         self._flush()
 
+    def _end_input_if_closing(self) -> None:
+        """Reads nothing further if a request is queued and connections close.
+
+        Queued requests that were not started are dropped: a response that closes the connection
+        precedes them, so callers send them again.
+        """
+        if not self._queue or not self._context.is_closing():
+            return
+        self._is_input_ended = True
+        while self._queue[-1].task is None and self._queue[-1].reply is None:
+            self._queue.pop()
+
     def _flush(self) -> None:
         """Writes the responses that are ready, in request order, and resumes reading."""
+        self._end_input_if_closing()
         while (
             self._queue
             and self._queue[0].reply is not None
@@ -225,13 +276,11 @@
             and not self._is_writing_paused
         ):
             exchange = self._queue.popleft()
-            must_close = exchange.is_last or (self._context.is_closing() and not self._queue)
-            if self._is_input_ended and not self._queue:
-                must_close = True
+            must_close = exchange.is_last or (self._is_input_ended and not self._queue)
             self._write(exchange, must_close=must_close)
             self._idle_since = self._loop.time()
             if must_close:
-                self.close()
+                self._close_after_response(exchange)
                 return
         self._run_queued()
         if (
@@ -244,6 +293,21 @@
             self._transport.resume_reading()
         self._send_continue()
 
+    def _close_after_response(self, exchange: _Exchange) -> None:
+        """Closes the connection; the caller may have sent more, unless it asked to close."""
+        self._is_input_ended = True
+        if self._context.is_closing():
+            self._context.on_told_to_close()
+        asked_to_close = exchange.request is not None and exchange.request.is_last
+        if asked_to_close or self._transport is None or self._transport.is_closing():
+            self.close()
+            return
+        self._close_timer = self._loop.call_later(_CLOSE_WAIT_S, self.close)
+        self._transport.write_eof()
+        if self._is_reading_paused:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+
     def _write(self, exchange: _Exchange, *, must_close: bool) -> None:
         reply, backlog = exchange.reply, self._backlog
         assert reply is not None
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -28,6 +28,7 @@
 from carawaybank.relays import Relays
 from carawaybank.retryreports import RetryReports
 from carawaybank.routing.router import Router
+from carawaybank.routing.stopping import StopPlan
 from carawaybank.routing.vmweights import capacity_weight
 from carawaybank.rows import INITIAL_POSITION, Position, TableUpdate
 from carawaybank.settingsfile import SettingsFile
@@ -90,6 +91,7 @@
         )
         self._router.has_response_room = lambda: self._backlog.has_room
         self._stopped = asyncio.Event()
+        self._told_to_close_count = 0
         self._pacing = PaceReports(
             targets=self._router.targets, counters=self._counters, journal=self._journal
         )
@@ -289,6 +291,7 @@
             limits=lambda: self._handler.limits,
             is_closing=lambda: self._handler.is_stopping,
             backlog=self._backlog,
+            on_told_to_close=self._count_told_to_close,
         )
         endpoints = Endpoints(
             adapter=self._adapter,
@@ -401,20 +404,40 @@
 
         The VM is first removed from look-up responses, and then serves until callers have switched.
         """
-        self._journal.log("daemon", "stopping", connections=len(self._connections))
+        started_at = asyncio.get_running_loop().time()
+        waited_for = len(self._router.requests)
+        self._journal.log(
+            "daemon", "stopping", connections=len(self._connections), requests=waited_for
+        )
+        plan = StopPlan(started_at=started_at, stop_within_s=self._deployment.stop_within_s)
+        self._router.stop_plan = plan
         self._handler.is_stopping = True
         self._vms.stop()
         self._allotments.stop()
         self._heartbeat.send_final()
         deregistration = asyncio.create_task(self._registrations.deregister())
-        await drain(
-            servers,
-            self._connections,
-            is_idle=lambda: self._router.is_idle and self._relays.is_idle,
-            stop_within_s=self._deployment.stop_within_s,
-            journal=self._journal,
+        result = await drain(
+            plan,
+            servers=servers,
+            connections=lambda: (*self._connections, *self._relays.connections),
+            is_idle=lambda: self._router.is_idle,
+            give_up=lambda: self._sender.give_up() + self._relays.client.give_up(),
         )
         deregistration.cancel()
+        self._journal.log(
+            "daemon",
+            "stopped",
+            after_s=round(asyncio.get_running_loop().time() - started_at, 2),
+            told_to_close=self._told_to_close_count,
+            closed=result.closed,
+            refused=result.refused + plan.refused_count,
+            waited_for=waited_for,
+            given_up=result.given_up,
+            cut=len(self._router.requests),
+        )
+
+    def _count_told_to_close(self) -> None:
+        self._told_to_close_count += 1
 
     def _reload(self) -> None:
         """Applies changed settings, on SIGHUP and periodically (in case no signal was sent)."""
--- a/src/carawaybank/relays.py
+++ b/src/carawaybank/relays.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Collection, Coroutine, Sequence
 from typing import Any
 
 from carawaybank.callers.backlog import ResponseBacklog
@@ -107,9 +107,9 @@
         )
 
     @property
-    def is_idle(self) -> bool:
-        """Whether no request of another VM is in progress and no response is being written."""
-        return all(connection.is_idle for connection in self._connections)
+    def connections(self) -> Collection[CallerConnection]:
+        """The open connections of siblings that pass requests on."""
+        return self._connections
 
     @property
     def pool(self) -> ClientPool:
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -30,6 +30,7 @@
 from carawaybank.routing.reachability import Reachability
 from carawaybank.routing.retrylimit import RetryLimit, RetryLimits
 from carawaybank.routing.spillover import LocalityShares
+from carawaybank.routing.stopping import StopPlan
 from carawaybank.routing.suspects import SuspectedTargets
 from carawaybank.routing.targetlimits import TargetLimits
 from carawaybank.routing.tenants import RequestTerms
@@ -47,7 +48,13 @@
 
 
 class Router:
-    """Routes the requests of one entry VM."""
+    """Routes the requests of one entry VM.
+
+    Attributes:
+        stop_plan: Steps of the planned stop; None while this VM is not stopping.
+    """
+
+    stop_plan: StopPlan | None = None
 
     def __init__(self, *, options: RouterOptions, rng: random.Random, started_at: float) -> None:
         """Creates a router without configuration and targets.
@@ -309,6 +316,9 @@
         )
 
     def _dispatch(self, progress: Progress, now: float) -> Action:
+        refusal_by_stop = self._refuse_by_stop(progress, self.work_estimate(progress).warm_s, now)
+        if refusal_by_stop is not None:
+            return refusal_by_stop
         if self.reachability.is_lost(progress.service) and not progress.is_relayed:
             return relaying.relay_or_refuse(self, progress, now)
         choice = selection.choose(self, progress, now)
@@ -323,7 +333,16 @@
                 f"expected after {choice.expected_s:.3f} s, of them {choice.wait_s:.3f} s waiting"
             )
             return self._refuse(progress, admission_refusal, detail, now)
-        return self._send(progress, choice, now)
+        return self._refuse_by_stop(progress, choice.expected_s, now) or self._send(
+            progress, choice, now
+        )
+
+    def _refuse_by_stop(self, progress: Progress, expected_s: float, now: float) -> Finish | None:
+        """Refuses a request that this VM may not finish before it stops; other VMs serve it."""
+        if self.stop_plan is None or self.stop_plan.can_finish(expected_s=expected_s, now=now):
+            return None
+        self.stop_plan.refused_count += not progress.may_have_run
+        return self.finish(progress, NotRun(Reason.STOPPING, 0.0, "the entry VM stops"))
 
     def _send(self, progress: Progress, choice: Choice, now: float) -> Action:
         target = choice.target
--- /dev/null
+++ b/src/carawaybank/routing/stopping.py
@@ -0,0 +1,108 @@
+"""Decides what an entry VM that stops still reads, passes on, refuses, waits for and closes.
+
+Load pattern: callers go on sending on open connections, one request after another or pipelined,
+until they are told to close or the process is gone, while the time until the process is killed runs
+out. Look-ups no longer list the VM, but callers use a response for some seconds.
+
+In the order of time, a VM that stops
+
+1. listens and serves; each connection closes with the response to the last request that was read
+   from it, and nothing is read behind a request that has no response yet,
+2. stops listening and closes idle connections; requests that are being received are read on,
+3. refuses the requests that are still not complete,
+4. gives up: ends the attempts in progress, so that their callers still get a response,
+5. ends.
+
+At any time, a request is passed on only if its response is expected well before the fourth step.
+"""
+
+from enum import Enum
+from typing import NamedTuple
+
+#: Seconds for which idle connections stay open, unless the fraction below is shorter. Callers
+#: repeat the look-up within this time and switch to another entry VM.
+_LISTEN_S = 2.5
+#: Fractions of the stop time at which the steps end. What follows the last one is left to write
+#: responses and to end the process, also on a machine under load.
+_LISTEN_FRACTION = 0.42
+_READ_FRACTION = 0.6
+_GIVE_UP_FRACTION = 0.88
+_END_FRACTION = 0.93
+#: Factor by which a response may take longer than expected and still be waited for.
+_TOLERANCE_FACTOR = 1.5
+
+
+class Step(Enum):
+    """What happens to a connection of a VM that stops."""
+
+    KEEP = "keep"
+    CLOSE = "close"
+    REFUSE = "refuse"
+
+
+class ConnectionState(NamedTuple):
+    """What the decision on a connection depends on.
+
+    Attributes:
+        is_answering: Whether a request was read and its response is not written yet.
+        is_receiving: Whether a part of a request was read.
+    """
+
+    is_answering: bool
+    is_receiving: bool
+
+
+class StopPlan:
+    """The steps of one planned stop.
+
+    Attributes:
+        refused_count: Requests that were not passed on because too little time was left.
+
+    >>> plan = StopPlan(started_at=100.0, stop_within_s=6.0)
+    >>> plan.is_listening(102.0), plan.is_listening(103.0)
+    (True, False)
+    >>> plan.can_finish(expected_s=1.0, now=102.0), plan.can_finish(expected_s=1.0, now=104.0)
+    (True, False)
+    """
+
+    def __init__(self, *, started_at: float, stop_within_s: float) -> None:
+        """Computes the times of the steps.
+
+        Args:
+            started_at: Time of the stop signal in monotonic seconds.
+            stop_within_s: Seconds from the signal until the process is killed.
+        """
+        self.refused_count = 0
+        self._listen_until = started_at + min(_LISTEN_S, _LISTEN_FRACTION * stop_within_s)
+        self._read_until = started_at + _READ_FRACTION * stop_within_s
+        self._give_up_at = started_at + _GIVE_UP_FRACTION * stop_within_s
+        self._end_at = started_at + _END_FRACTION * stop_within_s
+
+    def is_listening(self, now: float) -> bool:
+        """Returns whether connections are accepted, and idle ones stay open."""
+        return now < self._listen_until
+
+    def can_finish(self, *, expected_s: float, now: float) -> bool:
+        """Returns whether a request may be passed on.
+
+        Args:
+            expected_s: Seconds in which its response is expected.
+            now: Current time in monotonic seconds.
+        """
+        return now + _TOLERANCE_FACTOR * expected_s <= self._give_up_at
+
+    def decide(self, connection: ConnectionState, now: float) -> Step:
+        """Returns what happens to a connection."""
+        if connection.is_answering:
+            return Step.KEEP
+        if connection.is_receiving:
+            return Step.KEEP if now < self._read_until else Step.REFUSE
+        return Step.KEEP if self.is_listening(now) else Step.CLOSE
+
+    def has_given_up(self, now: float) -> bool:
+        """Returns whether attempts in progress are ended."""
+        return now >= self._give_up_at
+
+    def is_over(self, now: float) -> bool:
+        """Returns whether the process ends, whatever is in progress."""
+        return now >= self._end_at
--- a/src/carawaybank/shutdown.py
+++ b/src/carawaybank/shutdown.py
@@ -1,48 +1,68 @@
-"""The planned stop of an entry VM, in an order that avoids failed requests."""
+"""Performs the planned stop of an entry VM, as :mod:`carawaybank.routing.stopping` decides."""
 
 import asyncio
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
 
 from carawaybank.callers.connections import CallerConnection
-from carawaybank.journal import Journal
+from carawaybank.routing.stopping import Step, StopPlan
 
-#: Seconds between the end of the process and the time at which the platform kills it.
-_STOP_MARGIN_S = 0.5
-#: Seconds after the stop signal for which idle connections stay open. Within this time callers
-#: repeat the look-up and switch to another entry VM.
-_LINGER_S = 2.5
+#: Seconds between two decisions on all connections.
+_INTERVAL_S = 0.1
+
+
+class StopResult(NamedTuple):
+    """What happened to connections and requests in a stop.
+
+    Attributes:
+        closed: Idle connections that were closed.
+        refused: Requests that were refused because they were not complete in time.
+        given_up: Attempts that were ended because no time was left.
+    """
+
+    closed: int
+    refused: int
+    given_up: int
 
 
 async def drain(
-    servers: Sequence[asyncio.Server],
-    connections: Collection[CallerConnection],
+    plan: StopPlan,
     *,
+    servers: Sequence[asyncio.Server],
+    connections: Callable[[], Iterable[CallerConnection]],
     is_idle: Callable[[], bool],
-    stop_within_s: float,
-    journal: Journal,
-) -> None:
+    give_up: Callable[[], int],
+) -> StopResult:
     """Serves requests on open connections until callers have switched, and closes everything.
 
     Args:
+        plan: Decides what is closed and when.
         servers: The listeners; the first one is that of callers.
-        connections: The open connections of callers.
+        connections: Returns the open connections of callers and siblings.
         is_idle: Returns whether no request is in progress.
-        stop_within_s: Seconds from now until the process is killed.
-        journal: Logs the end.
+        give_up: Ends the attempts in progress and returns their number.
     """
     loop = asyncio.get_running_loop()
-    started = loop.time()
-    end = started + stop_within_s - _STOP_MARGIN_S
-    while loop.time() < end:
-        await asyncio.sleep(0.1)
-        if loop.time() - started < _LINGER_S:
-            continue
-        servers[0].close()
-        for connection in list(connections):
-            if connection.is_idle:
+    closed = refused = given_up = 0
+    has_given_up = False
+    while not plan.is_over(loop.time()):
+        await asyncio.sleep(_INTERVAL_S)
+        now = loop.time()
+        if not plan.is_listening(now):
+            servers[0].close()
+        open_connections = list(connections())
+        for connection in open_connections:
+            step = plan.decide(connection.state, now)
+            if step is Step.CLOSE:
                 connection.close()
-        if not connections and is_idle():
+                closed += 1
+            elif step is Step.REFUSE:
+                refused += connection.refuse_unfinished("the entry VM stops")
+        if plan.has_given_up(now) and not has_given_up:
+            has_given_up = True
+            given_up = give_up()
+        if not plan.is_listening(now) and not open_connections and is_idle():
             break
     for server in servers:
         server.close()
-    journal.log("daemon", "stopped", after_s=round(loop.time() - started, 2))
+    return StopResult(closed, refused, given_up)
--- a/src/carawaybank/siblings/relays.py
+++ b/src/carawaybank/siblings/relays.py
@@ -116,6 +116,7 @@
         self._pool = ClientPool()
         self._numbers = itertools.count(1)
         self._exchanging: dict[ClientConnection, Relay] = {}
+        self._has_given_up = False
 
     @property
     def pool(self) -> ClientPool:
@@ -151,6 +152,13 @@
             if relay.idempotent and relay.offer.vm == vm:
                 connection.fail(Reason.PATH_LOST, f"{vm} does not answer")
 
+    def give_up(self) -> int:
+        """Ends all attempts at siblings, because this VM stops, and returns their number."""
+        self._has_given_up = True
+        for connection in self._exchanging:
+            connection.fail(Reason.STOPPING, "the entry VM stops")
+        return len(self._exchanging)
+
     async def _exchange(self, relay: Relay, request: Request, call: HttpCall) -> HttpReply:
         loop = asyncio.get_running_loop()
         peer = f"{relay.offer.vm}@{relay.offer.address}"
@@ -160,6 +168,11 @@
             connection = await ClientConnection.open(
                 relay.offer.address, timeout_s=timeout_s, local_ip=self._ip
             )
+        if self._has_given_up:
+            connection.close()
+            raise ExchangeError(
+                reason=Reason.CONNECT_FAILED, message="the entry VM stops", may_have_sent=False
+            )
         remaining_s = max(0.001, relay.deadline - loop.time())
         # The sibling does not judge the key again and does not get its digest.
         request = request._replace(budget_s=remaining_s, credential="")
--- a/src/carawaybank/targets/sender.py
+++ b/src/carawaybank/targets/sender.py
@@ -22,6 +22,8 @@
 #: Largest response body of a target in bytes. A response is buffered whole before any of it is sent
 #: to the caller, so that a request whose response is truncated can be sent to another target.
 MAX_RESPONSE_BYTES = 16_000_000
+#: Text of the failure of an attempt that a stop of the VM ends.
+STOP_MESSAGE = "the entry VM stops"
 
 
 class TargetReply(NamedTuple):
@@ -83,6 +85,7 @@
         self._budget = BufferBudget(max_bytes=max_buffered_bytes)
         self._pool = ClientPool()
         self._exchanging: dict[ClientConnection, Send] = {}
+        self._has_given_up = False
         #: Failure domain and connect time in seconds of each new connection. The owner of the
         #: sender removes the entries that it has processed.
         self.connect_times: list[tuple[str, float]] = []
@@ -136,6 +139,11 @@
         connection = self._acquire(peer, action, request_id=call.expected_echo[1])
         if connection is None:
             connection = await self._open(action, round_trip_s)
+        if self._has_given_up:
+            connection.close()
+            raise ExchangeError(
+                reason=Reason.CONNECT_FAILED, message=STOP_MESSAGE, may_have_sent=False
+            )
         try:
             reply = await self._exchange(connection, action, call)
         except ExchangeError:
@@ -181,6 +189,17 @@
             connection.fail(Reason.PATH_LOST, "the path to the targets was lost")
         return len(aborted)
 
+    def give_up(self) -> int:
+        """Ends all attempts and sends no further request, because the VM stops.
+
+        Returns:
+            The number of attempts that were ended.
+        """
+        self._has_given_up = True
+        for connection in self._exchanging:
+            connection.fail(Reason.STOPPING, STOP_MESSAGE)
+        return len(self._exchanging)
+
     def _acquire(self, peer: str, action: Send, *, request_id: str) -> ClientConnection | None:
         """Returns an idle connection on which no late response can belong to the same id."""
         if not request_id:
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -214,6 +214,82 @@
     run(scenario())
 
 
+def test_while_closing_nothing_is_read_behind_a_request_in_progress():
+    """Guards against a pipelining caller that is never told to close, and is cut off at the end."""
+
+    async def scenario():
+        async with Caller() as caller:
+            caller.release_events["/1"] = asyncio.Event()
+            caller.send(encode_get("/1"))
+            await wait_until(lambda: caller.started == ["/1"])
+            caller.closing = True
+            caller.send(encode_get("/2"))
+            await asyncio.sleep(0.05)
+            caller.release_events["/1"].set()
+            head, _ = await caller.read_response()
+            assert "connection: close" in head.lower()
+            assert caller.started == ["/1"]
+
+    run(scenario())
+
+
+def test_while_closing_requests_above_the_pipelining_limit_are_left_to_the_caller():
+    """Guards against a last response that waits for requests that were not even started."""
+
+    async def scenario():
+        async with Caller() as caller:
+            caller.release_events["/0"] = asyncio.Event()
+            caller.send(b"".join(encode_get(f"/{number}") for number in range(100)))
+            await wait_until(lambda: len(caller.started) == 32)
+            caller.closing = True
+            caller.release_events["/0"].set()
+            heads = [(await caller.read_response())[0].lower() for _ in range(32)]
+            assert ["connection: close" in head for head in heads] == [False] * 31 + [True]
+            assert await caller.reader.read() == b""
+
+    run(scenario())
+
+
+def test_bytes_behind_the_last_response_do_not_reset_the_connection():
+    """Guards against a caller that loses a response because its next request is not read."""
+
+    async def scenario():
+        async with Caller(closing=True) as caller:
+            caller.send(encode_get("/1"))
+            await wait_until(lambda: any(c.state.is_answering for c in caller.connections))
+            await asyncio.sleep(0.05)
+            for _ in range(20):
+                caller.send(encode_get("/more"))
+                await asyncio.sleep(0.002)
+            assert (await caller.read_response())[1] == b"/1"
+            assert await caller.reader.read() == b""
+            assert caller.started == ["/1"]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"GET /1 HTTP/1.1\r\nHost", b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nbo"],
+)
+def test_a_request_that_is_not_complete_in_time_is_refused(data):
+    """Guards against a part of a request that gets no response when the VM stops."""
+
+    async def scenario():
+        async with Caller(closing=True) as caller:
+            caller.send(data)
+            await wait_until(lambda: any(c.state.is_receiving for c in caller.connections))
+            connection = next(iter(caller.connections))
+            assert connection.refuse_unfinished("the entry VM stops")
+            assert not connection.refuse_unfinished("the entry VM stops")
+            head, _ = await caller.read_response()
+            assert " 503 " in head.split("\r\n")[0]
+            assert "connection: close" in head.lower()
+            assert caller.started == []
+
+    run(scenario())
+
+
 def test_100_continue_is_sent_after_the_responses_to_earlier_requests():
     """Guards against a caller that waits for 100 Continue forever, or gets it out of order."""
 
--- /dev/null
+++ b/tests/platform/test_process_stops.py
@@ -0,0 +1,135 @@
+"""Planned stops of an entry VM whose callers go on sending until they are told to close."""
+
+import asyncio
+import os
+import random
+import signal
+
+import pytest
+
+from tests.platform.stops import STOP_S, Caller, StoppingVm, find_lost, traffic
+
+pytestmark = pytest.mark.processes
+
+#: Seeds of the soak; more are run by hand with STOP_SEEDS=50.
+SEEDS = range(int(os.environ.get("STOP_SEEDS", "3")))
+
+
+def run_stop(tmp_path, scenario, *, signals=((0.5, signal.SIGTERM),)):
+    """Runs a scenario while signals are sent, and returns the log line of the stop.
+
+    Args:
+        scenario: Coroutine function of the VM and the list of its callers.
+        signals: Seconds to wait before each signal, and the signal.
+    """
+
+    async def run():
+        async with StoppingVm() as vm:
+            await vm.start(tmp_path)
+            callers = []
+            # A process whose output is not read drops log lines, and its end is not noticed.
+            reading = asyncio.create_task(vm.output())
+            running = asyncio.create_task(scenario(vm, callers))
+            for pause_s, number in signals:
+                await asyncio.sleep(pause_s)
+                if vm.process.returncode is None:
+                    vm.process.send_signal(number)
+            assert await asyncio.wait_for(vm.process.wait(), STOP_S) == 0
+            await running
+            assert find_lost(vm, callers) == []
+            (stopped,) = vm.events(await reading, "stopped")
+            assert (stopped["cut"], stopped["given_up"]) == (0, 0)
+            return callers, stopped
+
+    return asyncio.run(run())
+
+
+async def open_callers(vm, callers, count):
+    for number in range(count):
+        caller = Caller(vm=vm, name=f"c{number}")
+        await caller.open()
+        callers.append(caller)
+
+
+@pytest.mark.parametrize(
+    ("work_ms", "interval_s", "connections"), [(300, 0.1, 6), (2000, 0.4, 4), (900, 0.25, 4)]
+)
+def test_pipelining_callers_are_told_to_close(tmp_path, work_ms, interval_s, connections):
+    """Guards against connections that always have a request in progress until the process ends."""
+
+    async def scenario(vm, callers):
+        await open_callers(vm, callers, connections)
+        sending = [c.pipeline(interval_s=interval_s, work_ms=work_ms) for c in callers]
+        await asyncio.gather(*sending)
+
+    callers, stopped = run_stop(tmp_path, scenario)
+    assert all(caller.is_told_to_close for caller in callers)
+    assert stopped["told_to_close"] == connections
+
+
+def test_signals_in_series_do_not_shorten_the_stop(tmp_path):
+    """Guards against a second signal that ends the process before its requests are answered."""
+
+    async def scenario(vm, callers):
+        await open_callers(vm, callers, 8)
+        sending = [
+            caller.pipeline(interval_s=0.1, work_ms=300)
+            if number % 2
+            else caller.repeat(method="POST", work_ms=400)
+            for number, caller in enumerate(callers)
+        ]
+        await asyncio.gather(*sending)
+
+    series = [signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT] * 3
+    run_stop(tmp_path, scenario, signals=[(0.3, number) for number in series])
+
+
+def test_a_body_that_arrives_late_is_served_or_refused(tmp_path):
+    """Guards against requests that are cut because their last bytes arrive while the VM stops."""
+
+    async def scenario(vm, callers):
+        await open_callers(vm, callers, 3)
+        gaps = (1.5, 2.9, 8.0)
+        sending = [c.send_slowly(gap_s=gap) for c, gap in zip(callers, gaps, strict=True)]
+        await asyncio.gather(*sending)
+        for caller in callers:
+            await caller.finish()
+
+    callers, stopped = run_stop(tmp_path, scenario)
+    assert [list(caller.statuses.values()) for caller in callers] == [[200], [200], [503]]
+    assert stopped["refused"] == 1
+
+
+def test_hundreds_of_connections_are_answered_and_closed(tmp_path):
+    """Guards against responses that are lost in a close of many connections at once."""
+
+    async def scenario(vm, callers):
+        await open_callers(vm, callers, 250)
+        sending = [
+            caller.pipeline(interval_s=0.3 + number / 500, work_ms=800)
+            for number, caller in enumerate(callers)
+        ]
+        await asyncio.gather(*sending)
+
+    run_stop(tmp_path, scenario)
+
+
+def test_a_stop_while_the_store_is_away_loses_no_request(tmp_path):
+    """Guards against a stop that waits for the store to remove the registration."""
+
+    async def scenario(vm, callers):
+        vm.store.set_error_status(503)
+        await open_callers(vm, callers, 6)
+        await asyncio.gather(*(c.pipeline(interval_s=0.2, work_ms=500) for c in callers))
+
+    run_stop(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_request_is_lost_in_stops_among_callers_of_all_kinds(tmp_path, seed):
+    """Guards against any request that ran and got no complete response in a planned stop."""
+    rng = random.Random(seed)
+    kinds = [signal.SIGHUP, signal.SIGTERM, signal.SIGINT]
+    signals = [(rng.uniform(0, 1), rng.choice(kinds)) for _ in range(rng.randint(0, 5))]
+    signals = [(rng.uniform(0.2, 1.5), signal.SIGTERM), *signals]
+    run_stop(tmp_path, lambda vm, callers: traffic(vm, callers, seed), signals=signals)
