--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -255,6 +255,8 @@
 
 def main() -> None:
     """Parses the command line, then checks the settings or runs the daemon."""
+    # Settings are read at the start only, and an operator's SIGHUP must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     arguments = docopt(__doc__, version=carawaybank.__version__)
     try:
         settings = load(Path(arguments["--settings"]))
--- a/src/carawaybank/platform/__main__.py
+++ b/src/carawaybank/platform/__main__.py
@@ -1,86 +1,18 @@
-"""The daemon of an entry VM on the platform.
+"""Entry point of the daemon of an entry VM; see :mod:`carawaybank.platform.command`.
 
-Usage:
-  carawaybank-node [--settings FILE]
-  carawaybank-node --check [--settings FILE] [--configuration FILE]
-  carawaybank-node (-h | --help)
-  carawaybank-node --version
-
-Options:
-  --settings FILE       Settings in TOML; by default the file that CARAWAYBANK_SETTINGS names.
-  --check               Check the settings and exit.
-  --configuration FILE  Check the operators' configuration in this file too. It has the JSON format
-                        of the store's row.
-  -h --help             Show this text.
-  --version             Show the version.
-
-Exit codes:
-  0  stopped as planned, or what was checked is right
-  1  failed, or an address is in use
-  2  the settings, the configuration or the arguments are wrong
+SIGHUP, by which operators announce changed settings, would end a process that has no handler yet.
+It is ignored before the imports, which take seconds on a machine under load. The settings are read
+after them, and again once the process runs.
 """
 
-import asyncio
-import os
+import signal
 import sys
-from pathlib import Path
-
-from docopt import docopt
-
-import carawaybank
-from carawaybank import deployment
-from carawaybank.exceptions import DocumentError, ListenError, TaskError
-from carawaybank.node import Node
-from carawaybank.platform import decoding
-from carawaybank.platform.adapter import PlatformAdapter
-from carawaybank.routing.tenants import find_faults
-
-_SETTINGS_VARIABLE = "CARAWAYBANK_SETTINGS"
-_FAILED = 1
-_BAD_SETTINGS = 2
-
-
-def main() -> int:
-    """Runs the entry VM until it stops, or checks the settings; returns the exit code."""
-    arguments = docopt(__doc__, version=carawaybank.__version__)
-    path = Path(arguments["--settings"] or os.environ.get(_SETTINGS_VARIABLE, "settings.toml"))
-    try:
-        settings = deployment.load(path)
-    except DocumentError as error:
-        print(error, file=sys.stderr)
-        return _BAD_SETTINGS
-    if arguments["--check"]:
-        print(f"{path}: right")
-        return _check_configuration(arguments["--configuration"], settings)
-    try:
-        asyncio.run(_serve(settings, path))
-    except (ListenError, TaskError) as error:
-        print(error, file=sys.stderr)
-        return _FAILED
-    return 0
-
-
-def _check_configuration(name: str | None, settings: deployment.Deployment) -> int:
-    """Prints the faults of a configuration in a file, if one is named; returns the exit code."""
-    if name is None:
-        return 0
-    try:
-        configuration = decoding.read_configuration(Path(name).read_bytes())
-    except (DocumentError, OSError) as error:
-        print(error, file=sys.stderr)
-        return _BAD_SETTINGS
-    faults = find_faults(configuration, frozenset(settings.regions.values()))
-    for fault in faults:
-        print(f"{name}: {fault}", file=sys.stderr)
-    if not faults:
-        print(f"{name}: right")
-    return _BAD_SETTINGS if faults else 0
 
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-async def _serve(settings: deployment.Deployment, path: Path) -> None:
-    adapter = PlatformAdapter(store_address=settings.store_address, regions=settings.regions)
-    await Node(deployment=settings, adapter=adapter, settings_path=path).run()
+from carawaybank.platform.command import main  # noqa: E402
 
+__all__ = ["main"]
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/standins/rerouted.py
+++ b/standins/rerouted.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from carawaybank.platform.__main__ import main
+from carawaybank.platform.command import main
 
 
 def reroute(links: Mapping[str, str]) -> None:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -249,6 +249,14 @@
     assert failures == []
 
 
+def test_a_hangup_does_not_end_a_daemon(cluster):
+    """Guards against SIGHUP ending a daemon that reads its settings at the start only."""
+    process = cluster.processes["regina-vm1"]
+    process.send_signal(signal.SIGHUP)
+    assert send(cluster, "regina-vm1", "after-hangup", first_send=True)[0] == 200
+    assert process.poll() is None
+
+
 def test_daemon_exits_with_an_error_if_its_address_is_in_use(cluster):
     """Guards against a daemon that keeps running although it cannot listen for callers."""
     used_address = cluster.vms["regina-vm1"].callers_address
