Read settings that are incomplete at the start again

A process that started while its settings file was being replaced ended with status 2, though the file was right a moment later.

The start reads them again for 5 s, reports each new fault, and ends with status 2 after that, so that lasting faults stay visible. A port above 65535, or written in other digits, is now a fault of the settings in place of a traceback.

test_process_starts.py: settings cut in the middle at the start ended the process before. test_deployment.py: three cases of addresses failed before; settings that are cut or damaged at random raise no other error (they did not before either).

--- a/src/carawaybank/deployment.py
+++ b/src/carawaybank/deployment.py
@@ -214,9 +214,10 @@
         )
 
 
+_MAX_PORT = 65_535
 _RANGES: dict[str, tuple[float, float]] = {
-    "sibling_port": (1, 65_535),
-    "metrics_port": (1, 65_535),
+    "sibling_port": (1, _MAX_PORT),
+    "metrics_port": (1, _MAX_PORT),
     "stop_within_s": (0.5, 600),
     "retry_share": (0, 1),
     "retry_slack": (0, 100_000),
@@ -283,8 +284,11 @@
         faults.append(
             f"vm.region: {deployment.region!r} is not the region of {deployment.failure_domain!r}"
         )
-    for name in ("callers_address", "ready_address", "directory_address", "store_address"):
+    addresses = ["callers_address", "ready_address", "directory_address", "store_address"]
+    if deployment.control_address:
+        addresses.append("control_address")
+    for name in addresses:
         host, _, port = getattr(deployment, name).rpartition(":")
-        if not host or not port.isdigit():
+        if not (host and port.isascii() and port.isdigit() and 0 < int(port) <= _MAX_PORT):
             faults.append(f"{name}: {getattr(deployment, name)!r} is not IP:PORT")
     return faults
--- a/src/carawaybank/platform/command.py
+++ b/src/carawaybank/platform/command.py
@@ -18,12 +18,16 @@
   0  stopped as planned, or what was checked is right
   1  failed, or an address is in use
   2  the settings, the configuration or the arguments are wrong
+
+Settings that are wrong at the start are read again for some seconds, as they may be incomplete
+while they are being replaced.
 """
 
 import asyncio
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 
 from docopt import docopt
@@ -39,6 +43,9 @@
 _SETTINGS_VARIABLE = "CARAWAYBANK_SETTINGS"
 _FAILED = 1
 _BAD_SETTINGS = 2
+#: Seconds for which wrong settings are read again at the start, and seconds between two attempts.
+_SETTINGS_WAIT_S = 5.0
+_SETTINGS_INTERVAL_S = 0.1
 #: Signals by which operators stop a process or announce changed settings.
 _OPERATOR_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT, signal.SIGHUP})
 
@@ -48,7 +55,7 @@
     arguments = docopt(__doc__, version=carawaybank.__version__)
     path = Path(arguments["--settings"] or os.environ.get(_SETTINGS_VARIABLE, "settings.toml"))
     try:
-        settings = deployment.load(path)
+        settings = _load(path, wait_s=0.0 if arguments["--check"] else _SETTINGS_WAIT_S)
     except DocumentError as error:
         print(error, file=sys.stderr)
         return _BAD_SETTINGS
@@ -63,6 +70,30 @@
     return 0
 
 
+def _load(path: Path, *, wait_s: float) -> deployment.Deployment:
+    """Reads the settings, again while they are wrong.
+
+    Args:
+        path: Path of the settings.
+        wait_s: Seconds after which wrong settings are an error.
+
+    Raises:
+        DocumentError: If the settings are still wrong then.
+    """
+    deadline = time.monotonic() + wait_s
+    reported = ""
+    while True:
+        try:
+            return deployment.load(path)
+        except DocumentError as error:
+            if time.monotonic() >= deadline:
+                raise
+            if str(error) != reported:
+                reported = str(error)
+                print(f"waiting for settings: {error}", file=sys.stderr, flush=True)
+        time.sleep(_SETTINGS_INTERVAL_S)
+
+
 def _check_configuration(name: str | None, settings: deployment.Deployment) -> int:
     """Prints the faults of a configuration in a file, if one is named; returns the exit code."""
     if name is None:
--- a/tests/platform/test_process_starts.py
+++ b/tests/platform/test_process_starts.py
@@ -59,3 +59,20 @@
             await reading
 
     asyncio.run(run())
+
+
+def test_settings_that_are_incomplete_at_the_start_are_read_again(tmp_path):
+    """Guards against a process that ends because its settings are being replaced."""
+
+    async def run():
+        async with Node() as node:
+            node.path = tmp_path / "node.toml"
+            text = node.text
+            node.text = text[: len(text) // 2]
+            starting = asyncio.create_task(node.start(tmp_path))
+            await asyncio.sleep(1.0)
+            node.path.write_text(text)
+            await starting
+            assert (await node.call("8100", "/x/1", method="POST")).status == 200
+
+    asyncio.run(run())
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -1,10 +1,14 @@
 """Settings of an entry VM in a deployment: loading, validation and reload."""
 
+import contextlib
 import re
+import tempfile
 import tomllib
 from pathlib import Path
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from carawaybank import deployment
 from carawaybank.exceptions import DocumentError
@@ -67,6 +71,9 @@
         ("retry_slack = 62", 'retry_slack = "many"', "retry_slack"),
         ("retry_slack = 62", "retry_slak = 62", "retry_slak"),
         ('ready_address = "127.0.0.1:8101"', 'ready_address = "here"', "ready_address"),
+        ('ready_address = "127.0.0.1:8101"', 'ready_address = "127.0.0.1:99999"', "ready_address"),
+        ('address = "127.0.0.1:8104"', 'address = "127.0.0.1:²"', "store_address"),
+        ("directory_address =", 'control_address = "x:0"\ndirectory_address =', "control_address"),
         ("metrics_port = 8106", "metrics_port = 70000", "metrics_port"),
         ("[bounds]", "[contracts]\nhealth = 1\n[bounds]", "contracts"),
         ("[regions]", "[regions", "TOML"),
@@ -77,6 +84,19 @@
         load(SETTINGS.replace(old, new))
 
 
+@given(st.data())
+def test_settings_that_are_cut_or_damaged_are_loaded_or_rejected(data):
+    """Guards against settings that end a process with another error than that of wrong settings."""
+    content = bytearray(SETTINGS.encode())
+    for _ in range(data.draw(st.integers(0, 3))):
+        content[data.draw(st.integers(0, len(content) - 1))] = data.draw(st.integers(0, 255))
+    del content[data.draw(st.integers(0, len(content))) :]
+    with tempfile.NamedTemporaryFile(suffix=".toml") as file:
+        Path(file.name).write_bytes(content)
+        with contextlib.suppress(DocumentError):
+            deployment.load(Path(file.name))
+
+
 def test_a_missing_file_is_rejected(tmp_path):
     with pytest.raises(DocumentError, match="cannot be read"):
         deployment.load(tmp_path / "none.toml")
