Wait for addresses that are in use at the start

A process whose address was in use ended with status 1 at once. The process before it, still in its grace, is enough, or an outgoing connection that got the port.

The start tries again for the stop time and one second more, by which the process before it has ended, and logs `waiting for an address`. It listens for callers last, so that none is accepted by a VM that cannot serve yet. SIGTERM ends the wait at once. An address that stays in use ends the process with status 1 as before: what supervises it has to see that.

--- a/src/carawaybank/endpoints.py
+++ b/src/carawaybank/endpoints.py
@@ -1,11 +1,17 @@
 """The endpoints of an entry VM besides requests: readiness, look-ups and metrics."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 from carawaybank import exposition
 from carawaybank.adapters import Adapter
-from carawaybank.callers.listeners import connection_factory, listen, sync_connection_factory
+from carawaybank.callers.listeners import (
+    AddressWait,
+    connection_factory,
+    listen,
+    sync_connection_factory,
+)
 from carawaybank.callers.requests import CallerRequest
 from carawaybank.counters import Counters
 from carawaybank.deployment import Deployment
@@ -62,16 +68,17 @@
         self._shared_addresses = SharedAddresses()
 
     async def listen(
-        self, deployment: Deployment, *, ttl_s: Callable[[], float]
+        self, deployment: Deployment, *, ttl_s: Callable[[], float], wait: AddressWait
     ) -> list[asyncio.Server]:
         """Starts to listen for readiness checks, look-ups and scrapes.
 
         Args:
             deployment: The addresses.
             ttl_s: Returns the maximum seconds for which the response to a look-up may be cached.
+            wait: Waits for addresses that are in use.
 
         Raises:
-            ListenError: If an address is in use.
+            ListenError: If an address stays in use.
         """
         starting_until = asyncio.get_running_loop().time() + STARTING_S
 
@@ -86,7 +93,10 @@
                 self.handle_metrics
             ),
         }
-        return [await listen(address, factory) for address, factory in factories.items()]
+        return [
+            await wait.run(functools.partial(listen, address, factory))
+            for address, factory in factories.items()
+        ]
 
     async def _wait_until_read(self, starting_until: float) -> None:
         loop = asyncio.get_running_loop()
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -1,6 +1,7 @@
 """Runs one entry VM: builds its components, starts tasks and listeners, and stops them."""
 
 import asyncio
+import functools
 import random
 import signal
 import time
@@ -12,7 +13,7 @@
 from carawaybank.background import BackgroundTasks
 from carawaybank.callers.backlog import ResponseBacklog
 from carawaybank.callers.connections import CallerConnection, ConnectionContext
-from carawaybank.callers.listeners import connection_factory, listen
+from carawaybank.callers.listeners import AddressWait, connection_factory, listen
 from carawaybank.charging import Charging
 from carawaybank.control import ControlHandler
 from carawaybank.counters import Counters
@@ -61,6 +62,8 @@
 #: Added to the name of a table for the position up to which a VM that lags has read it. Builds that
 #: do not know it take it for a table that they do not follow.
 _READ_SUFFIX = "/read"
+#: Seconds beyond the stop time for which the start waits for addresses that are in use.
+_ADDRESS_WAIT_MARGIN_S = 1.0
 #: Table with the registrations of VMs and the crash reports, followed by a single watch.
 SHARED_TABLE = "carawaybank"
 
@@ -252,7 +255,7 @@
         """Serves until SIGTERM or SIGINT, then finishes the requests in progress.
 
         Raises:
-            ListenError: If an address to listen on is in use.
+            ListenError: If an address to listen on stays in use.
             TaskError: If a background task failed; raised once requests in progress have finished.
         """
         loop = asyncio.get_running_loop()
@@ -260,7 +263,9 @@
         loop.add_signal_handler(signal.SIGINT, self._stopped.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._journal.log("daemon", "started", **self._deployment._asdict())
-        servers = await self._listen()
+        servers = await self._listen_unless_stopped()
+        if servers is None:
+            return
         coroutines: list[Coroutine[Any, Any, None]] = [watch.run() for watch in self._watches]
         coroutines += [self._registrations.register(), self._heartbeat.run(), self._checks.run()]
         coroutines += [self._maintenance.run(), self._bootstrap.run(), self._proofs.run()]
@@ -278,14 +283,32 @@
         self._journal.log("daemon", "task failed", reason=str(failure))
         self._stopped.set()
 
-    async def _listen(self) -> list[asyncio.Server]:
-        deployment = self._deployment
+    async def _listen_unless_stopped(self) -> list[asyncio.Server] | None:
+        """Returns the servers, or None if a signal stops the process while it waits for them."""
+        listening = asyncio.create_task(self._listen())
+        stopped = asyncio.create_task(self._stopped.wait())
+        await asyncio.wait([listening, stopped], return_when=asyncio.FIRST_COMPLETED)
+        stopped.cancel()
+        if listening.done():
+            return listening.result()
+        listening.cancel()
+        return None
+
+    async def _listen_for_datagrams(self) -> None:
         loop = asyncio.get_running_loop()
-        sibling_address = (deployment.ip, deployment.sibling_port)
+        address = (self._deployment.ip, self._deployment.sibling_port)
         try:
-            await loop.create_datagram_endpoint(lambda: self._heartbeat, local_addr=sibling_address)
+            await loop.create_datagram_endpoint(lambda: self._heartbeat, local_addr=address)
         except OSError as error:
-            raise ListenError(f"cannot listen on UDP {sibling_address}: {error}") from error
+            raise ListenError(f"cannot listen on UDP {address}: {error}") from error
+
+    async def _listen(self) -> list[asyncio.Server]:
+        """Listens on all addresses, on that of callers last, and returns its server first."""
+        deployment = self._deployment
+        wait = AddressWait(
+            wait_s=deployment.stop_within_s + _ADDRESS_WAIT_MARGIN_S, journal=self._journal
+        )
+        await wait.run(self._listen_for_datagrams)
         context = ConnectionContext(
             handle=self._handler.handle,
             limits=lambda: self._handler.limits,
@@ -302,20 +325,21 @@
             is_ready=lambda: self._handler.is_ready and self._registry.is_loaded,
             has_read_vms=lambda: self._shared_watch.is_loaded,
         )
-        servers = [
-            await listen(
-                deployment.callers_address,
-                lambda: CallerConnection(context=context, connections=self._connections),
-            ),
-            await listen(
-                f"{deployment.ip}:{deployment.sibling_port}",
-                self._relays.serve(self._handler, backlog=self._backlog),
-            ),
-            *await endpoints.listen(deployment, ttl_s=lambda: self._deployment.lookup_ttl_s),
-        ]
+        factories = {
+            f"{deployment.ip}:{deployment.sibling_port}": self._relays.serve(
+                self._handler, backlog=self._backlog
+            )
+        }
         if deployment.control_address:
-            control = connection_factory(self._control.handle)
-            servers.append(await listen(deployment.control_address, control))
+            factories[deployment.control_address] = connection_factory(self._control.handle)
+        factories[deployment.callers_address] = lambda: CallerConnection(
+            context=context, connections=self._connections
+        )
+        servers = await endpoints.listen(
+            deployment, ttl_s=lambda: self._deployment.lookup_ttl_s, wait=wait
+        )
+        for address, factory in factories.items():
+            servers.insert(0, await wait.run(functools.partial(listen, address, factory)))
         return servers
 
     def _watch(
--- a/tests/platform/test_process_starts.py
+++ b/tests/platform/test_process_starts.py
@@ -1,13 +1,17 @@
 """Starts of an entry VM while an operator changes settings, or another process has an address."""
 
 import asyncio
+import json
 import signal
+import socket
+import time
 from pathlib import Path
 
 import pytest
 
+from standins.cluster import process_ip
 from tests.platform.sites import START_S
-from tests.platform.test_process import Node
+from tests.platform.test_process import Node, run_process
 
 pytestmark = pytest.mark.processes
 
@@ -76,3 +80,56 @@
             assert (await node.call("8100", "/x/1", method="POST")).status == 200
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("port", "kind"),
+    [
+        ("8100", socket.SOCK_STREAM),
+        ("8102", socket.SOCK_STREAM),
+        ("8103", socket.SOCK_DGRAM),
+        ("8105", socket.SOCK_STREAM),
+    ],
+)
+def test_an_address_that_becomes_free_is_waited_for(tmp_path, port, kind):
+    """Guards against a process that ends because the one before it is still stopping."""
+
+    async def run():
+        async with Node() as node:
+            with socket.socket(type=kind) as holder:
+                holder.bind((process_ip(), node.ports[port]))
+                if kind == socket.SOCK_STREAM:
+                    holder.listen()
+                starting = asyncio.create_task(node.start(tmp_path))
+                await asyncio.sleep(2.0)
+                assert node.process.returncode is None
+                assert await node.status("8100", "/x/1") is None or port == "8100"
+            await starting
+            assert (await node.call("8100", "/x/1", method="POST")).status == 200
+
+    asyncio.run(run())
+
+
+def test_a_process_that_waits_for_an_address_can_be_stopped(tmp_path):
+    """Guards against a process that is killed because it waits longer than a stop may take."""
+
+    async def run():
+        async with Node() as node:
+            await node.start(tmp_path)
+            other = await run_process(node.path, stdout=asyncio.subprocess.PIPE)
+            line = await asyncio.wait_for(read_event(other, "waiting for an address"), START_S)
+            assert "cannot listen on" in line["reason"]
+            started = time.monotonic()
+            other.send_signal(signal.SIGTERM)
+            await asyncio.wait_for(other.communicate(), 5)
+            assert time.monotonic() - started < 2.0
+            assert other.returncode == 0
+
+    asyncio.run(run())
+
+
+async def read_event(process, event):
+    while True:
+        line = json.loads(await process.stdout.readline())
+        if line["event"] == event:
+            return line
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -5,12 +5,14 @@
 
 import pytest
 
+from carawaybank.callers.listeners import AddressWait
 from carawaybank.callers.requests import CallerRequest
 from carawaybank.client import ClientConnection, HttpCall
 from carawaybank.counters import Counters
 from carawaybank.deployment import Deployment
 from carawaybank.endpoints import Endpoints
 from carawaybank.exposition import Exposition
+from carawaybank.journal import Journal
 from carawaybank.siblings.vms import VmDirectory
 from standins.cluster import allocate_port, process_ip
 from tests.routing.builders import make_router
@@ -66,7 +68,8 @@
         loop.call_at(read_at, lambda: vms.update(make_record("l2"), now=loop.time()))
         ready, directory = (f"{IP}:{allocate_port()}" for _ in range(2))
         deployment = Deployment("l1", IP, "a1", "a", "", ready, directory, 1, "", {})
-        servers = await endpoints.listen(deployment, ttl_s=lambda: 2.0)
+        wait = AddressWait(wait_s=0.0, journal=Journal(vm="l1", write=lambda line: None))
+        servers = await endpoints.listen(deployment, ttl_s=lambda: 2.0, wait=wait)
         connection = await ClientConnection.open(directory, timeout_s=1.0)
         reply = await connection.exchange(HttpCall("GET", PATH, [("Host", "x")]), timeout_s=1.0)
         assert len(json.loads(reply.body)["addrs"]) == listed
