--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -253,7 +253,8 @@
     """Guards against SIGHUP ending a daemon that reads its settings at the start only."""
     process = cluster.processes["regina-vm1"]
     process.send_signal(signal.SIGHUP)
-    assert send(cluster, "regina-vm1", "after-hangup", first_send=True)[0] == 200
+    request_id = fetch_id_prefix(cluster, "regina-vm1") + ".after-hangup"
+    assert send(cluster, "regina-vm1", request_id, first_send=True)[0] == 200
     assert process.poll() is None
 
 
