--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -108,7 +108,7 @@
     async def __aexit__(self, *_):
         if self.process.returncode is None:
             self.process.kill()
-            await self.process.wait()
+            await self.process.communicate()  # Its end is noticed once its output is read.
         await self.store.stop()
         self.target.server.close()
 
