Read the body of a request that offers an upgrade as its body

Cause: the parser library takes the bytes behind such a head for the other protocol and reports the message as complete; we passed it on without its body and parsed the body as the next request.

The offer is ignored: a new parser reads the body that the head announced.

--- a/src/carawaybank/callers/requests.py
+++ b/src/carawaybank/callers/requests.py
@@ -11,6 +11,9 @@
 
 #: The colon, the space and the line break of a header line.
 _HEADER_OVERHEAD_BYTES = 4
+_VERSIONS = frozenset({"1.0", "1.1"})
+#: Headers that say where a body ends.
+_FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 
 
 class CallerRequest(NamedTuple):
@@ -84,6 +87,7 @@
         self._head_bytes = self._body_bytes = 0
         self._framing = FramingLimit()
         self._is_finished = False
+        self._has_skipped_body = self._is_body_resumed = False
         #: Whether a part of a request's head was read, but not all of it.
         self.is_in_head = False
         #: Whether a request's head was read, but not all of its body.
@@ -108,9 +112,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
-            # An upgrade to another protocol is ignored; the bytes after the request are HTTP again.
-            self._parser = httptools.HttpRequestParser(self)
-            self.feed(data[upgrade.args[0] :])
+            self._resume_after_upgrade(data[upgrade.args[0] :])
             return
         except httptools.HttpParserCallbackError:
             if self._error is None:
@@ -126,8 +128,31 @@
         if self._framing.is_exceeded:
             raise InvalidRequestError(status=400, detail="more framing than any request needs")
 
+    def _resume_after_upgrade(self, data: bytes) -> None:
+        """Parses the bytes behind a head that offers another protocol; the offer is ignored.
+
+        The parser library takes them for the other protocol. They are the body, if the head
+        announced one, which a new parser reads behind a head without the offer.
+        """
+        self._framing.record(read_bytes=-len(data), body_bytes=0)
+        keeps_alive = self._parser.should_keep_alive()
+        method = self._parser.get_method().decode("ascii")
+        version = self._parser.get_http_version()
+        self._parser = httptools.HttpRequestParser(self)
+        if self._has_skipped_body:
+            self._has_skipped_body, self._is_body_resumed = False, True
+            connection = "keep-alive" if keeps_alive else "close"
+            framing = [
+                f"{name}: {value}" for name, value in self._headers if name in _FRAMING_HEADERS
+            ]
+            lines = [f"{method} / HTTP/{version}", f"connection: {connection}", *framing, "", ""]
+            self._parser.feed_data("\r\n".join(lines).encode("latin-1"))
+        self.feed(data)
+
     def on_message_begin(self) -> None:
         """Resets the state for the next request (callback of the parser)."""
+        if self._is_body_resumed:
+            return
         self.is_in_head = True
         self._path = b""
         self._headers, self._body = [], []
@@ -135,7 +160,8 @@
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the path and query (callback of the parser)."""
-        self._path += url
+        if not self._is_body_resumed:
+            self._path += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; trailers after the body are ignored (callback of the parser)."""
@@ -147,14 +173,23 @@
 
         Raises:
             InvalidRequestError: If the head or the announced body is too large, the Host header is
-                missing or repeated, or the transfer coding is not supported.
+                missing or repeated, the transfer coding is not supported, or the request asks for
+                a tunnel.
         """
+        if self._is_body_resumed:
+            self._is_body_resumed = False
+            return
         self.is_in_head, self.is_in_body = False, True
         sizes = (len(name) + len(value) + _HEADER_OVERHEAD_BYTES for name, value in self._headers)
         self._head_bytes = len(self._path) + sum(sizes)
         self._check_head()
+        if self._parser.get_method() == b"CONNECT":
+            self._refuse(400, "tunnels are not served")
+        version = self._parser.get_http_version()
+        if version not in _VERSIONS:
+            self._refuse(400, "the version of HTTP is not known")
         names = [name for name, _ in self._headers]
-        is_http_1_1 = self._parser.get_http_version() == "1.1"
+        is_http_1_1 = version == "1.1"
         if names.count("host") != 1 and (is_http_1_1 or names.count("host")):
             self._refuse(400, "a request needs one host header")
         values = dict(self._headers)
@@ -162,6 +197,8 @@
             self._refuse(501, "the transfer coding is not known")
         if int(values.get("content-length", 0)) > self._limits().body_bytes:
             self._refuse(413, "the request body is too large")
+        announces_body = "transfer-encoding" in values or int(values.get("content-length", 0)) > 0
+        self._has_skipped_body = announces_body and self._parser.should_upgrade()
 
     def on_body(self, data: bytes) -> None:
         """Adds a part of the body (callback of the parser).
@@ -177,6 +214,8 @@
 
     def on_message_complete(self) -> None:
         """Passes the complete request to ``on_request`` (callback of the parser)."""
+        if self._has_skipped_body:
+            return
         self.is_in_body = False
         self._framing.reset()
         keeps_alive = self._parser.get_http_version() == "1.1" and self._parser.should_keep_alive()
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -350,6 +350,61 @@
     run(scenario())
 
 
+OFFER = b"Upgrade: h2c\r\nConnection: Upgrade, HTTP2-Settings\r\nHTTP2-Settings: AAEA\r\n"
+NOTE = b"GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+@pytest.mark.parametrize("size", [1, 7, 1000])
+@pytest.mark.parametrize(
+    "framed",
+    [
+        b"Content-Length: %d\r\n\r\n%s" % (len(NOTE), NOTE),
+        b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(NOTE), NOTE),
+    ],
+    ids=["length", "chunks"],
+)
+def test_the_body_of_a_request_that_offers_an_upgrade_is_its_body(framed, size):
+    """Guards against a body that is dropped, or run as a request that no caller sent."""
+
+    async def scenario():
+        async with Caller() as caller:
+            data = b"POST /1 HTTP/1.1\r\nHost: a\r\n" + OFFER + framed + encode_get("/2")
+            for start in range(0, len(data), size):
+                caller.send(data[start : start + size])
+                await asyncio.sleep(0)
+            bodies = [(await caller.read_response())[1] for _ in range(2)]
+            assert bodies == [b"/1" + NOTE, b"/2"]
+            assert caller.started == ["/1", "/2"]
+
+    run(scenario())
+
+
+def test_an_upgrade_with_a_body_on_a_closing_connection_closes_it():
+    """Guards against a connection that stays open because its head was parsed anew."""
+
+    async def scenario():
+        async with Caller() as caller:
+            head = b"POST /1 HTTP/1.1\r\nHost: a\r\nUpgrade: h2c\r\nConnection: Upgrade, close\r\n"
+            caller.send(head + b"Content-Length: 2\r\n\r\nok")
+            assert (await caller.read_response())[1] == b"/1ok"
+            assert await caller.reader.read() == b""
+
+    run(scenario())
+
+
+def test_a_request_for_a_tunnel_is_rejected():
+    """Guards against bytes of a tunnel that are run as requests."""
+
+    async def scenario():
+        async with Caller() as caller:
+            caller.send(b"CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n" + NOTE)
+            assert " 400 " in (await caller.read_response())[0].split("\r\n")[0]
+            assert await caller.reader.read() == b""
+            assert caller.started == []
+
+    run(scenario())
+
+
 def test_requests_above_the_pipelining_limit_are_all_answered_in_order():
     """Guards against queued requests that never start when earlier ones have been answered."""
 
