Take no response without an id for an answer on a kept connection

Cause: on a connection that had carried other requests, only refusals had to name their request. PROTOCOL.md says that additional bytes belong to no request, and that servers echo the id.

Each response on such a connection must name its request now; one that does not is skipped, and the real answer is awaited.

test_sender.py: the new test failed before, for the first status that it tries.

--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -9,7 +9,7 @@
 import contextlib
 import socket
 from collections import deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from typing import NamedTuple
 
 from carawaybank.buffers import BufferBudget
@@ -99,7 +99,7 @@
         self._waiter: asyncio.Future[HttpReply] | None = None
         self._max_body_bytes = _DEFAULT_MAX_BODY_BYTES
         self._budget: BufferBudget | None = None
-        self._needs_echo: Callable[[HttpReply], bool] | None = None
+        self._needs_echo = False
         self._sent_ids: deque[str] = deque(maxlen=_MAX_REMEMBERED_IDS)
         self._reserved_bytes = 0
         self._stray_replies = 0
@@ -177,7 +177,7 @@
         timeout_s: float,
         max_body_bytes: int | None = None,
         budget: BufferBudget | None = None,
-        needs_echo: Callable[[HttpReply], bool] | None = None,
+        needs_echo: bool = False,
     ) -> HttpReply:
         """Sends a request and returns the complete response.
 
@@ -186,8 +186,8 @@
             timeout_s: Maximum time in seconds until the complete response is received.
             max_body_bytes: Maximum size of the response body; None for 16 MB.
             budget: Shared budget in which a large response reserves bytes until it is complete.
-            needs_echo: Returns whether a response must name its request if the connection has
-                carried others.
+            needs_echo: Whether each response must name its request if the connection has carried
+                others. One that does not may belong to any of them.
 
         Raises:
             ExchangeError: If the request cannot be sent, or no complete response is received in
@@ -258,9 +258,7 @@
         cause = type(exc).__name__ if exc else "closed"
         self.fail(Reason.CONNECTION_LOST, f"the connection broke: {cause}")
 
-    def _begin_exchange(
-        self, call: HttpCall, needs_echo: Callable[[HttpReply], bool] | None
-    ) -> None:
+    def _begin_exchange(self, call: HttpCall, needs_echo: bool) -> None:
         self._call, self._needs_echo = call, needs_echo
         self._reader = ReplyReader(method=call.method)
         self._waiter = asyncio.get_running_loop().create_future()
@@ -310,7 +308,8 @@
         assert self._waiter is not None
         name, value = self._call.expected_echo
         echoed = reply.header(name) if name else None
-        is_stray = echoed != value if echoed is not None else self._lacks_needed_echo(reply)
+        lacks_echo = self._needs_echo and self.exchanges > 1
+        is_stray = echoed != value if echoed is not None else lacks_echo
         if name and is_stray:
             self._skip_stray_reply(reply)
         elif len(reply.body) > self._max_body_bytes:
@@ -326,10 +325,6 @@
             self._apply_keep_alive(reply)
             self._waiter.set_result(reply)
 
-    def _lacks_needed_echo(self, reply: HttpReply) -> bool:
-        has_earlier = self.exchanges > 1
-        return has_earlier and self._needs_echo is not None and self._needs_echo(reply)
-
     def _skip_stray_reply(self, reply: HttpReply) -> None:
         """Skips a response to an earlier exchange, or fails after too many of them."""
         self._stray_replies += 1
--- a/src/carawaybank/targets/sender.py
+++ b/src/carawaybank/targets/sender.py
@@ -65,9 +65,6 @@
     def decode(self, call: HttpCall, reply: HttpReply) -> TargetReply:
         """Returns the decoded response to a call."""
 
-    def is_refusal(self, reply: HttpReply) -> bool:
-        """Returns whether a response promises that its request has not run."""
-
 
 class TargetSender:
     """Sends requests to targets, one attempt each, over pooled connections."""
@@ -166,7 +163,7 @@
                 timeout_s=max(0.001, remaining_s),
                 max_body_bytes=min(MAX_RESPONSE_BYTES, self._budget.max_bytes),
                 budget=self._budget,
-                needs_echo=self._dialect.is_refusal,
+                needs_echo=True,
             )
         finally:
             del self._exchanging[connection]
--- a/tests/targets/test_sender.py
+++ b/tests/targets/test_sender.py
@@ -74,6 +74,16 @@
         assert target.connections == 1
 
 
+def test_additional_bytes_without_an_id_are_no_answer_on_a_kept_connection():
+    """Guards against the response of nobody, passed on as that of a booking that has run."""
+    for status in (200, 400, 408, 429, 500, 503, 504):
+        extra = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode()
+        target = Target([make_answer("r1")], [extra, make_answer("r2")])
+        _, second = send_all(target, "r1", "r2")
+        assert isinstance(second, Answered), (status, second)
+        assert (second.status, second.body) == (200, b"ok")
+
+
 def test_an_earlier_refusal_does_not_refuse_another_attempt_of_the_same_request():
     """A refused request has the same id when it is sent again, so only the connection differs."""
     refusal = make_refusal("r1")
