Pass on no status that promises "not run" without the target's word for it

Cause: such a response was an answer like any other, and its status became ours. The platform says that only X-Carawaybank-Not-Run, or 421, states that a request has not run.

For requests that must not run twice, such a response becomes "may have run", which leaves as 502 without the target's headers: a signed response must keep its status. The same holds for the result of a sibling, which may run an older build.

--- a/src/carawaybank/routing/progress.py
+++ b/src/carawaybank/routing/progress.py
@@ -6,6 +6,9 @@
 from carawaybank.routing.tenants import RequestTerms
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
 
+#: Statuses that callers take for the promise that a request has not run and never will.
+_PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class Progress:
     """A request that has arrived and is not finished."""
@@ -84,6 +87,21 @@
         """Whether a target has run the request or may have run it."""
         return self.fallback is not None or self.uncertain is not None
 
+    def judge(self, verdict: Verdict) -> Verdict:
+        """Returns what the verdict of an attempt says of a request that must not run twice.
+
+        A target that refuses a request says so, which makes it ``NotRun``. Another response with
+        such a status is no such promise, and must not become ours.
+        """
+        if (
+            isinstance(verdict, Answered)
+            and verdict.status in _PROMISING_STATUSES
+            and not self.route.idempotent
+        ):
+            detail = f"the target answered {verdict.status}, which does not say that it did not run"
+            return MayHaveRun(Reason.UNPROVEN_REFUSAL, 1.0, detail)
+        return verdict
+
     def finish(self, verdict: Verdict) -> Finish:
         """Returns the action that responds to the caller."""
         if isinstance(verdict, NotRun):
--- a/src/carawaybank/routing/relaying.py
+++ b/src/carawaybank/routing/relaying.py
@@ -118,7 +118,7 @@
     Returns:
         The verdict with which the request finishes, or None if another attempt may follow.
     """
-    verdict = result.verdict
+    verdict = progress.judge(result.verdict)
     release(router, progress)
     if result.target_id:
         progress.tried_targets.add(result.target_id)
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -232,7 +232,7 @@
         choice = self._release_target(progress)
         if choice is not None:
             feedback.record_attempt(self, progress, choice, result, now)
-        verdict = result.verdict
+        verdict = progress.judge(result.verdict)
         if progress.is_relayed:
             return self._finish(progress, verdict)
         if isinstance(verdict, Answered):
--- a/src/carawaybank/verdicts.py
+++ b/src/carawaybank/verdicts.py
@@ -47,6 +47,7 @@
     PATH_LOST = "path-lost"
     ANSWER_TRUNCATED = "answer-truncated"
     ANSWER_TOO_LARGE = "answer-too-large"
+    UNPROVEN_REFUSAL = "unproven-refusal"
     ANSWER_OF_ANOTHER_REQUEST = "answer-of-another-request"
     TIMEOUT = "timeout"
     INCARNATION_GONE = "entry-vm-incarnation-gone"
--- a/tests/routing/test_relaying.py
+++ b/tests/routing/test_relaying.py
@@ -248,3 +248,11 @@
     assert isinstance(router.end_relay(1, failed, NOW), Relay)
     finish = router.end_relay(1, RelayResult(NotRun(Reason.TARGET_SHED), "t2"), NOW)
     assert (finish.status, finish.verdict.body) == (500, b"failed")
+
+
+def test_a_status_in_a_result_does_not_promise_that_a_booking_has_not_run():
+    """Guards against a sibling of an older build that passes a target's 503 on."""
+    router = make_cut_off_router(make_offer("vm-2"))
+    relay_of(router, path="/book/1")
+    finish = router.end_relay(1, RelayResult(Answered(503, (), b"full"), "t1"), NOW)
+    assert (finish.status, finish.verdict.reason) == (502, Reason.UNPROVEN_REFUSAL)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -53,6 +53,17 @@
     assert action.status == 502
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_a_status_of_a_target_does_not_promise_that_a_booking_has_not_run(status):
+    """Guards against a caller that books again because of a status that we take over."""
+    router = make_router(*TARGETS)
+    router.arrive(make_request(1, path="/book/1"), 0.0)
+    finish = router.end_attempt(1, answered(status), 0.1)
+    assert (finish.status, finish.verdict.reason) == (502, Reason.UNPROVEN_REFUSAL)
+    router.arrive(make_request(2), 0.0)
+    assert isinstance(router.end_attempt(2, answered(429), 0.1).verdict, Answered)
+
+
 def test_a_shed_booking_is_retried_at_another_target():
     router = make_router(*TARGETS)
     first = router.arrive(make_request(1, path="/book/1"), 0.0)
