Reset the connection of a request that was given up

Cause: a connection was closed without a reset, so that the kernel went on sending what was written during a cut.

All exchanges end in one place (requests, relays, health checks, calls to the store); one that ends without a complete response sets SO_LINGER to 0 before it closes. After a complete response nothing changes.

--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections import deque
 from collections.abc import AsyncIterator
 from typing import NamedTuple
@@ -39,6 +40,8 @@
 _MAX_TIMER_DELAY_S = 0.02
 #: Seconds in which the event loop then still processes an established connection.
 _LATE_TIMER_GRACE_S = 0.05
+#: Value of ``SO_LINGER`` with which a close resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE"})
 
 
@@ -222,6 +225,18 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _reset(self) -> None:
+        """Resets the connection, which takes back what the peer has not acknowledged.
+
+        Otherwise the kernel goes on sending a request that was given up, and a peer that was cut
+        off runs it once it can be reached again.
+        """
+        transport = self._transport
+        sock = transport.get_extra_info("socket") if transport else None
+        if transport is not None and sock is not None and not transport.is_closing():
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self.close()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and limits how long sent bytes may stay unacknowledged.
 
@@ -272,10 +287,17 @@
         if self._budget is not None:
             self._budget.release(self._reserved_bytes)
             self._budget, self._reserved_bytes = None, 0
-        finished = waiter is not None and waiter.done() and not waiter.cancelled()
+        is_answered = (
+            waiter is not None
+            and waiter.done()
+            and not waiter.cancelled()
+            and waiter.exception() is None
+        )
         transport = self._transport
         has_unsent_bytes = transport is not None and transport.get_write_buffer_size() > 0
-        if not finished or has_unsent_bytes or not self.is_reusable:
+        if not is_answered:
+            self._reset()
+        elif has_unsent_bytes or not self.is_reusable:
             self.close()
         self.idle_since = asyncio.get_running_loop().time()
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -334,3 +334,45 @@
             assert loop.time() - started >= 0.1
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("end", ["timeout", "cancel", "garbage", "answer", "answer and close"])
+def test_a_request_that_is_given_up_is_taken_back(end):
+    """Guards against a request that reaches a peer after a cut, long after it was given up.
+
+    A reset discards what the kernel has not delivered; a complete response needs none.
+    """
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+    sent = {
+        "garbage": b"garbage\r\n",
+        "answer": answer + b"\r\n",
+        "answer and close": answer + b"Connection: close\r\n\r\n",
+    }
+
+    async def run():
+        ended = asyncio.get_running_loop().create_future()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(sent.get(end, b""))
+            try:
+                ended.set_result(await reader.read())
+            except ConnectionResetError:
+                ended.set_result("reset")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        connection = await ClientConnection.open(address, timeout_s=1.0)
+        call = HttpCall("GET", "/", [("Host", "x")])
+        exchange = asyncio.create_task(connection.exchange(call, timeout_s=0.2))
+        if end == "cancel":
+            await asyncio.sleep(0.05)
+            exchange.cancel()
+        await asyncio.wait([exchange])
+        if end == "answer":
+            connection.close()
+        assert await asyncio.wait_for(ended, 1.0) == (b"" if "answer" in end else "reset")
+        server.close()
+
+    asyncio.run(run())
