Bound the memory of all request bodies together

Uploads of an eighth of the operator's limit, 30 at each VM, took both processes of review/4 beyond their 300 MB; they were killed, and requests of other callers ended with them.

Cause: a body was kept in up to four copies, and nothing bounded the sum over all connections.

Large bodies share a quarter of the process memory, reserved before a body is read on. Without memory, reading pauses for 1 s at most, in the order of arrival, and the request is then refused with 503; it was not passed on. The parser drops the parts once joined, and a body is written in parts as the target reads, so that one copy remains.

--- a/src/carawaybank/callers/connections.py
+++ b/src/carawaybank/callers/connections.py
@@ -19,6 +19,7 @@
 from typing import NamedTuple
 
 from carawaybank.callers.backlog import ConnectionBacklog, ResponseBacklog
+from carawaybank.callers.bodies import BodyMemory, ConnectionBodies
 from carawaybank.callers.requests import CallerRequest, InvalidRequestError, RequestParser
 from carawaybank.replies import HttpReply
 from carawaybank.routing.configuration import Limits
@@ -32,6 +33,10 @@
 #: Seconds for which a connection is read on after the response that closes it. A socket that is
 #: closed with unread bytes resets the connection, which may cost the caller this response.
 _CLOSE_WAIT_S = 1.0
+#: Seconds for which a body waits for memory before its request is refused.
+_BODY_WAIT_S = 1.0
+#: Memory for bodies of connections that have no limit, in bytes.
+_UNLIMITED_BYTES = 2**62
 
 
 Handler = Callable[[CallerRequest], Awaitable[HttpReply]]
@@ -47,6 +52,7 @@
             read from them.
         backlog: Counts the responses that wait for slow callers; None to count none.
         on_told_to_close: Called for each connection that closes for this reason.
+        bodies: Memory that the bodies of requests share; None for no limit.
     """
 
     handle: Handler
@@ -54,6 +60,7 @@
     is_closing: Callable[[], bool]
     backlog: ResponseBacklog | None = None
     on_told_to_close: Callable[[], None] = lambda: None
+    bodies: BodyMemory | None = None
 
 
 class _Exchange:
@@ -65,6 +72,7 @@
     def __init__(self, *, request: CallerRequest | None) -> None:
         self.request = request
         self.task: asyncio.Task[None] | None = None
+        self.body_bytes = 0
         self.reply: HttpReply | None = None
         self.is_last = request is None or request.is_last
 
@@ -93,6 +101,10 @@
         self._head_started_at: float | None = None
         self._idle_since = self._loop.time()
         self._close_timer: asyncio.TimerHandle | None = None
+        self._bodies = ConnectionBodies(
+            memory=context.bodies or BodyMemory(max_bytes=_UNLIMITED_BYTES)
+        )
+        self._body_timer: asyncio.TimerHandle | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -132,6 +144,7 @@
             self._parser.feed(data)
         except InvalidRequestError as error:
             self._refuse(error.status, str(error))
+        self._reserve_body()
         if not self._parser.is_in_head:
             self._head_started_at = None
         elif self._head_started_at is None:
@@ -166,9 +179,11 @@
         self._is_input_ended = True
         if self._close_timer is not None:
             self._close_timer.cancel()
+        self._drop_body()
         for exchange in self._queue:
             if exchange.task is not None:
                 exchange.task.cancel()
+            self._release_body(exchange)
         self._queue.clear()
         if self._backlog is not None:
             self._backlog.resume()
@@ -226,7 +241,9 @@
         if self._is_input_ended:
             return
         self._is_continue_sent = False
-        self._queue.append(_Exchange(request=request))
+        exchange = _Exchange(request=request)
+        exchange.body_bytes = self._bodies.take(len(request.body))
+        self._queue.append(exchange)
         self._run_queued()
         if request.is_last:
             self._is_input_ended = True
@@ -240,20 +257,56 @@
                 )
 
     async def _run_handler(self, exchange: _Exchange, request: CallerRequest) -> None:
-        exchange.reply = await self._context.handle(request)
+        # The task keeps the body while the handler runs, and nothing else does.
+        exchange.request = request._replace(body=b"")
+        try:
+            exchange.reply = await self._context.handle(request)
+        finally:
+            self._release_body(exchange)
         if self._backlog is not None and self._backlog.is_paused:
             self._backlog.update()
         self._flush()
 
-    def _refuse(self, status: int, detail: str) -> None:
+    def _refuse(self, status: int, detail: str, *, retry_after_s: float | None = None) -> None:
         """Queues an error response to malformed or late input, and ignores further input."""
         exchange = _Exchange(request=None)
         headers = [("content-type", "text/plain")]
+        if retry_after_s is not None:
+            headers.append(("retry-after", f"{retry_after_s:.2f}"))
         exchange.reply = HttpReply(status, headers, f"{detail}\n".encode())
         self._is_input_ended = True
+        self._drop_body()
         self._queue.append(exchange)
         self._flush()
 
+    def _reserve_body(self) -> None:
+        """Reserves memory for the body that is being received, or stops reading until there is."""
+        if self._is_input_ended or self._bodies.grow(self._parser.body_bytes):
+            return
+        if not self._parser.has_known_length:
+            self._refuse_body()
+            return
+        self._bodies.wait(self._parser.body_bytes, on_granted=self._continue_body)
+        self._body_timer = self._loop.call_later(_BODY_WAIT_S, self._refuse_body)
+        self._pause_reading()
+
+    def _continue_body(self) -> None:
+        if self._body_timer is not None:
+            self._body_timer.cancel()
+        self._loop.call_soon(self._flush)
+
+    def _refuse_body(self) -> None:
+        self._refuse(503, "no memory is left for so large a body", retry_after_s=_BODY_WAIT_S)
+
+    def _drop_body(self) -> None:
+        if self._body_timer is not None:
+            self._body_timer.cancel()
+        self._bodies.drop()
+
+    def _release_body(self, exchange: _Exchange) -> None:
+        self._bodies.release(exchange.body_bytes)
+        exchange.body_bytes = 0
+
     def _end_input_if_closing(self) -> None:
         """Reads nothing further if a request is queued and connections close.
 
@@ -263,8 +316,9 @@
         if not self._queue or not self._context.is_closing():
             return
         self._is_input_ended = True
+        self._drop_body()
         while self._queue[-1].task is None and self._queue[-1].reply is None:
-            self._queue.pop()
+            self._release_body(self._queue.pop())
 
     def _flush(self) -> None:
         """Writes the responses that are ready, in request order, and resumes reading."""
@@ -286,6 +340,7 @@
         if (
             self._is_reading_paused
             and not self._is_writing_paused
+            and not self._bodies.is_waiting
             and len(self._queue) < _MAX_PIPELINED
             and self._transport is not None
         ):
@@ -329,6 +384,7 @@
             not self._is_input_ended
             and not self._queue
             and not self._is_writing_paused
+            and not self._bodies.is_waiting
             and self._parser.waits_for_continue
         )
         if is_waiting and not self._is_continue_sent and self._backlog is not None:
--- a/src/carawaybank/callers/requests.py
+++ b/src/carawaybank/callers/requests.py
@@ -88,11 +88,22 @@
         self._framing = FramingLimit()
         self._is_finished = False
         self._has_skipped_body = self._is_body_resumed = False
+        self._announced_bytes: int | None = None
         #: Whether a part of a request's head was read, but not all of it.
         self.is_in_head = False
         #: Whether a request's head was read, but not all of its body.
         self.is_in_body = False
 
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of the body that is being received, in full if its length is known."""
+        return max(self._body_bytes, self._announced_bytes or 0) if self.is_in_body else 0
+
+    @property
+    def has_known_length(self) -> bool:
+        """Whether the head of the body that is being received announced its length."""
+        return self._announced_bytes is not None
+
     @property
     def waits_for_continue(self) -> bool:
         """Whether the caller sent ``Expect: 100-continue`` and no byte of the body yet."""
@@ -195,9 +206,12 @@
         values = dict(self._headers)
         if values.get("transfer-encoding", "chunked").lower() != "chunked":
             self._refuse(501, "the transfer coding is not known")
-        if int(values.get("content-length", 0)) > self._limits().body_bytes:
+        is_chunked = "transfer-encoding" in values
+        length = int(values.get("content-length", 0))
+        if length > self._limits().body_bytes:
             self._refuse(413, "the request body is too large")
-        announces_body = "transfer-encoding" in values or int(values.get("content-length", 0)) > 0
+        self._announced_bytes = None if is_chunked else length
+        announces_body = is_chunked or length > 0
         self._has_skipped_body = announces_body and self._parser.should_upgrade()
 
     def on_body(self, data: bytes) -> None:
@@ -228,6 +242,7 @@
             self._peer,
             is_last=not keeps_alive,
         )
+        self._body = []
         self._on_request(request)
 
     def _check_head(self) -> None:
--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -11,7 +11,7 @@
 import struct
 from collections import deque
 from collections.abc import AsyncIterator
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from carawaybank.buffers import BufferBudget
 from carawaybank.exceptions import CarawaybankError
@@ -40,6 +40,8 @@
 _MAX_TIMER_DELAY_S = 0.02
 #: Seconds in which the event loop then still processes an established connection.
 _LATE_TIMER_GRACE_S = 0.05
+#: Bytes of a body that are written at a time.
+_WRITE_BYTES = 65_536
 #: Value of ``SO_LINGER`` with which a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE"})
@@ -103,6 +105,9 @@
         self._max_body_bytes = _DEFAULT_MAX_BODY_BYTES
         self._budget: BufferBudget | None = None
         self._needs_echo = False
+        #: Done when the peer has read enough for more to be written; None if it may be written.
+        self._resumed: asyncio.Future[None] | None = None
+        self._is_body_unwritten = False
         self._sent_ids: deque[str] = deque(maxlen=_MAX_REMEMBERED_IDS)
         self._reserved_bytes = 0
         self._stray_replies = 0
@@ -199,14 +204,14 @@
         if not self.is_open or self._transport is None:
             message = "the connection was closed while idle"
             raise ExchangeError(reason=Reason.CONNECTION_LOST, message=message, may_have_sent=False)
-        data = _encode(call)
+        head = _encode_head(call)
         self._begin_exchange(call, needs_echo)
         self._max_body_bytes = _DEFAULT_MAX_BODY_BYTES if max_body_bytes is None else max_body_bytes
         self._budget = budget
-        self._transport.write(data)
         assert self._waiter is not None
         try:
             async with asyncio.timeout(timeout_s):
+                await self._write(self._transport, head, call.body)
                 return await self._waiter
         except TimeoutError:
             message = f"no whole answer within {timeout_s:.3f} s"
@@ -219,6 +224,37 @@
         finally:
             self._end_exchange()
 
+    async def _write(self, transport: asyncio.Transport, head: bytes, body: bytes) -> None:
+        """Writes a request; a large body in parts, as the peer reads, so that it is not copied.
+
+        The rest of a body is not written once the exchange has its response or has failed.
+        """
+        if len(body) <= _WRITE_BYTES:
+            transport.write(head + body)
+            return
+        transport.write(head)
+        assert self._waiter is not None
+        view = memoryview(body)
+        self._is_body_unwritten = True
+        for start in range(0, len(view), _WRITE_BYTES):
+            if self._resumed is not None:
+                events: list[asyncio.Future[Any]] = [self._resumed, self._waiter]
+                await asyncio.wait(events, return_when=asyncio.FIRST_COMPLETED)
+            if self._waiter.done():
+                return
+            transport.write(view[start : start + _WRITE_BYTES])
+        self._is_body_unwritten = False
+
+    def pause_writing(self) -> None:
+        """Records that the peer reads more slowly than a body is written."""
+        self._resumed = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Continues to write a body."""
+        if self._resumed is not None:
+            self._resumed.set_result(None)
+            self._resumed = None
+
     def close(self) -> None:
         """Aborts the connection at once, so that the peer stops work on its request."""
         self.is_reusable = False
@@ -278,7 +314,7 @@
         self._reader = ReplyReader(method=call.method)
         self._waiter = asyncio.get_running_loop().create_future()
         self._stray_replies = 0
-        self._has_received_bytes = False
+        self._has_received_bytes = self._is_body_unwritten = False
         self._sent_ids.append(call.expected_echo[1])
         self.exchanges += 1
 
@@ -294,7 +330,9 @@
             and waiter.exception() is None
         )
         transport = self._transport
-        has_unsent_bytes = transport is not None and transport.get_write_buffer_size() > 0
+        has_unsent_bytes = self._is_body_unwritten or (
+            transport is not None and transport.get_write_buffer_size() > 0
+        )
         if not is_answered:
             self._reset()
         elif has_unsent_bytes or not self.is_reusable:
@@ -399,8 +437,8 @@
             timer.cancel()
 
 
-def _encode(call: HttpCall) -> bytes:
-    """Returns the request encoded as HTTP/1.1.
+def _encode_head(call: HttpCall) -> bytes:
+    """Returns the head of the request encoded as HTTP/1.1.
 
     Raises:
         ExchangeError: If a header contains a line break, which would corrupt the framing.
@@ -413,4 +451,4 @@
     if head.count("\n") != len(lines) - 1 or head.count("\r") != len(lines) - 1:
         message = "a header contains the end of a line"
         raise ExchangeError(reason=Reason.BAD_REQUEST, message=message, may_have_sent=False)
-    return f"{head}\r\n\r\n".encode("latin-1") + call.body
+    return f"{head}\r\n\r\n".encode("latin-1")
--- a/src/carawaybank/deployment.py
+++ b/src/carawaybank/deployment.py
@@ -20,6 +20,9 @@
 #: separate from that of responses that are being received, so that slow callers cannot cause the
 #: responses to other callers to be cut off.
 _UNREAD_MEMORY_FRACTION = 0.125
+#: Fraction of the process memory that bodies of requests may use. Joining the parts of a body
+#: briefly doubles its memory.
+_BODY_MEMORY_FRACTION = 0.25
 
 
 class VmTable(TypedDict):
@@ -170,6 +173,11 @@
         """Bytes of waiting responses to slow callers from which downloads are refused."""
         return int(self.memory_mb * 1_000_000 * _UNREAD_MEMORY_FRACTION)
 
+    @property
+    def body_memory_bytes(self) -> int:
+        """Bytes that large bodies of requests may use together."""
+        return int(self.memory_mb * 1_000_000 * _BODY_MEMORY_FRACTION)
+
     def router_options(self) -> RouterOptions:
         """Returns the locality and the limits that the router applies."""
         return RouterOptions(
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -12,6 +12,7 @@
 from carawaybank.adapters import Adapter
 from carawaybank.background import BackgroundTasks
 from carawaybank.callers.backlog import ResponseBacklog
+from carawaybank.callers.bodies import BodyMemory
 from carawaybank.callers.connections import CallerConnection, ConnectionContext
 from carawaybank.callers.listeners import AddressWait, connection_factory, listen
 from carawaybank.charging import Charging
@@ -92,6 +93,7 @@
             journal=self._journal,
             counters=self._counters,
         )
+        self._bodies = BodyMemory(max_bytes=deployment.body_memory_bytes)
         self._router.has_response_room = lambda: self._backlog.has_room
         self._stopped = asyncio.Event()
         self._told_to_close_count = 0
@@ -315,6 +317,7 @@
             is_closing=lambda: self._handler.is_stopping,
             backlog=self._backlog,
             on_told_to_close=self._count_told_to_close,
+            bodies=self._bodies,
         )
         endpoints = Endpoints(
             adapter=self._adapter,
@@ -327,7 +330,7 @@
         )
         factories = {
             f"{deployment.ip}:{deployment.sibling_port}": self._relays.serve(
-                self._handler, backlog=self._backlog
+                self._handler, backlog=self._backlog, bodies=self._bodies
             )
         }
         if deployment.control_address:
--- a/src/carawaybank/relays.py
+++ b/src/carawaybank/relays.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from carawaybank.callers.backlog import ResponseBacklog
+from carawaybank.callers.bodies import BodyMemory
 from carawaybank.callers.connections import CallerConnection, ConnectionContext
 from carawaybank.congestion import CongestionWatch
 from carawaybank.counters import Counters
@@ -117,13 +118,18 @@
         return self.client.pool
 
     def serve(
-        self, handler: RequestHandler, *, backlog: ResponseBacklog | None = None
+        self,
+        handler: RequestHandler,
+        *,
+        backlog: ResponseBacklog | None = None,
+        bodies: BodyMemory | None = None,
     ) -> Callable[[], CallerConnection]:
         """Returns a protocol factory for the connections of siblings.
 
         Args:
             handler: Makes the attempts that siblings ask for.
             backlog: Counts the responses that siblings read slowly; None to count none.
+            bodies: Memory that the bodies of requests share; None for no limit.
         """
         self._server = RelayServer(
             requests=handler,
@@ -138,6 +144,7 @@
             limits=lambda: _relay_limits(handler.limits),
             is_closing=lambda: handler.is_stopping,
             backlog=backlog,
+            bodies=bodies,
         )
         return lambda: CallerConnection(context=context, connections=self._connections)
 
--- a/tests/platform/sites.py
+++ b/tests/platform/sites.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+from pathlib import Path
 
 from standins.cluster import allocate_port
 from tests.test_deployment import SETTINGS
@@ -48,6 +49,13 @@
     return replace_ports(text, ports).replace(f"{ips[name]}:8104", store_address)
 
 
+def peak_mb(pid):
+    """Returns the largest memory that a process has used so far, in megabytes."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    (peak,) = (line for line in lines if line.startswith("VmHWM"))
+    return int(peak.split()[1]) / 1000
+
+
 async def wait_until_ready(process, is_ready, read_output):
     """Waits until a process is ready.
 
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -47,6 +47,8 @@
 class Target:
     """A target that responds while its gate is open, and records the requests that it ran."""
 
+    limits = Limits
+
     def __init__(self):
         self.runs = []
         self.gate = asyncio.Event()
@@ -62,7 +64,9 @@
         return HttpReply(200, headers, b"done " + request.body)
 
     async def start(self):
-        context = ConnectionContext(handle=self.handle, limits=Limits, is_closing=lambda: False)
+        context = ConnectionContext(
+            handle=self.handle, limits=self.limits, is_closing=lambda: False
+        )
         connections = set()
         self.server = await listen(
             "127.0.0.1:0", lambda: CallerConnection(context=context, connections=connections)
--- a/tests/platform/test_process_endless.py
+++ b/tests/platform/test_process_endless.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import json
-from pathlib import Path
 
 import pytest
 
+from tests.platform.sites import peak_mb
 from tests.platform.test_process import Node
 
 pytestmark = pytest.mark.processes
@@ -61,15 +61,6 @@
             writer.transport.abort()
 
 
-def peak_mb(pid):
-    line = next(
-        line
-        for line in Path(f"/proc/{pid}/status").read_text().splitlines()
-        if line.startswith("VmHWM")
-    )
-    return int(line.split()[1]) / 1000
-
-
 @pytest.mark.parametrize("kind", ENDLESS)
 def test_bytes_without_end_exhaust_neither_the_memory_nor_other_callers(tmp_path, kind):
     """Guards against a process that keeps what a faulty target sends until its memory is used up.
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -376,3 +376,40 @@
         server.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("answers_early", [False, True])
+def test_a_large_body_is_written_as_the_peer_reads_it(answers_early):
+    """Guards against copies of a body in the buffers of its connection."""
+    body = bytes(range(256)) * 40_000
+
+    async def run():
+        received = []
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+            if answers_early:
+                writer.write(answer)
+                return
+            await asyncio.sleep(0.1)
+            assert buffered() < 1_000_000
+            received.append(await reader.readexactly(len(body)))
+            writer.write(answer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        connection = await ClientConnection.open(address, timeout_s=1.0)
+
+        def buffered():
+            return connection._transport.get_write_buffer_size()
+
+        call = HttpCall("POST", "/", [("Host", "x")], body)
+        reply = await connection.exchange(call, timeout_s=5.0)
+        assert reply.status == 200
+        assert connection.is_open != answers_early
+        assert received == ([] if answers_early else [body])
+        connection.close()
+        server.close()
+
+    asyncio.run(run())
