Take a status below 100 for no response

The parser library accepts it. Such a response is damaged now, like any other that cannot be parsed. test_cut_heads.py: three cases failed before.

--- a/src/carawaybank/replies.py
+++ b/src/carawaybank/replies.py
@@ -14,6 +14,7 @@
 #: Maximum number of headers of a response.
 _MAX_HEADERS = 256
 _INFORMATIONAL_STATUSES = range(100, 200)
+_MIN_STATUS = 100
 
 
 class HttpReply(NamedTuple):
@@ -119,6 +120,8 @@
     def on_headers_complete(self) -> None:
         """Determines how the body is delimited; called by the parser after the headers."""
         self._has_head = True
+        if self._parser.get_status_code() < _MIN_STATUS:
+            self._reject("it has no valid status")
         headers = dict(self._headers)
         coding = headers.get("transfer-encoding")
         if coding is not None and coding.lower() != "chunked":
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -82,3 +82,12 @@
     for end in range(0, len(head), 5):
         verdict = asyncio.run(run(end))
         assert not isinstance(verdict, Answered), (end, verdict)
+
+
+@pytest.mark.parametrize("status", ["000", "099", "007"])
+def test_a_status_that_is_none_is_no_response(status):
+    """Guards against a garbled status that is passed on as ``HTTP/1.1 0``."""
+    reader = ReplyReader(method="GET")
+    reader.feed(f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode())
+    assert not reader.replies
+    assert "status" in reader.problem.lower()
