--- a/src/carawaybank/callers/requests.py
+++ b/src/carawaybank/callers/requests.py
@@ -89,6 +89,7 @@
         self._is_finished = False
         self._has_skipped_body = self._is_body_resumed = False
         self._announced_bytes: int | None = None
+        self._head_count = 0
         #: Whether a part of a request's head was read, but not all of it.
         self.is_in_head = False
         #: Whether a request's head was read, but not all of its body.
@@ -118,7 +119,7 @@
             InvalidRequestError: If a request is malformed or exceeds a limit. The complete
                 requests before it have been passed to ``on_request``.
         """
-        was_in_head = self.is_in_head
+        heads = self._head_count if self.is_in_head else None
         self._framing.record(read_bytes=len(data), body_bytes=0)
         try:
             self._parser.feed_data(data)
@@ -133,8 +134,10 @@
             if self._is_finished:
                 return
             raise InvalidRequestError(status=400, detail=str(error)) from None
-        if was_in_head and self.is_in_head:
-            self._head_bytes += len(data)
+        if self.is_in_head:
+            # The bytes before a head that began in this segment belong to other requests.
+            has_begun = heads != self._head_count
+            self._head_bytes += self._count_parsed_head() if has_begun else len(data)
             self._check_head()
         if self._framing.is_exceeded:
             raise InvalidRequestError(status=400, detail="more framing than any request needs")
@@ -165,6 +168,7 @@
         if self._is_body_resumed:
             return
         self.is_in_head = True
+        self._head_count += 1
         self._path = b""
         self._headers, self._body = [], []
         self._head_bytes = self._body_bytes = 0
@@ -191,8 +195,7 @@
             self._is_body_resumed = False
             return
         self.is_in_head, self.is_in_body = False, True
-        sizes = (len(name) + len(value) + _HEADER_OVERHEAD_BYTES for name, value in self._headers)
-        self._head_bytes = len(self._path) + sum(sizes)
+        self._head_bytes = self._count_parsed_head()
         self._check_head()
         if self._parser.get_method() == b"CONNECT":
             self._refuse(400, "tunnels are not served")
@@ -245,6 +248,10 @@
         self._body = []
         self._on_request(request)
 
+    def _count_parsed_head(self) -> int:
+        sizes = (len(name) + len(value) + _HEADER_OVERHEAD_BYTES for name, value in self._headers)
+        return len(self._path) + sum(sizes)
+
     def _check_head(self) -> None:
         if self._head_bytes > self._limits().header_bytes:
             self._refuse(431, "the request head is too large")
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -153,6 +153,26 @@
     run(scenario())
 
 
+def test_pipelined_heads_within_the_limit_are_accepted_however_they_are_cut():
+    """Guards against a head that is charged with the bytes of the requests before it."""
+
+    async def scenario():
+        limits = Limits(header_bytes=3000)
+        async with Caller(limits=limits) as caller:
+            requests = [
+                f"GET /{n} HTTP/1.1\r\nHost: a\r\nX: {'y' * 2000}\r\n\r\n".encode()
+                for n in range(8)
+            ]
+            data = b"".join(requests)
+            for start in range(0, len(data), 5000):
+                caller.send(data[start : start + 5000])
+                await asyncio.sleep(0.005)
+            bodies = [(await caller.read_response())[1] for _ in requests]
+            assert bodies == [f"/{n}".encode() for n in range(8)]
+
+    run(scenario())
+
+
 def test_an_error_response_follows_the_response_to_the_request_before_it():
     """Guards against an error response that the caller takes for that of an earlier request.
 
