Keep a target that has moved to another address since

A 421 says that another server has the address that a request was sent to. It is removed only if its address is still the one that answered. test_router.py: both cases, of the same and of a new incarnation, failed before.

--- a/src/carawaybank/routing/feedback.py
+++ b/src/carawaybank/routing/feedback.py
@@ -45,7 +45,8 @@
         target.pause(result.pause_s, now=now)
     if result.is_draining:
         router.targets.record_departure(target)
-    if result.address_reused:
+    current = router.targets.find(target.entry.target_id)
+    if result.address_reused and current and current.entry.address == progress.sent_address:
         router.targets.remove(target.entry.target_id)
     verdict = result.verdict
     reason = None if isinstance(verdict, Answered) else verdict.reason
--- a/src/carawaybank/routing/progress.py
+++ b/src/carawaybank/routing/progress.py
@@ -53,6 +53,8 @@
         self.last_target_id = ""
         #: Time at which the attempt in progress was sent.
         self.sent_at = now
+        #: Address that it was sent to.
+        self.sent_address = ""
         #: Targets of ``tried_targets`` to which no connection could be opened.
         self.unreached_count = 0
         #: Relays of which no result came back, so that their target is unknown.
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -356,6 +356,7 @@
         self.limits.record_send(target.entry, now=now)
         progress.choice = choice
         progress.sent_at = now
+        progress.sent_address = target.entry.address
         progress.tried_targets.add(target.entry.target_id)
         progress.last_target_id = target.entry.target_id
         target.in_flight += 1
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -125,6 +125,18 @@
     assert router.targets.find(sent.target_id) is None
 
 
+@pytest.mark.parametrize("incarnation", [0, 1])
+def test_a_target_that_has_moved_since_is_not_removed(incarnation):
+    """Guards against a target at a new address that is lost to a response from its old one."""
+    router = make_router(make_target(1))
+    router.arrive(make_request(1), 0.0)
+    moved = make_target(1, address="10.0.0.9:80", sequence=2, incarnation=incarnation)
+    router.targets.update(moved, now=0.05)
+    result = AttemptResult(NotRun(Reason.NOT_OWNER), 0.01, address_reused=True)
+    router.end_attempt(1, result, 0.1)
+    assert router.targets.find("t1").entry.address == "10.0.0.9:80"
+
+
 @pytest.mark.parametrize("changes", [{"draining": True}, {"failure_domain": "a9"}])
 def test_draining_and_evacuated_targets_get_no_requests(changes):
     router = make_router(make_target(1, **changes), make_target(2))
