Keep what a target says although its entry came back meanwhile

A departure, or a pause that a target asked for, was dropped when the target's entry was lost and came back while the request was in progress (the review, by reading): the response was recorded at the state of the lost entry. Both now go to the state that has the same incarnation, and a departure is kept also while the entry is away, as departures from the store are. test_router.py: three of four cases failed before; a pause that is asked for while the entry is away is still lost with it.

--- a/src/carawaybank/routing/directory.py
+++ b/src/carawaybank/routing/directory.py
@@ -149,13 +149,24 @@
             Whether the target is known and was not draining before.
         """
         entry = target.entry
-        if entry.draining or self._targets.get(entry.target_id) is not target:
-            return False
         self.departures.record(entry.target_id, entry.incarnation)
-        target.entry = entry._replace(draining=True)
+        known = self.find_again(target)
+        if known is None or known.entry.draining:
+            return False
+        known.entry = known.entry._replace(draining=True)
         self._is_indexed = False
         return True
 
+    def find_again(self, target: Target) -> Target | None:
+        """Returns the state of a target whose entry may have been lost and come back meanwhile.
+
+        The result is None if it is not known, or has started again.
+        """
+        known = self._targets.get(target.entry.target_id)
+        if known is None or known.entry.incarnation != target.entry.incarnation:
+            return None
+        return known
+
     def remove(self, target_id: str) -> bool:
         """Removes a target; returns whether it was known."""
         if self._targets.pop(target_id, None) is None:
--- a/src/carawaybank/routing/feedback.py
+++ b/src/carawaybank/routing/feedback.py
@@ -42,7 +42,8 @@
             target.entry, result.limit, sent_at=now - result.latency_s, now=now
         )
     if result.pause_s:
-        target.pause(result.pause_s, now=now)
+        paused = router.targets.find_again(target) or target
+        paused.pause(result.pause_s, now=now)
     if result.is_draining:
         router.targets.record_departure(target)
     current = router.targets.find(target.entry.target_id)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -125,6 +125,24 @@
     assert router.targets.find(sent.target_id) is None
 
 
+@pytest.mark.parametrize("is_listed", [True, False])
+@pytest.mark.parametrize("result", [{"is_draining": True}, {"pause_s": 5.0}])
+def test_what_a_target_says_holds_although_its_entry_was_lost_meanwhile(result, is_listed):
+    """Guards against requests to a target that has announced its departure, or asked for a pause.
+
+    The entry is lost while a request is in progress, and comes back before or after its response.
+    """
+    router = make_router(make_target(1, sequence=5))
+    router.arrive(make_request(1, path="/book/1"), 0.0)
+    router.targets.remove("t1")
+    if is_listed:
+        router.targets.update(make_target(1, sequence=6), now=0.1)
+    router.end_attempt(1, AttemptResult(Answered(200), 0.2, **result), 0.2)
+    router.targets.update(make_target(1, sequence=7), now=0.3)
+    if is_listed or "is_draining" in result:
+        assert isinstance(router.arrive(make_request(2), 0.4), Finish)
+
+
 @pytest.mark.parametrize("incarnation", [0, 1])
 def test_a_target_that_has_moved_since_is_not_removed(incarnation):
     """Guards against a target at a new address that is lost to a response from its old one."""
