Wait until a slow caller has received the response that closes its connection

The wait of a second begins once the caller has acknowledged everything. The stop waits for such connections as it did before, and counts those that are left as `cut`, which counted requests without a response only.

--- a/src/carawaybank/callers/backlog.py
+++ b/src/carawaybank/callers/backlog.py
@@ -109,6 +109,11 @@
         self._checked_at: float | None = None
         self.is_paused = False
 
+    @property
+    def unreceived_bytes(self) -> int:
+        """Bytes that were written and that the caller has not acknowledged."""
+        return self._transport.get_write_buffer_size() + _unacknowledged_bytes(self._transport)
+
     def write(self, data: bytes) -> None:
         """Writes data to the transport."""
         self._written_bytes += len(data)
--- a/src/carawaybank/callers/connections.py
+++ b/src/carawaybank/callers/connections.py
@@ -30,8 +30,9 @@
 _MAX_PIPELINED = 32
 #: Statuses whose responses have neither a body nor a Content-Length header.
 _BODILESS_STATUSES = frozenset({204, 304})
-#: Seconds for which a connection is read on after the response that closes it. A socket that is
-#: closed with unread bytes resets the connection, which may cost the caller this response.
+#: Seconds for which a connection is read on after the caller has received the response that closes
+#: it. A socket that is closed with unread bytes resets the connection, which may cost the caller
+#: this response.
 _CLOSE_WAIT_S = 1.0
 #: Seconds for which a body waits for memory before its request is refused.
 _BODY_WAIT_S = 1.0
@@ -119,6 +120,12 @@
             is_receiving=self._parser.is_in_head or self._parser.is_in_body,
         )
 
+    @property
+    def is_response_outstanding(self) -> bool:
+        """Whether a request has no response, or the caller has not received all of it."""
+        is_unreceived = self._backlog is not None and self._backlog.unreceived_bytes > 0
+        return bool(self._queue) or is_unreceived
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and adds this connection to the open ones."""
         assert isinstance(transport, asyncio.Transport)
@@ -357,12 +364,18 @@
         if asked_to_close or self._transport is None or self._transport.is_closing():
             self.close()
             return
-        self._close_timer = self._loop.call_later(_CLOSE_WAIT_S, self.close)
+        self._close_timer = self._loop.call_later(_CLOSE_WAIT_S, self._close_if_received)
         self._transport.write_eof()
         if self._is_reading_paused:
             self._is_reading_paused = False
             self._transport.resume_reading()
 
+    def _close_if_received(self) -> None:
+        if self._backlog is not None and self._backlog.unreceived_bytes:
+            self._close_timer = self._loop.call_later(_CLOSE_WAIT_S, self._close_if_received)
+        else:
+            self.close()
+
     def _write(self, exchange: _Exchange, *, must_close: bool) -> None:
         reply, backlog = exchange.reply, self._backlog
         assert reply is not None
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -460,7 +460,7 @@
             refused=result.refused + plan.refused_count,
             waited_for=waited_for,
             given_up=result.given_up,
-            cut=len(self._router.requests),
+            cut=result.cut,
         )
 
     def _count_told_to_close(self) -> None:
--- a/src/carawaybank/shutdown.py
+++ b/src/carawaybank/shutdown.py
@@ -18,11 +18,13 @@
         closed: Idle connections that were closed.
         refused: Requests that were refused because they were not complete in time.
         given_up: Attempts that were ended because no time was left.
+        cut: Connections whose callers have not received all responses.
     """
 
     closed: int
     refused: int
     given_up: int
+    cut: int
 
 
 async def drain(
@@ -63,6 +65,7 @@
             given_up = give_up()
         if not plan.is_listening(now) and not open_connections and is_idle():
             break
+    cut = sum(connection.is_response_outstanding for connection in connections())
     for server in servers:
         server.close()
-    return StopResult(closed, refused, given_up)
+    return StopResult(closed, refused, given_up, cut)
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -1,6 +1,7 @@
 """Server connections of callers: response order, limits, disconnects and closing."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -288,6 +289,31 @@
     run(scenario())
 
 
+def test_a_slow_caller_that_sends_on_gets_the_whole_last_response():
+    """Guards against a response that is reset while its caller still receives it."""
+
+    async def scenario():
+        async with Caller(closing=True) as caller:
+            sock = caller.writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+            size = 12_000_000
+            caller.limits = Limits(body_bytes=size)
+            head = f"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n\r\n"
+            caller.send(head.encode() + b"x" * size)
+            await caller.reader.readuntil(b"\r\n\r\n")
+            received = 0
+            async with asyncio.timeout(20):
+                while received < size + len("/1"):
+                    data = await caller.reader.read(100_000)
+                    assert data, f"the connection ended after {received} bytes"
+                    received += len(data)
+                    caller.send(encode_get("/more"))
+                    await asyncio.sleep(0.02)
+            assert caller.started == ["/1"]
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(
     "data",
     [b"GET /1 HTTP/1.1\r\nHost", b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nbo"],
--- a/tests/platform/stops.py
+++ b/tests/platform/stops.py
@@ -10,7 +10,7 @@
 
 #: Seconds until the process is killed, as in the settings of the tests.
 STOP_S = 6.0
-RESPONSE_BYTES = {"large": 400_000}
+RESPONSE_BYTES = {"large": 400_000, "huge": 11_000_000}
 LOOK = {**ROUTE, "prefix": "/look/", "kind": "idempotent", "timeoutMs": 5000, "sloMs": 3000}
 ROUTES = [
     {"resKind": "routes", "metadata": {"name": "r"}, "spec": {**ROUTE, "sloMs": 3000}},
@@ -63,8 +63,8 @@
         statuses: Status of each complete response, by the id of its request.
     """
 
-    def __init__(self, *, vm, name):
-        self.vm, self.name = vm, name
+    def __init__(self, *, vm, name, read_pause_s=0.0):
+        self.vm, self.name, self.read_pause_s = vm, name, read_pause_s
         self.sent, self.statuses = [], {}
         self.is_told_to_close = False
         self._waiting = []
@@ -128,7 +128,9 @@
             while not self.is_told_to_close:
                 head = (await self.reader.readuntil(b"\r\n\r\n")).decode().lower()
                 length = int(head.partition("content-length: ")[2].partition("\r\n")[0])
-                await self.reader.readexactly(length)
+                while length:
+                    length -= len(await self.reader.readexactly(min(length, 65_536)))
+                    await asyncio.sleep(self.read_pause_s)
                 self.statuses[self._waiting.pop(0)] = int(head.split()[1])
                 self.is_told_to_close = "connection: close" in head
         except (OSError, asyncio.IncompleteReadError):
--- a/tests/platform/test_process_stops.py
+++ b/tests/platform/test_process_stops.py
@@ -114,6 +114,20 @@
     run_stop(tmp_path, scenario)
 
 
+def test_slow_callers_that_send_on_get_whole_responses(tmp_path):
+    """Guards against large responses that are reset, or dropped with the end of the process."""
+
+    async def scenario(vm, callers):
+        callers += [Caller(vm=vm, name=f"s{n}", read_pause_s=0.02) for n in range(2)]
+        for caller in callers:
+            await caller.open()
+        await asyncio.gather(
+            *(c.pipeline(interval_s=0.9, work_ms=800, size="huge") for c in callers)
+        )
+
+    run_stop(tmp_path, scenario)
+
+
 def test_a_stop_while_the_store_is_away_loses_no_request(tmp_path):
     """Guards against a stop that waits for the store to remove the registration."""
 
