--- a/src/carawaybank/platform/decoding.py
+++ b/src/carawaybank/platform/decoding.py
@@ -1,5 +1,6 @@
 """Decodes rows of the platform's store into the project's types."""
 
+import re
 from collections.abc import Mapping
 from typing import Any, TypedDict
 
@@ -30,6 +31,9 @@
 #: A longer cold time in milliseconds is a fault; targets are cold for seconds.
 _MAX_COLD_MS = 86_400_000.0
 
+#: Version of a configuration: eight hexadecimal digits.
+_VERSION = re.compile(r"[0-9A-Fa-f]{1,8}")
+
 
 class _SplitService(TypedDict):
     service: str
@@ -176,6 +180,8 @@
             tenants.append(_make_tenant(name, msgspec.convert(spec, _TenantSpec)))
         elif kind == "limits":
             limits = _make_limits(msgspec.convert(spec, _LimitsSpec))
+    if not _VERSION.fullmatch(document["version"]):
+        raise ValueError(f"no version: {document['version'][:40]!r}")
     version = int(document["version"], 16)
     return Configuration(version, tuple(routes), services, limits, tuple(tenants))
 
