Prove without a race that SIGHUP is ignored before the first import

It looked at the loaded libraries of the process right after SIGHUP was ignored; under load it looked too late, when the imports had gone on.

The order is now observed inside the process: an import hook prints the action of SIGHUP at the first import of the daemon. That is stricter, since one library no longer stands for all imports, and fails without the fix. The test with a process keeps the signals up to the first request.

--- a/tests/platform/test_process_starts.py
+++ b/tests/platform/test_process_starts.py
@@ -4,6 +4,8 @@
 import json
 import signal
 import socket
+import subprocess
+import sys
 import time
 from pathlib import Path
 
@@ -33,8 +35,31 @@
             await asyncio.sleep(0.005)
 
 
-def test_changed_settings_do_not_end_a_process_that_starts(tmp_path):
+#: Runs the daemon's entry point, and prints the action of SIGHUP when it begins to import.
+PRINT_ACTION = """
+import runpy, signal, sys
+
+class Finder:
+    def find_spec(self, name, *_):
+        if name == "carawaybank.platform.command":
+            print(signal.getsignal(signal.SIGHUP).name)
+
+sys.meta_path.insert(0, Finder())
+sys.argv[1:] = ["--version"]
+runpy.run_module("carawaybank.platform", run_name="__main__", alter_sys=True)
+"""
+
+
+def test_changed_settings_are_ignored_before_the_first_import():
     """Guards against SIGHUP ending a process that still imports its modules."""
+    run = subprocess.run(
+        [sys.executable, "-c", PRINT_ACTION], capture_output=True, text=True, check=False
+    )
+    assert run.stdout.splitlines()[0] == "SIG_IGN"
+
+
+def test_changed_settings_do_not_end_a_process_that_starts(tmp_path):
+    """Guards against SIGHUP ending a process between its imports and its first request."""
 
     async def run():
         async with Node() as node:
@@ -42,7 +67,6 @@
             while not hasattr(node, "process") or not survives_hangups(node.process.pid):
                 await asyncio.sleep(0)
                 assert not starting.done()
-            assert "httptools" not in Path(f"/proc/{node.process.pid}/maps").read_text()
             await send_hangups(node.process, until=starting.done)
             await starting
             assert (await node.call("8100", "/x/1", method="POST")).status == 200
