Log what a stop finds in the kernel, and how late it decides

The line `stopped` had neither. It now has `queued` (connections that wait to be accepted), `unread` (idle connections that are closed with unread bytes) and `late_s` (longest delay of a decision).

--- a/src/carawaybank/callers/backlog.py
+++ b/src/carawaybank/callers/backlog.py
@@ -5,15 +5,12 @@
 """
 
 import asyncio
-import fcntl
-import struct
-import termios
 from collections.abc import Callable
-from typing import Any
 
 from carawaybank.buffers import BufferBudget
 from carawaybank.counters import Counters
 from carawaybank.journal import Journal
+from carawaybank.sockets import count_unacknowledged_bytes
 
 #: Seconds after which a connection is aborted if its caller reads none of the bytes that wait. The
 #: longest budget of a known route is 6.9 s, after which the caller does not use the response, and
@@ -111,8 +108,12 @@
 
     @property
     def unreceived_bytes(self) -> int:
-        """Bytes that were written and that the caller has not acknowledged."""
-        return self._transport.get_write_buffer_size() + _unacknowledged_bytes(self._transport)
+        """Bytes that were written and that the caller has not acknowledged.
+
+        The kernel accepts further bytes only once a third of its buffer is free, which may take
+        longer than ``MAX_UNREAD_S`` although the caller reads.
+        """
+        return self._transport.get_write_buffer_size() + count_unacknowledged_bytes(self._transport)
 
     def write(self, data: bytes) -> None:
         """Writes data to the transport."""
@@ -157,7 +158,9 @@
         elapsed_s = 0.0 if self._checked_at is None else now - self._checked_at
         self._checked_at = now
         unsent_bytes = self._transport.get_write_buffer_size()
-        read_bytes = self._written_bytes - unsent_bytes - _unacknowledged_bytes(self._transport)
+        read_bytes = (
+            self._written_bytes - unsent_bytes - count_unacknowledged_bytes(self._transport)
+        )
         if not unsent_bytes or read_bytes > self._read_bytes:
             self._read_bytes, self._unread_s = read_bytes, 0.0
             return False
@@ -168,19 +171,3 @@
             self._shared.record_aborted(self._peer, unread_bytes=unsent_bytes)
         self._transport.abort()
         return True
-
-
-def _unacknowledged_bytes(transport: asyncio.WriteTransport) -> int:
-    """Returns the bytes in the send buffer of the kernel.
-
-    The kernel accepts further bytes only once a third of its buffer is free, which may take longer
-    than ``MAX_UNREAD_S`` although the caller reads.
-    """
-    sock: Any = transport.get_extra_info("socket")
-    if sock is None:
-        return 0
-    try:
-        result = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
-    except OSError:
-        return 0
-    return int(struct.unpack("i", result)[0])
--- a/src/carawaybank/callers/connections.py
+++ b/src/carawaybank/callers/connections.py
@@ -24,6 +24,7 @@
 from carawaybank.replies import HttpReply
 from carawaybank.routing.configuration import Limits
 from carawaybank.routing.stopping import ConnectionState
+from carawaybank.sockets import count_unread_bytes
 
 #: Requests of one connection that run concurrently. Reading pauses at this number of requests and
 #: resumes when responses have been written.
@@ -120,6 +121,11 @@
             is_receiving=self._parser.is_in_head or self._parser.is_in_body,
         )
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether the kernel holds bytes of the caller that were not read yet."""
+        return self._transport is not None and count_unread_bytes(self._transport) > 0
+
     @property
     def is_response_outstanding(self) -> bool:
         """Whether a request has no response, or the caller has not received all of it."""
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -461,6 +461,9 @@
             waited_for=waited_for,
             given_up=result.given_up,
             cut=result.cut,
+            queued=result.queued,
+            unread=result.unread,
+            late_s=round(result.late_s, 2),
         )
 
     def _count_told_to_close(self) -> None:
--- a/src/carawaybank/shutdown.py
+++ b/src/carawaybank/shutdown.py
@@ -6,6 +6,7 @@
 
 from carawaybank.callers.connections import CallerConnection
 from carawaybank.routing.stopping import Step, StopPlan
+from carawaybank.sockets import count_waiting_connections
 
 #: Seconds between two decisions on all connections.
 _INTERVAL_S = 0.1
@@ -19,12 +20,18 @@
         refused: Requests that were refused because they were not complete in time.
         given_up: Attempts that were ended because no time was left.
         cut: Connections whose callers have not received all responses.
+        queued: Connections that waited to be accepted when the listener closed.
+        unread: Idle connections that were closed with unread bytes.
+        late_s: Longest delay in seconds of a decision, for want of processor time.
     """
 
     closed: int
     refused: int
     given_up: int
     cut: int
+    queued: int
+    unread: int
+    late_s: float
 
 
 async def drain(
@@ -45,17 +52,21 @@
         give_up: Ends the attempts in progress and returns their number.
     """
     loop = asyncio.get_running_loop()
-    closed = refused = given_up = 0
+    closed = refused = given_up = queued = unread = 0
+    late_s = 0.0
     has_given_up = False
-    while not plan.is_over(loop.time()):
+    while not plan.is_over(started_at := loop.time()):
         await asyncio.sleep(_INTERVAL_S)
         now = loop.time()
+        late_s = max(late_s, now - started_at - _INTERVAL_S)
         if not plan.is_listening(now):
+            queued += count_waiting_connections(servers[0])
             servers[0].close()
         open_connections = list(connections())
         for connection in open_connections:
             step = plan.decide(connection.state, now)
             if step is Step.CLOSE:
+                unread += connection.has_unread_bytes
                 connection.close()
                 closed += 1
             elif step is Step.REFUSE:
@@ -68,4 +79,4 @@
     cut = sum(connection.is_response_outstanding for connection in connections())
     for server in servers:
         server.close()
-    return StopResult(closed, refused, given_up, cut)
+    return StopResult(closed, refused, given_up, cut, queued, unread, late_s)
