Accept the connections that wait before a VM that stops closes its listener

What callers saw: requests on new connections end with a reset, without an answer, 2.5 to 3 s after a planned stop began, where the VM gets little processor.

Cause: when the listening socket closes, the kernel resets what it has established and the process has not accepted. Connections that asyncio's server had accepted in the same pass of the event loop were lost too: their transport is created two passes later, when the server counts as closed, and the stop ended meanwhile, since no connection was open.

Change: `Listener` accepts by itself. Its stop first accepts what waits, closes, and returns when these connections are open. A connection on which nothing was sent yet is kept until requests that are being received are refused, since its first request may be on its way. The listener of siblings stops at the same time, so that nothing is relayed to a VM that is about to end, and those of look-ups, readiness checks and control accept what waits before the process ends.

What remains is a connection whose handshake completes between the last `accept` and the close, some microseconds, and one whose handshake is on its way.

--- a/src/carawaybank/callers/connections.py
+++ b/src/carawaybank/callers/connections.py
@@ -24,7 +24,6 @@
 from carawaybank.replies import HttpReply
 from carawaybank.routing.configuration import Limits
 from carawaybank.routing.stopping import ConnectionState
-from carawaybank.sockets import count_unread_bytes
 
 #: Requests of one connection that run concurrently. Reading pauses at this number of requests and
 #: resumes when responses have been written.
@@ -97,6 +96,7 @@
         self._backlog: ConnectionBacklog | None = None
         self._parser = RequestParser(limits=context.limits, on_request=self._enqueue)
         self._queue: deque[_Exchange] = deque()
+        self._has_received = False
         self._is_input_ended = False
         self._is_reading_paused = False
         self._is_continue_sent = False
@@ -111,21 +111,17 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being received, run or responded to."""
-        return not any(self.state)
+        return not self._is_answering and not self._parser.is_receiving
 
     @property
     def state(self) -> ConnectionState:
         """What is in progress on the connection."""
         return ConnectionState(
-            is_answering=bool(self._queue) or self._close_timer is not None,
-            is_receiving=self._parser.is_in_head or self._parser.is_in_body,
+            is_answering=self._is_answering,
+            is_receiving=self._parser.is_receiving,
+            is_new=not self._has_received,
         )
 
-    @property
-    def has_unread_bytes(self) -> bool:
-        """Whether the kernel holds bytes of the caller that were not read yet."""
-        return self._transport is not None and count_unread_bytes(self._transport) > 0
-
     @property
     def is_response_outstanding(self) -> bool:
         """Whether a request has no response, or the caller has not received all of it."""
@@ -150,6 +146,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and starts the requests that are complete."""
+        self._has_received = True
         self._end_input_if_closing()
         if self._is_input_ended:
             return
@@ -242,6 +239,10 @@
         elif self.is_idle and now - self._idle_since > limits.idle_timeout_s:
             self.close()
 
+    @property
+    def _is_answering(self) -> bool:
+        return bool(self._queue) or self._close_timer is not None
+
     @property
     def _is_writing_paused(self) -> bool:
         return self._backlog is not None and self._backlog.is_paused
--- a/src/carawaybank/callers/listeners.py
+++ b/src/carawaybank/callers/listeners.py
@@ -1,6 +1,7 @@
 """Starts HTTP servers, and makes connections for look-ups, readiness, metrics and control."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -15,6 +16,10 @@
 
 #: Seconds between two attempts to listen on an address that is in use.
 _LISTEN_INTERVAL_S = 0.1
+#: Connections that the kernel establishes before the process accepts them.
+_BACKLOG = 1024
+#: Seconds without accepting after an error, such as a lack of descriptors.
+_ACCEPT_RETRY_S = 1.0
 
 
 def sync_connection_factory(
@@ -81,8 +86,100 @@
             await asyncio.sleep(_LISTEN_INTERVAL_S)
 
 
-async def listen(address: str, make_connection: Callable[[], CallerConnection]) -> asyncio.Server:
-    """Starts a server and returns it.
+class Listener:
+    """Accepts connections on one address.
+
+    When it stops, it first accepts the connections that the kernel has established. Their callers
+    may have sent requests, which a close of the listening socket would reset.
+    """
+
+    def __init__(
+        self, *, sock: socket.socket, make_connection: Callable[[], CallerConnection]
+    ) -> None:
+        """Starts to accept connections.
+
+        Args:
+            sock: The listening socket, which the listener closes.
+            make_connection: Creates the protocol of each accepted connection.
+        """
+        sock.setblocking(False)
+        self._sock = sock
+        self._make_connection = make_connection
+        self._loop = asyncio.get_running_loop()
+        self._opening: set[asyncio.Task[None]] = set()
+        self._retry: asyncio.TimerHandle | None = None
+        self._loop.add_reader(sock, self._accept)
+
+    @property
+    def sockets(self) -> tuple[socket.socket, ...]:
+        """The listening socket, for its address; empty after the close."""
+        return (self._sock,) if self._is_open else ()
+
+    async def stop(self) -> int:
+        """Accepts the connections that wait, closes the listener and opens these connections.
+
+        Returns:
+            The number of these connections.
+        """
+        if not self._is_open:
+            return 0
+        count = self._accept()
+        self.close()
+        await asyncio.gather(*self._opening)
+        return count
+
+    def close(self) -> None:
+        """Closes the listener; connections that wait to be accepted are reset."""
+        if not self._is_open:
+            return
+        if self._retry is not None:
+            self._retry.cancel()
+        self._loop.remove_reader(self._sock)
+        self._sock.close()
+
+    @property
+    def _is_open(self) -> bool:
+        return self._sock.fileno() >= 0
+
+    def _accept(self) -> int:
+        """Accepts the connections that wait, and returns their number."""
+        for count in range(_BACKLOG):
+            try:
+                connection, _ = self._sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return count
+            except OSError as error:
+                self._pause(error)
+                return count
+            connection.setblocking(False)
+            task = self._loop.create_task(self._open(connection))
+            self._opening.add(task)
+            task.add_done_callback(self._opening.discard)
+        return _BACKLOG
+
+    async def _open(self, connection: socket.socket) -> None:
+        try:
+            await self._loop.connect_accepted_socket(self._make_connection, connection)
+        except OSError as error:
+            self._report("cannot open an accepted connection", error)
+            connection.close()
+
+    def _pause(self, error: OSError) -> None:
+        """Accepts nothing for a while; the process has no descriptors or memory left."""
+        self._report("cannot accept connections", error)
+        self._loop.remove_reader(self._sock)
+        self._retry = self._loop.call_later(_ACCEPT_RETRY_S, self._resume)
+
+    def _resume(self) -> None:
+        self._retry = None
+        self._loop.add_reader(self._sock, self._accept)
+
+    def _report(self, message: str, error: OSError) -> None:
+        self._loop.call_exception_handler({"message": message, "exception": error})
+
+
+async def listen(address: str, make_connection: Callable[[], CallerConnection]) -> Listener:
+    """Starts to listen and returns the listener.
 
     Args:
         address: ``IP:PORT`` to listen on.
@@ -92,10 +189,8 @@
         ListenError: If the address is in use or does not belong to this VM.
     """
     host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
     try:
-        return await loop.create_server(
-            make_connection, host, int(port), backlog=1024, reuse_address=True
-        )
+        sock = socket.create_server((host, int(port)), backlog=_BACKLOG)
     except OSError as error:
         raise ListenError(f"cannot listen on {address}: {error}") from error
+    return Listener(sock=sock, make_connection=make_connection)
--- a/src/carawaybank/callers/requests.py
+++ b/src/carawaybank/callers/requests.py
@@ -95,6 +95,11 @@
         #: Whether a request's head was read, but not all of its body.
         self.is_in_body = False
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a request was read, but not all of it."""
+        return self.is_in_head or self.is_in_body
+
     @property
     def body_bytes(self) -> int:
         """Bytes of the body that is being received, in full if its length is known."""
--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -34,6 +34,7 @@
 from carawaybank.callers.app import CallersApp
 from carawaybank.callers.connections import CallerConnection
 from carawaybank.callers.forwarding import Forwarder
+from carawaybank.callers.listeners import Listener
 from carawaybank.counters import Counters
 from carawaybank.exceptions import DocumentError, ListenError, TaskError
 from carawaybank.exposition import Exposition
@@ -182,7 +183,7 @@
         )
         operators.mount(self._control_router)
 
-    async def _listen(self) -> tuple[asyncio.Server, asyncio.Server]:
+    async def _listen(self) -> tuple[Listener, Listener]:
         """Binds both addresses before any task starts.
 
         If one of them is in use, the daemon fails at this point. A daemon that serves only one
@@ -224,7 +225,7 @@
                 self._log.error("Siblings hold this process for dead. Stopping")
                 self.stop()
 
-    async def _drain(self, servers: tuple[asyncio.Server, asyncio.Server]) -> None:
+    async def _drain(self, servers: tuple[Listener, Listener]) -> None:
         """Announces the departure, waits for requests in flight and closes all connections.
 
         Callers may use a look-up response for ``entries_ttl_s``, so requests are served for at
--- a/src/carawaybank/endpoints.py
+++ b/src/carawaybank/endpoints.py
@@ -8,6 +8,7 @@
 from carawaybank.adapters import Adapter
 from carawaybank.callers.listeners import (
     AddressWait,
+    Listener,
     connection_factory,
     listen,
     sync_connection_factory,
@@ -69,7 +70,7 @@
 
     async def listen(
         self, deployment: Deployment, *, ttl_s: Callable[[], float], wait: AddressWait
-    ) -> list[asyncio.Server]:
+    ) -> list[Listener]:
         """Starts to listen for readiness checks, look-ups and scrapes.
 
         Args:
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -14,7 +14,7 @@
 from carawaybank.callers.backlog import ResponseBacklog
 from carawaybank.callers.bodies import BodyMemory
 from carawaybank.callers.connections import CallerConnection, ConnectionContext
-from carawaybank.callers.listeners import AddressWait, connection_factory, listen
+from carawaybank.callers.listeners import AddressWait, Listener, connection_factory, listen
 from carawaybank.charging import Charging
 from carawaybank.control import ControlHandler
 from carawaybank.counters import Counters
@@ -34,7 +34,7 @@
 from carawaybank.routing.vmweights import capacity_weight
 from carawaybank.rows import INITIAL_POSITION, Position, TableUpdate
 from carawaybank.settingsfile import SettingsFile
-from carawaybank.shutdown import drain
+from carawaybank.shutdown import Listeners, drain
 from carawaybank.siblings import registration, weights
 from carawaybank.siblings.allotments import AllotmentExchange
 from carawaybank.siblings.bootstrap import Bootstrap
@@ -265,8 +265,8 @@
         loop.add_signal_handler(signal.SIGINT, self._stopped.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._journal.log("daemon", "started", **self._deployment._asdict())
-        servers = await self._listen_unless_stopped()
-        if servers is None:
+        listeners = await self._listen_unless_stopped()
+        if listeners is None:
             return
         coroutines: list[Coroutine[Any, Any, None]] = [watch.run() for watch in self._watches]
         coroutines += [self._registrations.register(), self._heartbeat.run(), self._checks.run()]
@@ -278,15 +278,15 @@
         for coroutine in coroutines:
             tasks.start(coroutine)
         await self._stopped.wait()
-        await self._stop(servers)
+        await self._stop(listeners)
         tasks.cancel()
 
     def _stop_on_failure(self, failure: TaskError) -> None:
         self._journal.log("daemon", "task failed", reason=str(failure))
         self._stopped.set()
 
-    async def _listen_unless_stopped(self) -> list[asyncio.Server] | None:
-        """Returns the servers, or None if a signal stops the process while it waits for them."""
+    async def _listen_unless_stopped(self) -> Listeners | None:
+        """Returns the listeners, or None if a signal stops the process while it waits for them."""
         listening = asyncio.create_task(self._listen())
         stopped = asyncio.create_task(self._stopped.wait())
         await asyncio.wait([listening, stopped], return_when=asyncio.FIRST_COMPLETED)
@@ -304,8 +304,8 @@
         except OSError as error:
             raise ListenError(f"cannot listen on UDP {address}: {error}") from error
 
-    async def _listen(self) -> list[asyncio.Server]:
-        """Listens on all addresses, on that of callers last, and returns its server first."""
+    async def _listen(self) -> Listeners:
+        """Listens on all addresses, on that of callers last."""
         deployment = self._deployment
         wait = AddressWait(
             wait_s=deployment.stop_within_s + _ADDRESS_WAIT_MARGIN_S, journal=self._journal
@@ -328,22 +328,23 @@
             is_ready=lambda: self._handler.is_ready and self._registry.is_loaded,
             has_read_vms=lambda: self._shared_watch.is_loaded,
         )
-        factories = {
-            f"{deployment.ip}:{deployment.sibling_port}": self._relays.serve(
-                self._handler, backlog=self._backlog, bodies=self._bodies
-            )
-        }
-        if deployment.control_address:
-            factories[deployment.control_address] = connection_factory(self._control.handle)
-        factories[deployment.callers_address] = lambda: CallerConnection(
-            context=context, connections=self._connections
-        )
-        servers = await endpoints.listen(
+        relays = self._relays.serve(self._handler, backlog=self._backlog, bodies=self._bodies)
+
+        async def start(address: str, factory: Callable[[], CallerConnection]) -> Listener:
+            return await wait.run(functools.partial(listen, address, factory))
+
+        others = await endpoints.listen(
             deployment, ttl_s=lambda: self._deployment.lookup_ttl_s, wait=wait
         )
-        for address, factory in factories.items():
-            servers.insert(0, await wait.run(functools.partial(listen, address, factory)))
-        return servers
+        siblings = await start(f"{deployment.ip}:{deployment.sibling_port}", relays)
+        if deployment.control_address:
+            control = connection_factory(self._control.handle)
+            others.append(await start(deployment.control_address, control))
+        callers = await start(
+            deployment.callers_address,
+            lambda: CallerConnection(context=context, connections=self._connections),
+        )
+        return Listeners(requests=(callers, siblings), others=others)
 
     def _watch(
         self,
@@ -426,7 +427,7 @@
         if self._registry.is_loaded and self._router.configuration is not None:
             self._handler.record_configured()
 
-    async def _stop(self, servers: list[asyncio.Server]) -> None:
+    async def _stop(self, listeners: Listeners) -> None:
         """Stops within the stop time of the settings.
 
         The VM is first removed from look-up responses, and then serves until callers have switched.
@@ -445,7 +446,7 @@
         deregistration = asyncio.create_task(self._registrations.deregister())
         result = await drain(
             plan,
-            servers=servers,
+            listeners=listeners,
             connections=lambda: (*self._connections, *self._relays.connections),
             is_idle=lambda: self._router.is_idle,
             give_up=lambda: self._sender.give_up() + self._relays.client.give_up(),
@@ -462,7 +463,6 @@
             given_up=result.given_up,
             cut=result.cut,
             queued=result.queued,
-            unread=result.unread,
             late_s=round(result.late_s, 2),
         )
 
--- a/src/carawaybank/routing/stopping.py
+++ b/src/carawaybank/routing/stopping.py
@@ -8,8 +8,9 @@
 
 1. listens and serves; each connection closes with the response to the last request that was read
    from it, and nothing is read behind a request that has no response yet,
-2. stops listening and closes idle connections; requests that are being received are read on,
-3. refuses the requests that are still not complete,
+2. stops listening and closes idle connections; requests that are being received are read on, and
+   connections on which nothing was sent yet are kept, as the first request may be on its way,
+3. refuses the requests that are still not complete, and closes the connections without a request,
 4. gives up: ends the attempts in progress, so that their callers still get a response,
 5. ends.
 
@@ -46,10 +47,12 @@
     Attributes:
         is_answering: Whether a request was read and its response is not written yet.
         is_receiving: Whether a part of a request was read.
+        is_new: Whether the caller has sent nothing yet.
     """
 
     is_answering: bool
     is_receiving: bool
+    is_new: bool = False
 
 
 class StopPlan:
@@ -97,7 +100,8 @@
             return Step.KEEP
         if connection.is_receiving:
             return Step.KEEP if now < self._read_until else Step.REFUSE
-        return Step.KEEP if self.is_listening(now) else Step.CLOSE
+        is_kept = now < self._read_until if connection.is_new else self.is_listening(now)
+        return Step.KEEP if is_kept else Step.CLOSE
 
     def has_given_up(self, now: float) -> bool:
         """Returns whether attempts in progress are ended."""
--- a/src/carawaybank/shutdown.py
+++ b/src/carawaybank/shutdown.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 
 from carawaybank.callers.connections import CallerConnection
+from carawaybank.callers.listeners import Listener
 from carawaybank.routing.stopping import Step, StopPlan
-from carawaybank.sockets import count_waiting_connections
 
 #: Seconds between two decisions on all connections.
 _INTERVAL_S = 0.1
@@ -20,8 +20,7 @@
         refused: Requests that were refused because they were not complete in time.
         given_up: Attempts that were ended because no time was left.
         cut: Connections whose callers have not received all responses.
-        queued: Connections that waited to be accepted when the listener closed.
-        unread: Idle connections that were closed with unread bytes.
+        queued: Connections that waited to be accepted when the VM stopped listening for requests.
         late_s: Longest delay in seconds of a decision, for want of processor time.
     """
 
@@ -30,14 +29,25 @@
     given_up: int
     cut: int
     queued: int
-    unread: int
     late_s: float
 
 
+class Listeners(NamedTuple):
+    """The listeners of an entry VM.
+
+    Attributes:
+        requests: Those on which requests arrive, from callers and from siblings.
+        others: Those of look-ups, readiness checks, metrics and control.
+    """
+
+    requests: Sequence[Listener]
+    others: Sequence[Listener]
+
+
 async def drain(
     plan: StopPlan,
     *,
-    servers: Sequence[asyncio.Server],
+    listeners: Listeners,
     connections: Callable[[], Iterable[CallerConnection]],
     is_idle: Callable[[], bool],
     give_up: Callable[[], int],
@@ -46,13 +56,13 @@
 
     Args:
         plan: Decides what is closed and when.
-        servers: The listeners; the first one is that of callers.
+        listeners: The listeners.
         connections: Returns the open connections of callers and siblings.
         is_idle: Returns whether no request is in progress.
         give_up: Ends the attempts in progress and returns their number.
     """
     loop = asyncio.get_running_loop()
-    closed = refused = given_up = queued = unread = 0
+    closed = refused = given_up = queued = 0
     late_s = 0.0
     has_given_up = False
     while not plan.is_over(started_at := loop.time()):
@@ -60,13 +70,11 @@
         now = loop.time()
         late_s = max(late_s, now - started_at - _INTERVAL_S)
         if not plan.is_listening(now):
-            queued += count_waiting_connections(servers[0])
-            servers[0].close()
+            queued += await _stop_listening(listeners.requests)
         open_connections = list(connections())
         for connection in open_connections:
             step = plan.decide(connection.state, now)
             if step is Step.CLOSE:
-                unread += connection.has_unread_bytes
                 connection.close()
                 closed += 1
             elif step is Step.REFUSE:
@@ -77,6 +85,11 @@
         if not plan.is_listening(now) and not open_connections and is_idle():
             break
     cut = sum(connection.is_response_outstanding for connection in connections())
-    for server in servers:
-        server.close()
-    return StopResult(closed, refused, given_up, cut, queued, unread, late_s)
+    if await _stop_listening(listeners.others):
+        await asyncio.sleep(_INTERVAL_S)
+    return StopResult(closed, refused, given_up, cut, queued, late_s)
+
+
+async def _stop_listening(listeners: Iterable[Listener]) -> int:
+    """Stops listeners, and returns the number of connections that waited to be accepted."""
+    return sum([await listener.stop() for listener in listeners])
--- a/src/carawaybank/web.py
+++ b/src/carawaybank/web.py
@@ -8,7 +8,7 @@
 
 from carawaybank import documents, headers
 from carawaybank.callers.connections import CallerConnection, ConnectionContext
-from carawaybank.callers.listeners import listen
+from carawaybank.callers.listeners import Listener, listen
 from carawaybank.callers.requests import CallerRequest
 from carawaybank.counters import verdict_name
 from carawaybank.replies import HttpReply
@@ -190,7 +190,7 @@
     max_body_bytes: int,
     connections: set[CallerConnection],
     is_closing: Callable[[], bool] = lambda: False,
-) -> asyncio.Server:
+) -> Listener:
     """Starts a server that passes requests to a router.
 
     Args:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -171,8 +171,8 @@
 async def _serve(address: str) -> None:
     router = Router()
     PlatformApp(platform=SimulatedPlatform()).mount(router)
-    server = await serve(address, router, max_body_bytes=64 * 1024 * 1024, connections=set())
-    await server.serve_forever()
+    await serve(address, router, max_body_bytes=64 * 1024 * 1024, connections=set())
+    await asyncio.Event().wait()
 
 
 if __name__ == "__main__":
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -11,7 +11,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from carawaybank.callers.connections import CallerConnection, ConnectionContext
-from carawaybank.callers.listeners import listen
+from carawaybank.callers.listeners import Listener, listen
 from carawaybank.callers.requests import CallerRequest
 from carawaybank.replies import HttpReply
 from carawaybank.routing.configuration import Limits
@@ -63,7 +63,7 @@
         self.calls: list[str] = []
         self._waiters: set[asyncio.Event] = set()
         self._connections: set[CallerConnection] = set()
-        self._server: asyncio.Server | None = None
+        self._server: Listener | None = None
 
     @property
     def waiting_watches(self) -> int:
--- a/tests/platform/test_process_late_stops.py
+++ b/tests/platform/test_process_late_stops.py
@@ -13,70 +13,73 @@
 PAUSE = (2.3, 2.9)
 
 
-def run_late_stop(tmp_path, before, meanwhile):
-    """Stops a VM that is paused in between, and returns the callers and the log line of the stop.
+async def ignore(vm, callers):
+    """Does nothing."""
+
+
+def run_late_stop(tmp_path, *, before=ignore, meanwhile=ignore, afterwards=ignore):
+    """Stops a VM that is paused in between, and returns the log line of the stop.
 
     Args:
-        before: Coroutine function of the VM that returns the callers, called before SIGTERM.
-        meanwhile: Coroutine function of the VM and the callers, called while the VM is paused.
+        before: Coroutine function of the VM and the list of its callers, called before SIGTERM.
+        meanwhile: The same, called while the VM is paused.
+        afterwards: The same, called when the VM runs again.
     """
 
     async def run():
         async with StoppingVm() as vm:
             await vm.start(tmp_path)
             reading = asyncio.create_task(vm.output())
-            callers = await before(vm)
+            callers = []
+            await before(vm, callers)
             vm.process.send_signal(signal.SIGTERM)
             await asyncio.sleep(PAUSE[0])
             vm.process.send_signal(signal.SIGSTOP)
             await meanwhile(vm, callers)
             await asyncio.sleep(PAUSE[1] - PAUSE[0])
             vm.process.send_signal(signal.SIGCONT)
+            await afterwards(vm, callers)
             assert await asyncio.wait_for(vm.process.wait(), STOP_S) == 0
             await asyncio.gather(*(caller.finish() for caller in callers))
             (stopped,) = vm.events(await reading, "stopped")
-            return callers, stopped
+            assert [i for c in callers for i in c.sent if i not in c.statuses] == []
+            assert stopped["cut"] == 0
+            return stopped
 
     return asyncio.run(run())
 
 
-async def open_callers(vm, count):
-    callers = [Caller(vm=vm, name=f"c{number}") for number in range(count)]
+async def open_callers(vm, callers):
+    callers += [Caller(vm=vm, name=f"c{number}") for number in range(12)]
     for caller in callers:
         await caller.open()
-    return callers
 
 
-def find_unanswered(callers):
-    return [i for caller in callers for i in caller.sent if i not in caller.statuses]
+async def send(vm, callers):
+    for number, caller in enumerate(callers):
+        caller.send("POST" if number % 2 else "GET", work_ms=200)
+
+
+async def open_and_send(vm, callers):
+    await open_callers(vm, callers)
+    await send(vm, callers)
 
 
 def test_connections_that_the_kernel_accepted_are_answered(tmp_path):
     """Guards against a reset of connections that wait to be accepted when the listener closes."""
+    run_late_stop(tmp_path, meanwhile=open_and_send)
 
-    async def before(vm):
-        return []
 
-    async def meanwhile(vm, callers):
-        callers += await open_callers(vm, 12)
-        for number, caller in enumerate(callers):
-            caller.send("POST" if number % 2 else "GET", work_ms=200)
+def test_a_new_connection_is_kept_until_its_first_request_can_arrive(tmp_path):
+    """Guards against a close of connections whose first request is on its way."""
 
-    callers, stopped = run_late_stop(tmp_path, before, meanwhile)
-    assert find_unanswered(callers) == []
-    assert stopped["cut"] == 0
+    async def send_late(vm, callers):
+        await asyncio.sleep(0.3)
+        await send(vm, callers)
+
+    run_late_stop(tmp_path, meanwhile=open_callers, afterwards=send_late)
 
 
 def test_requests_on_idle_connections_that_were_not_read_yet_are_answered(tmp_path):
     """Guards against a reset of idle connections whose next request was not read yet."""
-
-    async def before(vm):
-        return await open_callers(vm, 12)
-
-    async def meanwhile(vm, callers):
-        for number, caller in enumerate(callers):
-            caller.send("POST" if number % 2 else "GET", work_ms=200)
-
-    callers, stopped = run_late_stop(tmp_path, before, meanwhile)
-    assert find_unanswered(callers) == []
-    assert stopped["cut"] == 0
+    run_late_stop(tmp_path, before=open_callers, meanwhile=send)
--- a/tests/routing/test_stopping.py
+++ b/tests/routing/test_stopping.py
@@ -11,6 +11,7 @@
 
 IDLE = ConnectionState(is_answering=False, is_receiving=False)
 RECEIVING = ConnectionState(is_answering=False, is_receiving=True)
+NEW = ConnectionState(is_answering=False, is_receiving=False, is_new=True)
 ANSWERING = ConnectionState(is_answering=True, is_receiving=False)
 STOP_S = 6.0
 
@@ -25,6 +26,8 @@
         (0.1, IDLE, Step.KEEP),
         (2.4, IDLE, Step.KEEP),
         (2.6, IDLE, Step.CLOSE),
+        (2.6, NEW, Step.KEEP),
+        (3.7, NEW, Step.CLOSE),
         (2.6, RECEIVING, Step.KEEP),
         (3.7, RECEIVING, Step.REFUSE),
         (3.7, ANSWERING, Step.KEEP),
