--- a/tests/platform/stops.py
+++ b/tests/platform/stops.py
@@ -63,15 +63,16 @@
         statuses: Status of each complete response, by the id of its request.
     """
 
-    def __init__(self, *, vm, name, read_pause_s=0.0):
+    def __init__(self, *, vm, name, ip=None, read_pause_s=0.0):
         self.vm, self.name, self.read_pause_s = vm, name, read_pause_s
+        self.ip = ip or process_ip()
         self.sent, self.statuses = [], {}
         self.is_told_to_close = False
         self._waiting = []
 
     async def open(self, *, limit=2**16):
         port = self.vm.ports["8100"]
-        self.reader, self.writer = await asyncio.open_connection(process_ip(), port, limit=limit)
+        self.reader, self.writer = await asyncio.open_connection(self.ip, port, limit=limit)
         self.reading = asyncio.create_task(self._read())
 
     @property
@@ -151,9 +152,9 @@
     ]
 
 
-async def connect(vm, name):
+async def connect(vm, name, ip=None):
     """Returns a new caller, or None if the VM does not listen any more."""
-    caller = Caller(vm=vm, name=name)
+    caller = Caller(vm=vm, name=name, ip=ip)
     try:
         await caller.open()
     except OSError:
--- a/tests/platform/test_stranded_vms.py
+++ b/tests/platform/test_stranded_vms.py
@@ -261,9 +261,9 @@
     ]
 
 
-def run_site(tmp_path, scenario):
+def run_site(tmp_path, scenario, site_class=StrandedSite):
     async def run():
-        async with StrandedSite() as site:
+        async with site_class() as site:
             await asyncio.gather(*(site.start_vm(name, tmp_path) for name in VMS))
             await scenario(site)
 
