Close no idle connection whose next request was not read yet

What callers saw: a reset in place of an answer, for a request that was sent on a kept connection just before a late event loop found the connection idle.

Cause: a stop, and the idle timeout, close a connection by what was read from it. A socket that is closed with unread bytes resets the connection.

Evidence: three cases of `test_connections.py` send a request and look at the connection before the event loop reads; the connection was closed.

Change: bytes that wait in the kernel count as a request that is being received, and no connection with such bytes times out.

--- a/src/carawaybank/callers/connections.py
+++ b/src/carawaybank/callers/connections.py
@@ -24,6 +24,7 @@
 from carawaybank.replies import HttpReply
 from carawaybank.routing.configuration import Limits
 from carawaybank.routing.stopping import ConnectionState
+from carawaybank.sockets import count_unread_bytes
 
 #: Requests of one connection that run concurrently. Reading pauses at this number of requests and
 #: resumes when responses have been written.
@@ -118,10 +119,15 @@
         """What is in progress on the connection."""
         return ConnectionState(
             is_answering=self._is_answering,
-            is_receiving=self._parser.is_receiving,
+            is_receiving=self._parser.is_receiving or self.has_unread_bytes,
             is_new=not self._has_received,
         )
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether the kernel holds bytes of the caller, which a close would discard unread."""
+        return self._transport is not None and count_unread_bytes(self._transport) > 0
+
     @property
     def is_response_outstanding(self) -> bool:
         """Whether a request has no response, or the caller has not received all of it."""
@@ -236,7 +242,11 @@
         ):
             self._head_started_at = None
             self._refuse(408, "the request head took too long")
-        elif self.is_idle and now - self._idle_since > limits.idle_timeout_s:
+        elif (
+            self.is_idle
+            and now - self._idle_since > limits.idle_timeout_s
+            and not self.has_unread_bytes
+        ):
             self.close()
 
     @property
--- a/src/carawaybank/routing/stopping.py
+++ b/src/carawaybank/routing/stopping.py
@@ -46,7 +46,7 @@
 
     Attributes:
         is_answering: Whether a request was read and its response is not written yet.
-        is_receiving: Whether a part of a request was read.
+        is_receiving: Whether a part of a request was read, or waits to be read.
         is_new: Whether the caller has sent nothing yet.
     """
 
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -217,6 +217,40 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("sent_before", [0, 1])
+def test_a_request_that_was_not_read_yet_is_no_reason_to_time_out(sent_before):
+    """Guards against an idle timeout that resets a connection with an unread request."""
+
+    async def scenario():
+        async with Caller(limits=Limits(idle_timeout_s=2.0)) as caller:
+            for _ in range(sent_before):
+                caller.send(encode_get("/1"))
+                await caller.read_response()
+            await wait_until(lambda: caller.connections)
+            (connection,) = caller.connections
+            caller.send(encode_get("/2"))
+            connection.check_timeouts(asyncio.get_running_loop().time() + 2.5)
+            assert (await caller.read_response())[1] == b"/2"
+
+    run(scenario())
+
+
+def test_a_request_that_was_not_read_yet_counts_as_being_received():
+    """Guards against a stop that closes a connection as idle whose request was not read yet."""
+
+    async def scenario():
+        async with Caller() as caller:
+            await wait_until(lambda: caller.connections)
+            (connection,) = caller.connections
+            assert connection.state == (False, False, True)
+            caller.send(encode_get("/1"))
+            assert connection.state == (False, True, True)
+            await caller.read_response()
+            assert connection.state == (False, False, False)
+
+    run(scenario())
+
+
 def test_while_closing_all_received_requests_are_answered_and_the_last_response_closes():
     """Guards against a planned stop that drops requests which were already received."""
 
