Answer what waits to be accepted or read when carawaybankd stops

What callers saw: in a planned stop of a daemon that gets no processor around the close of its listeners, requests end without an answer, on new connections and on idle ones.

Cause: the stop counted the requests in flight only. Connections that the kernel had established were reset with the listener, and requests that were read in the pass of the event loop in which the stop ended were cut, since they were not in flight yet.

Change: the listeners accept what waits before they close, and the daemon deregisters only when no request is in flight, being received, or unread on a connection.

A connection on which nothing has arrived yet is closed at once.

--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -140,6 +140,14 @@
         """Starts draining before the daemon stops; may be called from any thread."""
         self._loop.call_soon_threadsafe(self._stopping.set)
 
+    @property
+    def _is_idle(self) -> bool:
+        """Whether no request is in progress, and none waits to be read on a connection."""
+        return not self._forwarder.in_flight and all(
+            connection.is_idle and not connection.has_unread_bytes
+            for connection in self._connections
+        )
+
     def _stop_on_failure(self, failure: TaskError) -> None:
         self._log.opt(exception=failure).error("Stopping: {}", failure)
         self.stop()
@@ -242,7 +250,9 @@
                 break
             await asyncio.sleep(0.05)
         for server in servers:
-            server.close()
+            await server.stop()
+        while time.monotonic() < drain_deadline and not self._is_idle:
+            await asyncio.sleep(0.05)
         self._platform_poller.stop()
         await asyncio.to_thread(self._platform_poller.deregister)
         self._sibling_task.stop()
