Close the connections of carawaybankd before it deregisters

What callers saw: a request on a kept connection that arrives while a stopping daemon removes its row from the platform's table is run and cut, without an answer; the table takes up to twice its time-out.

Cause: connections were closed only after the deregistration, and requests that were read meanwhile were not waited for.

Change: the daemon closes the connections in the same pass in which it finds them idle, and deregisters then.

--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -253,12 +253,13 @@
             await server.stop()
         while time.monotonic() < drain_deadline and not self._is_idle:
             await asyncio.sleep(0.05)
-        self._platform_poller.stop()
-        await asyncio.to_thread(self._platform_poller.deregister)
-        self._sibling_task.stop()
+        # Requests that were read during the deregistration would be cut off.
         for connection in list(self._connections):
             connection.close()
         self._log.info("Stopped. {} requests cut off", self._forwarder.in_flight)
+        self._platform_poller.stop()
+        await asyncio.to_thread(self._platform_poller.deregister)
+        self._sibling_task.stop()
 
     def _ticket_number(self) -> int:
         return self.host.state.number
