Log why a process ends by itself

An entry VM that ends with status 1 or 2 wrote the reason to standard error as text, without time and VM.

The line `failed` of part `daemon` now has the exit status and the reason, also for an unexpected error, whose traceback stays on standard error. Standard error that is closed or full no longer changes the exit status of an end with an error.

--- a/src/carawaybank/platform/command.py
+++ b/src/carawaybank/platform/command.py
@@ -24,6 +24,7 @@
 """
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -35,6 +36,7 @@
 import carawaybank
 from carawaybank import deployment
 from carawaybank.exceptions import DocumentError, ListenError, TaskError
+from carawaybank.journal import Journal
 from carawaybank.node import Node
 from carawaybank.platform import decoding
 from carawaybank.platform.adapter import PlatformAdapter
@@ -54,22 +56,47 @@
     """Runs the entry VM until it stops, or checks the settings; returns the exit code."""
     arguments = docopt(__doc__, version=carawaybank.__version__)
     path = Path(arguments["--settings"] or os.environ.get(_SETTINGS_VARIABLE, "settings.toml"))
+    if arguments["--check"]:
+        return _check(path, arguments["--configuration"])
     try:
-        settings = _load(path, wait_s=0.0 if arguments["--check"] else _SETTINGS_WAIT_S)
+        settings = _load(path, wait_s=_SETTINGS_WAIT_S)
     except DocumentError as error:
-        print(error, file=sys.stderr)
-        return _BAD_SETTINGS
-    if arguments["--check"]:
-        print(f"{path}: right")
-        return _check_configuration(arguments["--configuration"], settings)
+        _log_failure(_BAD_SETTINGS, str(error), vm="")
+        return _report(_BAD_SETTINGS, error)
     try:
         asyncio.run(_serve(settings, path))
     except (ListenError, TaskError) as error:
-        print(error, file=sys.stderr)
-        return _FAILED
+        _log_failure(_FAILED, str(error), vm=settings.vm)
+        return _report(_FAILED, error)
+    except Exception as error:
+        _log_failure(_FAILED, repr(error), vm=settings.vm)
+        raise
     return 0
 
 
+def _log_failure(status: int, reason: str, *, vm: str) -> None:
+    """Logs why the process ends by itself; standard error has neither the time nor the VM."""
+    Journal(vm=vm).log("daemon", "failed", status=status, reason=reason)
+
+
+def _report(status: int, error: Exception) -> int:
+    """Prints an error on standard error and returns the exit code."""
+    # Standard error may be closed, or share a full pipe with the log, whose writes do not block.
+    with contextlib.suppress(OSError):
+        print(error, file=sys.stderr, flush=True)
+    return status
+
+
+def _check(path: Path, configuration: str | None) -> int:
+    """Checks the settings, and a configuration if one is named; returns the exit code."""
+    try:
+        settings = deployment.load(path)
+    except DocumentError as error:
+        return _report(_BAD_SETTINGS, error)
+    print(f"{path}: right")
+    return _check_configuration(configuration, settings)
+
+
 def _load(path: Path, *, wait_s: float) -> deployment.Deployment:
     """Reads the settings, again while they are wrong.
 
