Start without standard streams

An entry VM whose supervisor starts it with standard output closed ended with status 1 before it was ready, and said nothing where standard error was closed too. With standard input or error closed it served, but a socket or the event loop's poll descriptor got the number of the stream, into which an error of the interpreter would be written.

Class: an error of the log that ends what is logged. carawaybankd had it too: with standard error closed, wrong settings ended it with status 1 in place of 2.

The null device is opened on such descriptors before anything else is opened. tests/platform/test_command.py: four cases of closed streams, which failed before and pass now; two cases of an output that nobody reads, full or closed at its reading end, passed before. tests/test_daemon.py: one case, which failed before. It is not shown to be the users' case.

--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -29,7 +29,7 @@
 from docopt import docopt
 
 import carawaybank
-from carawaybank import logs
+from carawaybank import logs, streams
 from carawaybank.background import BackgroundTasks
 from carawaybank.callers.app import CallersApp
 from carawaybank.callers.connections import CallerConnection
@@ -257,6 +257,7 @@
     """Parses the command line, then checks the settings or runs the daemon."""
     # Settings are read at the start only, and an operator's SIGHUP must not end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    streams.open_missing()
     arguments = docopt(__doc__, version=carawaybank.__version__)
     try:
         settings = load(Path(arguments["--settings"]))
--- a/src/carawaybank/platform/command.py
+++ b/src/carawaybank/platform/command.py
@@ -34,7 +34,7 @@
 from docopt import docopt
 
 import carawaybank
-from carawaybank import deployment
+from carawaybank import deployment, streams
 from carawaybank.exceptions import DocumentError, ListenError, TaskError
 from carawaybank.journal import Journal
 from carawaybank.node import Node
@@ -54,6 +54,7 @@
 
 def main() -> int:
     """Runs the entry VM until it stops, or checks the settings; returns the exit code."""
+    streams.open_missing()
     arguments = docopt(__doc__, version=carawaybank.__version__)
     path = Path(arguments["--settings"] or os.environ.get(_SETTINGS_VARIABLE, "settings.toml"))
     if arguments["--check"]:
--- a/tests/platform/test_command.py
+++ b/tests/platform/test_command.py
@@ -1,14 +1,16 @@
 """What the log of an entry VM says about a process that ends by itself."""
 
 import asyncio
+import fcntl
 import json
+import os
 import socket
 import sys
 
 import pytest
 
 from standins.cluster import process_ip
-from tests.platform.sites import START_S
+from tests.platform.sites import START_S, wait_until_ready
 from tests.platform.test_process import Node, run_process
 
 pytestmark = pytest.mark.processes
@@ -95,3 +97,52 @@
             assert failure["reason"] in errors
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("closed", ["<&-", ">&-", "2>&-", "<&- >&- 2>&-"])
+def test_a_vm_serves_without_standard_streams(tmp_path, closed):
+    """Guards against a start that fails, or logs into a connection, as descriptors are closed."""
+
+    async def run():
+        async with Node() as node:
+            path = tmp_path / "node.toml"
+            path.write_text(node.text)
+            command = (
+                f'exec "{sys.executable}" -m carawaybank.platform --settings "{path}" {closed}'
+            )
+            node.process = await asyncio.create_subprocess_shell(command, stdout=PIPE, stderr=PIPE)
+            await wait_until_ready(node.process, node.is_ready, node.output)
+            for descriptor in range(3):
+                name = os.readlink(f"/proc/{node.process.pid}/fd/{descriptor}")
+                assert not name.startswith(("socket:", "anon_inode:"))
+            assert (await node.call("8100", "/x/1", method="POST")).status == 200
+            node.process.terminate()
+            await asyncio.wait_for(node.process.communicate(), START_S)
+            assert node.process.returncode == 0
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_closed", [False, True])
+def test_a_vm_serves_and_stops_while_nobody_reads_its_output(tmp_path, is_closed):
+    """Guards against a VM that waits for the reader of its log, or ends with an error for it."""
+
+    async def run():
+        async with Node() as node:
+            path = tmp_path / "node.toml"
+            path.write_text(node.text)
+            reading, writing = os.pipe()
+            fcntl.fcntl(writing, fcntl.F_SETPIPE_SZ, 4096)
+            os.write(writing, b"x" * 4096)
+            if is_closed:
+                os.close(reading)
+            node.process = await run_process(path, stdout=writing, stderr=writing)
+            await wait_until_ready(node.process, node.is_ready, node.output)
+            assert (await node.call("8100", "/x/1", method="POST")).status == 200
+            node.process.terminate()
+            assert await asyncio.wait_for(node.process.wait(), START_S) == 0
+            if not is_closed:
+                os.close(reading)
+            os.close(writing)
+
+    asyncio.run(run())
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -41,3 +41,9 @@
     code = f"import sys, {module}; print([m for m in sys.modules if m.startswith('opentelemetry')])"
     run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert run.stdout.strip() == "[]"
+
+
+def test_a_daemon_needs_no_standard_error(tmp_path):
+    """Guards against a daemon that fails on its log if its supervisor closed standard error."""
+    command = f'exec "{sys.executable}" -m carawaybank.daemon --settings "{tmp_path}/none" 2>&-'
+    assert subprocess.run(["sh", "-c", command], check=False).returncode == 2
