Shorten the time in which SIGHUP ends a process that starts

SIGHUP ended a process up to 0.04 to 0.15 s after its start.

Half of the time was the interpreter's module site, which is only needed for packages in site-packages: the build puts all packages into one folder on Python's path. A third of the rest was typing, which the package imported only for type checkers.

tests/platform/test_command.py: the run command starts a VM that serves and loads its metrics; the package loads none of three modules at its start (failed before).

--- a/src/carawaybank/__init__.py
+++ b/src/carawaybank/__init__.py
@@ -13,9 +13,13 @@
 """
 
 from importlib import import_module
-from typing import TYPE_CHECKING, Any
+
+#: Read by type checkers as that of ``typing``, whose import would delay the start of the daemon.
+TYPE_CHECKING = False
 
 if TYPE_CHECKING:
+    from typing import Any
+
     from carawaybank.exceptions import (
         CarawaybankError,
         DocumentError,
@@ -75,7 +79,7 @@
 }
 
 
-def __getattr__(name: str) -> Any:
+def __getattr__(name: str) -> "Any":
     """Imports the module of a public name when the name is first used (PEP 562)."""
     if name not in _MODULES:
         raise AttributeError(f"module 'carawaybank' has no attribute {name!r}")
--- a/tests/platform/test_command.py
+++ b/tests/platform/test_command.py
@@ -5,7 +5,11 @@
 import json
 import os
 import socket
+import subprocess
 import sys
+import sysconfig
+import tomllib
+from pathlib import Path
 
 import pytest
 
@@ -15,6 +19,7 @@
 
 pytestmark = pytest.mark.processes
 
+ROOT = Path(__file__).parents[2]
 PIPE = asyncio.subprocess.PIPE
 #: Runs the daemon with a background task that fails at once and each time that it is run again.
 FAILING_TASK = """
@@ -146,3 +151,52 @@
             os.close(writing)
 
     asyncio.run(run())
+
+
+def test_the_run_command_starts_a_vm_and_loads_its_metrics(tmp_path):
+    """Guards against an option of the interpreter without which modules are not found."""
+
+    async def scrape(node):
+        while await node.status("8106", "/metrics") != 200:
+            await asyncio.sleep(0.05)
+
+    async def run():
+        async with Node() as node:
+            path = tmp_path / "node.toml"
+            path.write_text(node.text)
+            system = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+            _, *arguments = system["roles"]["entry"]["run"].split()
+            folders = [
+                str(ROOT / "src"),
+                sysconfig.get_path("platlib"),
+                sysconfig.get_path("purelib"),
+            ]
+            environment = {
+                **os.environ,
+                "PYTHONPATH": os.pathsep.join(folders),
+                "CARAWAYBANK_SETTINGS": str(path),
+            }
+            node.process = await asyncio.create_subprocess_exec(
+                sys.executable, *arguments, env=environment, stdout=PIPE, stderr=PIPE
+            )
+            await wait_until_ready(node.process, node.is_ready, node.output)
+            assert (await node.call("8100", "/x/1", method="POST")).status == 200
+            await asyncio.wait_for(scrape(node), START_S)
+            node.process.terminate()
+            await asyncio.wait_for(node.process.communicate(), START_S)
+            assert node.process.returncode == 0
+
+    asyncio.run(run())
+
+
+def test_little_is_imported_before_changed_settings_are_ignored():
+    """Guards against a longer time after the start in which SIGHUP ends a process."""
+    code = "import sys, carawaybank.platform; print({'typing', 're', 'logging'} & set(sys.modules))"
+    run = subprocess.run(
+        [sys.executable, "-S", "-c", code],
+        env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert run.stdout == "set()\n"
