Take odd responses of the store for failures

A response of the store that is nested too deeply, also in a field that is not read, ended the entry VM with status 1 0.1 s after its start: the decoder raises RecursionError, which the watch of the table does not expect. All VMs that read the store would end, and again after each restart. A version beyond 64 bits was taken; tables with it cannot be encoded for siblings, and siblings drop heartbeats with it.

Class: an error of a decoder that its caller does not list. The other decoders of messages list RecursionError already. Both count as failed calls of the store now, which are logged and repeated.

tests/platform/test_store.py: four cases, which failed before and pass now.

--- a/src/carawaybank/platform/store.py
+++ b/src/carawaybank/platform/store.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import base64
-from typing import TypedDict
+from typing import Annotated, TypedDict
 from urllib.parse import urlencode
 
 import msgspec
 
 from carawaybank.client import ClientConnection, ExchangeError, HttpCall
+from carawaybank.documents import MAX_NUMBER
 from carawaybank.pool import ClientPool
 from carawaybank.replies import HttpReply
 from carawaybank.rows import (
@@ -27,13 +28,15 @@
 #: Set on all responses: a number that rises when the store is restored from an older backup.
 _ERA_HEADER = "Store-Era"
 _MAX_ERA_DIGITS = 18
+#: Siblings take no larger ones.
+_Version = Annotated[int, msgspec.Meta(le=MAX_NUMBER)]
 
 
 class _WireRow(TypedDict, total=False):
     key: str
     #: Base64.
     value: str
-    ver: int
+    ver: _Version
     deleted: bool
 
 
@@ -41,7 +44,7 @@
     rows: list[_WireRow]
     hasMore: bool
     #: Newest version of the whole store, not that of a row.
-    ver: int
+    ver: _Version
 
 
 class StoreClient:
@@ -176,7 +179,7 @@
 def _decode_rows(reply: HttpReply) -> _WireRows:
     try:
         return msgspec.json.decode(reply.body, type=_WireRows)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise StoreError(message=f"a response cannot be decoded: {error}") from None
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from carawaybank.rows import StoreError
+from carawaybank.platform.store import StoreClient
+from carawaybank.rows import INITIAL_POSITION, StoreError
+from tests.scripted_server import ScriptedServer, read_request
 from tests.store_world import run_scenario, wait_until
 
 
@@ -19,3 +21,38 @@
             await call
 
     run_scenario(scenario)
+
+
+#: Nested more deeply than decoders follow, in a field that is not read.
+DEEP = b'{"a":' * 5_000 + b"1" + b"}" * 5_000
+LARGE = b"9" * 30
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"x":' + DEEP + b"}",
+        b'{"rows":[{"key":"k","x":' + DEEP + b"}]}",
+        b'{"rows":[],"ver":' + LARGE + b"}",
+        b'{"rows":[{"key":"k","ver":' + LARGE + b"}]}",
+    ],
+    ids=["deep", "deep row", "large version", "large version of a row"],
+)
+def test_an_odd_response_counts_as_a_failure_of_the_store(body):
+    """Guards against a response that ends every VM: nested too deeply, or with a large version."""
+
+    def answer(connection):
+        while read_request(connection):
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+            connection.sendall(head + body)
+
+    async def run():
+        server = ScriptedServer(answer)
+        client = StoreClient(address=server.address)
+        with pytest.raises(StoreError, match="decoded"):
+            await client.read("op")
+        with pytest.raises(StoreError, match="decoded"):
+            await client.poll_changes("op", after=INITIAL_POSITION, wait_s=0.0)
+        server.close()
+
+    asyncio.run(run())
