--- /dev/null
+++ b/tests/platform/test_command.py
@@ -0,0 +1,202 @@
+"""What the log of an entry VM says about a process that ends by itself."""
+
+import asyncio
+import fcntl
+import json
+import os
+import socket
+import subprocess
+import sys
+import sysconfig
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from standins.cluster import process_ip
+from tests.platform.sites import START_S, wait_until_ready
+from tests.platform.test_process import Node, run_process
+
+pytestmark = pytest.mark.processes
+
+ROOT = Path(__file__).parents[2]
+PIPE = asyncio.subprocess.PIPE
+#: Runs the daemon with a background task that fails at once and each time that it is run again.
+FAILING_TASK = """
+import sys
+from carawaybank.platform import command
+from carawaybank.targets.checks import HealthChecks
+
+async def run(self):
+    raise KeyError("no such target")
+
+HealthChecks.run = run
+sys.exit(command.main())
+"""
+
+
+def read_failures(output):
+    """Returns the log lines of processes that failed."""
+    lines = [json.loads(line) for line in output.splitlines() if line.startswith(b"{")]
+    return [line for line in lines if (line["part"], line["event"]) == ("daemon", "failed")]
+
+
+async def end_of(process, *, within_s=START_S):
+    """Returns the failures that an ended process logged, and its standard error."""
+    try:
+        output, errors = await asyncio.wait_for(process.communicate(), within_s)
+    finally:
+        if process.returncode is None:
+            process.kill()
+    return read_failures(output), errors.decode()
+
+
+def test_wrong_settings_are_logged_as_the_reason_of_the_end(tmp_path):
+    """Guards against an end with status 2 that the structured log does not show."""
+
+    async def run():
+        path = tmp_path / "node.toml"
+        path.write_text("[vm]\n")
+        process = await run_process(path, stdout=PIPE, stderr=PIPE)
+        (failure,), errors = await end_of(process)
+        assert process.returncode == failure["status"] == 2
+        assert failure["at"] > 0
+        assert failure["reason"] in errors
+
+    asyncio.run(run())
+
+
+def test_an_address_in_use_is_logged_as_the_reason_of_the_end(tmp_path):
+    """Guards against an end with status 1 that the structured log does not show."""
+
+    async def run():
+        async with Node() as node:
+            path = tmp_path / "node.toml"
+            path.write_text(node.text)
+            with socket.socket() as holder:
+                holder.bind((process_ip(), node.ports["8106"]))
+                holder.listen()
+                node.process = await run_process(path, stdout=PIPE, stderr=PIPE)
+                (failure,), errors = await end_of(node.process)
+            assert node.process.returncode == failure["status"] == 1
+            assert failure["vm"] == "regina-1"
+            assert f":{node.ports['8106']}" in failure["reason"]
+            assert failure["reason"] in errors
+
+    asyncio.run(run())
+
+
+def test_a_task_that_fails_again_and_again_is_logged_as_the_reason_of_the_end(tmp_path):
+    """Guards against a VM that goes on without a background task, or ends without saying why."""
+
+    async def run():
+        async with Node() as node:
+            await node.start(tmp_path)  # Writes the settings.
+            node.process.terminate()
+            await node.process.communicate()
+            command = [sys.executable, "-c", FAILING_TASK, "--settings", str(node.path)]
+            process = await asyncio.create_subprocess_exec(*command, stdout=PIPE, stderr=PIPE)
+            (failure,), errors = await end_of(process, within_s=2 * START_S)
+            assert process.returncode == failure["status"] == 1
+            assert "no such target" in failure["reason"]
+            assert failure["reason"] in errors
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("closed", ["<&-", ">&-", "2>&-", "<&- >&- 2>&-"])
+def test_a_vm_serves_without_standard_streams(tmp_path, closed):
+    """Guards against a start that fails, or logs into a connection, as descriptors are closed."""
+
+    async def run():
+        async with Node() as node:
+            path = tmp_path / "node.toml"
+            path.write_text(node.text)
+            command = (
+                f'exec "{sys.executable}" -m carawaybank.platform --settings "{path}" {closed}'
+            )
+            node.process = await asyncio.create_subprocess_shell(command, stdout=PIPE, stderr=PIPE)
+            await wait_until_ready(node.process, node.is_ready, node.output)
+            for descriptor in range(3):
+                name = os.readlink(f"/proc/{node.process.pid}/fd/{descriptor}")
+                assert not name.startswith(("socket:", "anon_inode:"))
+            assert (await node.call("8100", "/x/1", method="POST")).status == 200
+            node.process.terminate()
+            await asyncio.wait_for(node.process.communicate(), START_S)
+            assert node.process.returncode == 0
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_closed", [False, True])
+def test_a_vm_serves_and_stops_while_nobody_reads_its_output(tmp_path, is_closed):
+    """Guards against a VM that waits for the reader of its log, or ends with an error for it."""
+
+    async def run():
+        async with Node() as node:
+            path = tmp_path / "node.toml"
+            path.write_text(node.text)
+            reading, writing = os.pipe()
+            fcntl.fcntl(writing, fcntl.F_SETPIPE_SZ, 4096)
+            os.write(writing, b"x" * 4096)
+            if is_closed:
+                os.close(reading)
+            node.process = await run_process(path, stdout=writing, stderr=writing)
+            await wait_until_ready(node.process, node.is_ready, node.output)
+            assert (await node.call("8100", "/x/1", method="POST")).status == 200
+            node.process.terminate()
+            assert await asyncio.wait_for(node.process.wait(), START_S) == 0
+            if not is_closed:
+                os.close(reading)
+            os.close(writing)
+
+    asyncio.run(run())
+
+
+def test_the_run_command_starts_a_vm_and_loads_its_metrics(tmp_path):
+    """Guards against an option of the interpreter without which modules are not found."""
+
+    async def scrape(node):
+        while await node.status("8106", "/metrics") != 200:
+            await asyncio.sleep(0.05)
+
+    async def run():
+        async with Node() as node:
+            path = tmp_path / "node.toml"
+            path.write_text(node.text)
+            system = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+            _, *arguments = system["roles"]["entry"]["run"].split()
+            folders = [
+                str(ROOT / "src"),
+                sysconfig.get_path("platlib"),
+                sysconfig.get_path("purelib"),
+            ]
+            environment = {
+                **os.environ,
+                "PYTHONPATH": os.pathsep.join(folders),
+                "CARAWAYBANK_SETTINGS": str(path),
+            }
+            node.process = await asyncio.create_subprocess_exec(
+                sys.executable, *arguments, env=environment, stdout=PIPE, stderr=PIPE
+            )
+            await wait_until_ready(node.process, node.is_ready, node.output)
+            assert (await node.call("8100", "/x/1", method="POST")).status == 200
+            await asyncio.wait_for(scrape(node), START_S)
+            node.process.terminate()
+            await asyncio.wait_for(node.process.communicate(), START_S)
+            assert node.process.returncode == 0
+
+    asyncio.run(run())
+
+
+def test_little_is_imported_before_changed_settings_are_ignored():
+    """Guards against a longer time after the start in which SIGHUP ends a process."""
+    code = "import sys, carawaybank.platform; print({'typing', 're', 'logging'} & set(sys.modules))"
+    run = subprocess.run(
+        [sys.executable, "-S", "-c", code],
+        env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert run.stdout == "set()\n"
