Name the outcome of a dropped run as the soak's targets do, and read when a request reached a target

A run whose VM closed the connection is 'dropped' in the targets' records; own answers in place of such runs were not found under the other name. A request that waits for a slot starts to run later than it reached the target, which by itself is no late arrival: DRAIN and EVAC use arrived_at where it is recorded. 175 tests passed in one run.

--- a/standins/soak/history.py
+++ b/standins/soak/history.py
@@ -10,6 +10,9 @@
 #: Outcomes of runs in which the target itself ended the exchange without its whole response.
 BROKEN_OFF = frozenset({"cut", "crashed", "killed", "reset"})
 
+#: Outcome of a run that a target gave up because the VM closed the connection.
+DROPPED = "dropped"
+
 #: Outcome of an arrival that a target rejected as not run.
 REJECTED = "rejected"
 
@@ -67,7 +70,10 @@
 
 
 class Run(NamedTuple):
-    """One arrival of a request at a target; times in monotonic seconds."""
+    """One arrival of a request at a target, which may wait for a slot before it runs.
+
+    Times are in monotonic seconds.
+    """
 
     id: str
     target: str
@@ -78,10 +84,16 @@
     path: str = ""
     body_bytes: int = 0
     body_hash: str | None = None
+    arrived_at: float | None = None
     ended_at: float | None = None
     status: int = 0
     outcome: str = ""
 
+    @property
+    def reached_at(self) -> float:
+        """Time at which the request reached the target."""
+        return self.started_at if self.arrived_at is None else self.arrived_at
+
     @property
     def is_rejected(self) -> bool:
         """Whether the target promised that the request did not run."""
--- a/standins/soak/losses.py
+++ b/standins/soak/losses.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from standins.soak.history import BROKEN_OFF, Event, History, Request, Violation
+from standins.soak.history import BROKEN_OFF, DROPPED, Event, History, Request, Violation
 
 #: Losses of a kept connection apart from planned work that the rule tolerates in a run.
 MAX_LOSSES_ANYTIME = 3
@@ -94,7 +94,7 @@
 
 def _was_passed_on(history: History, request: Request) -> bool:
     arrivals = history.arrivals_by_id.get(request.id, [])
-    return any(run.started_at <= request.ended_at for run in arrivals)
+    return any(run.reached_at <= request.ended_at for run in arrivals)
 
 
 def _broke_off(history: History, request: Request) -> bool:
@@ -132,7 +132,7 @@
         and (
             run.ended_at is None
             or run.ended_at > request.ended_at
-            or (run.outcome == "left" and run.ended_at > request.ended_at - slack_s)
+            or (run.outcome == DROPPED and run.ended_at > request.ended_at - slack_s)
         )
         for run in history.runs_of(request.id)
     )
--- a/standins/soak/steering.py
+++ b/standins/soak/steering.py
@@ -54,7 +54,7 @@
     repeats: dict[str, list[float]] = defaultdict(list)
     for runs in history.arrivals_by_id.values():
         for run in runs[1:]:
-            repeats[run.service].append(run.started_at)
+            repeats[run.service].append(run.reached_at)
     requests: dict[str, list[float]] = defaultdict(list)
     for request in history.requests:
         arrivals = history.arrivals_by_id.get(request.id, [])
@@ -122,17 +122,17 @@
 
 def _find_arrivals(history: History, start: float, end: float) -> Iterable[Run]:
     """Returns the arrivals of a span other than those that got a 421."""
-    return (run for run in history.arrivals if start < run.started_at < end and run.status != 421)
+    return (run for run in history.arrivals if start < run.reached_at < end and run.status != 421)
 
 
 def _is_sent_in_touch(history: History, run: Run) -> bool:
     request = history.requests_by_id.get(run.id)
-    return request is not None and history.is_in_touch(request.vm, run.started_at)
+    return request is not None and history.is_in_touch(request.vm, run.reached_at)
 
 
 def _late(rule: str, history: History, run: Run, since: str) -> Violation:
     vm = history.requests_by_id[run.id].vm
-    return Violation(rule, run.started_at, vm, f"{run.describe()}, {since}; see {vm}.log")
+    return Violation(rule, run.reached_at, vm, f"{run.describe()}, {since}; see {vm}.log")
 
 
 def _stale(rule: str, request: Request, config: Event, what: str) -> Violation:
--- a/tests/standins/test_soak_checks.py
+++ b/tests/standins/test_soak_checks.py
@@ -8,7 +8,7 @@
 import pytest
 
 from standins.soak.checks import find_violations, load_history, summarize
-from standins.soak.history import Bounds
+from standins.soak.history import DROPPED, Bounds
 from tests.standins.soak_records import (
     CONFIG,
     make_cut,
@@ -32,8 +32,8 @@
     return [stop(at), make_event(at + 5, "exit", status=0)]
 
 
-def make_left_run(**changes):
-    return make_run(**{"outcome": "left", "status": 0, "ended_at": 100.5, **changes})
+def make_dropped_run(**changes):
+    return make_run(**{"outcome": DROPPED, "status": 0, "ended_at": 100.5, **changes})
 
 
 def make_cuts_at_all_times():
@@ -43,7 +43,7 @@
         for number, at in enumerate((98.0, 100.0))
         for record in (
             make_cut(id=f"r{number}", connection=f"c{number}", sent_at=at, ended_at=at + 0.5),
-            make_left_run(id=f"r{number}", started_at=at + 0.1, ended_at=at + 0.5),
+            make_dropped_run(id=f"r{number}", started_at=at + 0.1, ended_at=at + 0.5),
         )
     ]
 
@@ -54,25 +54,28 @@
     @pytest.mark.parametrize(
         "records",
         [
-            pytest.param([stop(), make_cut(), make_left_run()], id="passed on, after SIGTERM"),
+            pytest.param([stop(), make_cut(), make_dropped_run()], id="passed on, after SIGTERM"),
             pytest.param([stop(), make_cut(last_byte_at=100.29)], id="held beyond the slack"),
-            pytest.param([stop(), make_cut(outcome="closed"), make_left_run()], id="closed"),
+            pytest.param([stop(), make_cut(outcome="closed"), make_dropped_run()], id="closed"),
             pytest.param(
-                [stop(), make_request(complete=False), make_left_run(status=200)],
+                [stop(), make_request(complete=False), make_dropped_run(status=200)],
                 id="answer cut off",
             ),
-            pytest.param([*ended_stop(93.51), make_cut(), make_left_run()], id="1 s after graceS"),
             pytest.param(
-                [stop(100.4), make_cut(), make_left_run()], id="sent before SIGTERM, cut after it"
+                [*ended_stop(93.51), make_cut(), make_dropped_run()], id="1 s after graceS"
             ),
             pytest.param(
-                [make_event(98.0, "SIGHUP"), make_cut(), make_left_run()], id="after SIGHUP"
+                [stop(100.4), make_cut(), make_dropped_run()],
+                id="sent before SIGTERM, cut after it",
+            ),
+            pytest.param(
+                [make_event(98.0, "SIGHUP"), make_cut(), make_dropped_run()], id="after SIGHUP"
             ),
             pytest.param(
                 [
                     make_event(98.0, "config", vm="", routes=CONFIG.routes),
                     make_cut(),
-                    make_left_run(),
+                    make_dropped_run(),
                 ],
                 id="beside a configuration",
             ),
@@ -80,7 +83,7 @@
                 [
                     make_event(100.6, "config", vm="", sent_at=100.2, routes=CONFIG.routes),
                     make_cut(),
-                    make_left_run(),
+                    make_dropped_run(),
                 ],
                 id="before the confirmation of a configuration",
             ),
@@ -93,29 +96,29 @@
     @pytest.mark.parametrize(
         "records",
         [
-            pytest.param([make_cut(), make_left_run()], id="no planned work"),
+            pytest.param([make_cut(), make_dropped_run()], id="no planned work"),
             pytest.param(
-                [*ended_stop(93.49), make_cut(), make_left_run()], id="over 1 s after graceS"
+                [*ended_stop(93.49), make_cut(), make_dropped_run()], id="over 1 s after graceS"
             ),
-            pytest.param([stop(100.6), make_cut(), make_left_run()], id="before SIGTERM"),
-            pytest.param([stop(vm="vm2"), make_cut(), make_left_run()], id="stop of another VM"),
+            pytest.param([stop(100.6), make_cut(), make_dropped_run()], id="before SIGTERM"),
+            pytest.param([stop(vm="vm2"), make_cut(), make_dropped_run()], id="stop of another VM"),
             pytest.param([stop(), make_cut(last_byte_at=100.31)], id="not passed on, in the slack"),
             pytest.param([stop(), make_cut(last_byte_at=None)], id="not sent whole"),
             pytest.param([stop(), make_cut(outcome="refused", last_byte_at=None)], id="refused"),
-            pytest.param([stop(), make_cut(outcome="left"), make_left_run()], id="caller left"),
+            pytest.param([stop(), make_cut(outcome="left"), make_dropped_run()], id="caller left"),
             pytest.param(
-                [make_event(97.4, "SIGHUP"), make_cut(), make_left_run()],
+                [make_event(97.4, "SIGHUP"), make_cut(), make_dropped_run()],
                 id="sent over configMs after SIGHUP",
             ),
             pytest.param(
-                [make_event(100.6, "SIGHUP"), make_cut(), make_left_run()],
+                [make_event(100.6, "SIGHUP"), make_cut(), make_dropped_run()],
                 id="cut before SIGHUP",
             ),
             pytest.param(
                 [
                     make_event(96.9, "config", vm="", routes=CONFIG.routes),
                     make_cut(),
-                    make_left_run(),
+                    make_dropped_run(),
                 ],
                 id="over configMs + 1 s after a configuration",
             ),
@@ -130,7 +133,10 @@
         [
             pytest.param([make_run(outcome="cut", status=0)], False, id="server broke off"),
             pytest.param(
-                [make_run(outcome="cut", status=0), make_left_run(target="t2", started_at=100.4)],
+                [
+                    make_run(outcome="cut", status=0),
+                    make_dropped_run(target="t2", started_at=100.4),
+                ],
                 True,
                 id="an earlier server broke off, the last one did not",
             ),
@@ -143,11 +149,11 @@
                 id="server killed",
             ),
             pytest.param(
-                [make_left_run(), make_event(100.3, "SIGKILL", vm="", target="t2")],
+                [make_dropped_run(), make_event(100.3, "SIGKILL", vm="", target="t2")],
                 True,
                 id="another server killed",
             ),
-            pytest.param([make_left_run(outcome="silent")], True, id="server silent"),
+            pytest.param([make_dropped_run(outcome="silent")], True, id="server silent"),
         ],
     )
     def test_server_that_broke_off_excuses_a_loss(self, records, lost):
@@ -167,7 +173,7 @@
     )
     def test_budget_that_was_reached_excuses_a_loss(self, limits, lost):
         """Guards against counting requests whose time budget or route's timeout was reached."""
-        assert ("LOST" in rules_of(stop(), make_cut(**limits), make_left_run())) == lost
+        assert ("LOST" in rules_of(stop(), make_cut(**limits), make_dropped_run())) == lost
 
     @pytest.mark.parametrize(
         ("sent_at", "run_ended_at", "lost"),
@@ -181,7 +187,7 @@
     def test_server_at_work_in_the_last_sixth_excuses_a_loss(self, sent_at, run_ended_at, lost):
         """Guards against excusing by the last sixth of graceS what it does not cover."""
         request = make_cut(sent_at=sent_at, ended_at=104.3)
-        run = make_left_run(started_at=sent_at + 0.05, ended_at=run_ended_at)
+        run = make_dropped_run(started_at=sent_at + 0.05, ended_at=run_ended_at)
         assert ("LOST" in rules_of(stop(), request, run)) == lost
 
     @pytest.mark.parametrize(
@@ -202,7 +208,7 @@
             make_cut(position=1, sent_at=100.05),
         ]
         if passed_on:
-            records.append(make_left_run())
+            records.append(make_dropped_run())
         assert ("LOST" in rules_of(*records)) == lost
 
     @pytest.mark.parametrize(
@@ -228,7 +234,7 @@
     )
     def test_unplanned_disturbance_excuses_a_loss(self, events, lost):
         """Guards against excusing a loss by the store, a busy processor or another VM."""
-        records = [stop(), make_cut(), make_left_run(), make_event(120.0, "exit", status=0)]
+        records = [stop(), make_cut(), make_dropped_run(), make_event(120.0, "exit", status=0)]
         assert ("LOST" in rules_of(*records, *events)) == lost
 
     def test_the_kill_at_the_end_of_the_grace_period_excuses_nothing(self):
@@ -238,7 +244,7 @@
             make_event(105.0, "SIGKILL"),
             make_event(105.01, "exit", status=-9),
             make_cut(sent_at=104.0, ended_at=105.01),
-            make_left_run(started_at=104.1, ended_at=105.01),
+            make_dropped_run(started_at=104.1, ended_at=105.01),
         ]
         assert "LOST" in rules_of(*records)
 
@@ -255,7 +261,7 @@
     def test_cuts_beside_a_configuration_that_are_three_times_as_frequent_count(self, others):
         """Guards against configurations that end connections."""
         config = make_event(99.0, "config", vm="", routes=CONFIG.routes)
-        assert rules_of(config, make_cut(), make_left_run(), *others) == ["LOST"]
+        assert rules_of(config, make_cut(), make_dropped_run(), *others) == ["LOST"]
 
     def test_cuts_beside_a_configuration_as_frequent_as_elsewhere_are_not_counted(self):
         """Guards against blaming a configuration for what happens at all times."""
@@ -266,11 +272,11 @@
     def test_seven_tenths_of_the_time_excuse_a_loss_beside_a_configuration(self, timeout_s, rules):
         """Guards against excusing a loss beside a configuration too early."""
         config = make_event(99.0, "config", vm="", routes=CONFIG.routes)
-        assert rules_of(config, make_cut(timeout_s=timeout_s), make_left_run()) == rules
+        assert rules_of(config, make_cut(timeout_s=timeout_s), make_dropped_run()) == rules
 
     def test_seven_tenths_of_the_time_excuse_nothing_after_a_stop(self):
         """Guards against applying the exception for configurations to stops."""
-        assert rules_of(stop(), make_cut(timeout_s=0.6), make_left_run()) == ["LOST"]
+        assert rules_of(stop(), make_cut(timeout_s=0.6), make_dropped_run()) == ["LOST"]
 
     @pytest.mark.parametrize(("count", "lost"), [(3, 0), (4, 4)])
     def test_more_than_three_losses_at_any_time_count(self, count, lost):
@@ -278,7 +284,7 @@
         records = []
         for number in range(count):
             records.append(make_cut(id=f"r{number}", connection=f"c{number}"))
-            records.append(make_left_run(id=f"r{number}"))
+            records.append(make_dropped_run(id=f"r{number}"))
         assert rules_of(*records) == ["LOST"] * lost
         assert rules_of(make_event(99.0, "start"), *records) == []
 
@@ -287,9 +293,9 @@
         ("run", "lost"),
         [
             pytest.param({"ended_at": 100.9}, True, id="still at work"),
-            pytest.param({"outcome": "left", "status": 0, "ended_at": 100.45}, True, id="left"),
+            pytest.param({"outcome": DROPPED, "status": 0, "ended_at": 100.45}, True, id="dropped"),
             pytest.param({"outcome": "cut", "status": 0, "ended_at": 100.45}, False, id="cut"),
-            pytest.param({"outcome": "left", "status": 0, "ended_at": 100.2}, False, id="earlier"),
+            pytest.param({"outcome": DROPPED, "status": 0, "ended_at": 100.2}, False, id="earlier"),
         ],
     )
     def test_own_answer_in_place_of_a_run_in_progress_is_lost(self, status, run, lost):
@@ -301,7 +307,7 @@
     def test_own_answer_in_the_last_sixth_is_excused(self):
         """Guards against reporting attempts that are given up late in the grace period."""
         answer = make_request(status=502, seal=None, reply_id=None, sent_at=102.0, ended_at=104.3)
-        run = make_left_run(started_at=102.1, ended_at=104.28)
+        run = make_dropped_run(started_at=102.1, ended_at=104.28)
         assert rules_of(stop(), answer, run) == []
         assert rules_of(stop(98.9), answer, run) == ["LOST"]
 
@@ -358,7 +364,7 @@
             ({"method": "PUT"}, ["UNASKED"]),
             ({"path": "/other/x", "service": "ledger"}, ["UNASKED"]),
             ({"body_hash": "other"}, ["UNASKED"]),
-            ({"body_hash": None, "outcome": "left"}, []),
+            ({"body_hash": None, "outcome": DROPPED}, []),
             ({"id": "r2", "outcome": "rejected", "status": 400}, []),
         ],
     )
@@ -519,6 +525,7 @@
             pytest.param([], {"status": 421}, [], id="421"),
             pytest.param([], {"target": "t2"}, [], id="another target"),
             pytest.param([], {"started_at": 99.9}, [], id="within drainMs"),
+            pytest.param([], {"arrived_at": 99.9}, [], id="waited for a slot"),
             pytest.param([make_event(99, "return", vm="", target="t1")], {}, [], id="returned"),
             pytest.param([make_event(99, "freeze")], {}, [], id="VM not in touch"),
             pytest.param([make_event(99, "SIGTERM")], {}, [], id="VM stops"),
@@ -653,7 +660,7 @@
         """Guards against losing the records of a process that was killed while it wrote."""
         request = {"what": "request", **make_cut()._asdict()}
         self.write(tmp_path, "caller.jsonl", request, tail='{"what": "request", "id": "r')
-        self.write(tmp_path, "target.jsonl", {"what": "run", **make_left_run()._asdict()})
+        self.write(tmp_path, "target.jsonl", {"what": "run", **make_dropped_run()._asdict()})
         self.write(
             tmp_path,
             "runner.jsonl",
@@ -674,7 +681,7 @@
 
     def test_summary_leads_from_a_loss_to_its_stop_connection_and_log(self):
         """Guards against findings that can't be looked up."""
-        text = summarize(make_history(stop(), make_cut(), make_left_run()))
+        text = summarize(make_history(stop(), make_cut(), make_dropped_run()))
         assert "1 1 s" in text
         assert "1 LOST" in text
         for part in ("id=r1", "connection=c1", "1.500 s after SIGTERM at 99.000", "see vm1.log"):
