--- a/standins/soak/losses.py
+++ b/standins/soak/losses.py
@@ -82,7 +82,7 @@
                 beside_config[request.vm].append(violation)
         elif work and (work.event == "SIGTERM" or not own_answer):
             violations.append(violation)
-        elif not own_answer and _is_lost_anytime(history, request):
+        elif _is_lost_anytime(history, request):
             anytime.append(violation)
     for vm, losses in beside_config.items():
         if _cuts_more_beside_configs(history, vm):
@@ -109,7 +109,6 @@
 def _waits_behind_another(history: History, request: Request) -> bool:
     return any(
         other.connection == request.connection
-        and other.vm == request.vm
         and (other.sent_at, other.position) < (request.sent_at, request.position)
         and other.ended_at > request.sent_at
         for other in history.requests
@@ -128,7 +127,6 @@
     slack_s = history.bounds.lossSlackMs / 1000
     return any(
         run.started_at <= request.ended_at
-        and run.outcome not in BROKEN_OFF
         and (
             run.ended_at is None
             or run.ended_at > request.ended_at
--- a/tests/standins/test_soak_checks.py
+++ b/tests/standins/test_soak_checks.py
@@ -56,6 +56,10 @@
         [
             pytest.param([stop(), make_cut(), make_dropped_run()], id="passed on, after SIGTERM"),
             pytest.param([stop(), make_cut(last_byte_at=100.29)], id="held beyond the slack"),
+            pytest.param(
+                [stop(), make_cut(last_byte_at=100.45), make_dropped_run()],
+                id="passed on, in the slack",
+            ),
             pytest.param([stop(), make_cut(outcome="closed"), make_dropped_run()], id="closed"),
             pytest.param(
                 [stop(), make_request(complete=False), make_dropped_run(status=200)],
@@ -153,6 +157,11 @@
                 True,
                 id="another server killed",
             ),
+            pytest.param(
+                [make_dropped_run(), make_event(100.6, "SIGKILL", vm="", target="t1")],
+                True,
+                id="server killed afterwards",
+            ),
             pytest.param([make_dropped_run(outcome="silent")], True, id="server silent"),
         ],
     )
@@ -190,6 +199,12 @@
         run = make_dropped_run(started_at=sent_at + 0.05, ended_at=run_ended_at)
         assert ("LOST" in rules_of(stop(), request, run)) == lost
 
+    def test_last_sixth_excuses_nothing_after_sighup(self):
+        """Guards against applying the exception for stops to SIGHUP."""
+        request = make_cut(sent_at=101.0, ended_at=104.3)
+        run = make_dropped_run(started_at=101.1, ended_at=104.28)
+        assert rules_of(make_event(99.0, "SIGHUP"), request, run) == ["LOST"]
+
     @pytest.mark.parametrize(
         ("first", "passed_on", "lost"),
         [
@@ -268,6 +283,15 @@
         config = make_event(99.0, "config", vm="", routes=CONFIG.routes)
         assert rules_of(config, *make_cuts_at_all_times()) == []
 
+    def test_cuts_by_targets_do_not_count_as_the_vms_own(self):
+        """Guards against excusing cuts beside a configuration by targets that break off."""
+        config = make_event(99.0, "config", vm="", routes=CONFIG.routes)
+        broken_off = [
+            make_cut(id="r0", connection="c0", sent_at=90.0, ended_at=90.5),
+            make_run(id="r0", started_at=90.1, ended_at=90.4, outcome="cut", status=0),
+        ]
+        assert rules_of(config, make_cut(), make_dropped_run(), *broken_off) == ["LOST"]
+
     @pytest.mark.parametrize(("timeout_s", "rules"), [(0.72, ["LOST"]), (0.71, [])])
     def test_seven_tenths_of_the_time_excuse_a_loss_beside_a_configuration(self, timeout_s, rules):
         """Guards against excusing a loss beside a configuration too early."""
@@ -287,12 +311,15 @@
             records.append(make_dropped_run(id=f"r{number}"))
         assert rules_of(*records) == ["LOST"] * lost
         assert rules_of(make_event(99.0, "start"), *records) == []
+        assert rules_of(*(record for record in records if hasattr(record, "vm"))) == []
 
     @pytest.mark.parametrize("status", [502, 504])
     @pytest.mark.parametrize(
         ("run", "lost"),
         [
             pytest.param({"ended_at": 100.9}, True, id="still at work"),
+            pytest.param({"ended_at": None, "status": 0}, True, id="end not recorded"),
+            pytest.param({"started_at": 100.6, "ended_at": 100.9}, False, id="begun afterwards"),
             pytest.param({"outcome": DROPPED, "status": 0, "ended_at": 100.45}, True, id="dropped"),
             pytest.param({"outcome": "cut", "status": 0, "ended_at": 100.45}, False, id="cut"),
             pytest.param({"outcome": DROPPED, "status": 0, "ended_at": 100.2}, False, id="earlier"),
@@ -304,6 +331,18 @@
         assert ("LOST" in rules_of(stop(), answer, make_run(**run))) == lost
         assert rules_of(answer, make_run(**run)) == []
 
+    @pytest.mark.parametrize(
+        ("answer", "rules"),
+        [
+            pytest.param({"status": 500}, [], id="a target's failure"),
+            pytest.param({"status": 200, "seal": None}, ["MIXED"], id="success without a seal"),
+        ],
+    )
+    def test_answer_that_is_no_failure_of_the_vm_is_not_its_own(self, answer, rules):
+        """Guards against taking the answer of another attempt for one of the VM."""
+        runs = [make_run(status=500), make_dropped_run(target="t2", started_at=100.2)]
+        assert rules_of(stop(), make_request(kind="idempotent", **answer), *runs) == rules
+
     def test_own_answer_in_the_last_sixth_is_excused(self):
         """Guards against reporting attempts that are given up late in the grace period."""
         answer = make_request(status=502, seal=None, reply_id=None, sent_at=102.0, ended_at=104.3)
@@ -372,6 +411,10 @@
         """Guards against runs that nobody sent, and against judging bodies that were not read."""
         assert rules_of(make_request(), make_run(**run)) == rules
 
+    def test_body_that_was_not_recorded_is_not_compared(self):
+        """Guards against judging a body whose hash the caller did not record."""
+        assert rules_of(make_request(body_hash=None), make_run()) == []
+
     @pytest.mark.parametrize(("path", "rules"), [("/a/x", []), ("/a/y", ["UNASKED"])])
     def test_path_is_compared_whole_where_it_is_recorded(self, path, rules):
         """Guards against a changed rest of the path or query."""
@@ -388,6 +431,7 @@
         pytest.param({"status": 500}, {}, ["MIXED"], id="sealed with another status"),
         pytest.param({}, {"status": 500}, ["MIXED"], id="success where the target failed"),
         pytest.param({"body_ok": False, "complete": False}, {}, [], id="looks incomplete"),
+        pytest.param({"seal": None, "complete": False}, {}, [], id="success cut off"),
         pytest.param({"status": 502, "seal": None}, {}, [], id="own failure"),
         pytest.param({"status": 500}, {"status": 500}, [], id="the target's failure"),
         pytest.param({}, {"ended_at": None, "status": 0}, [], id="end of the run not recorded"),
@@ -423,9 +467,37 @@
                 [],
                 id="killed",
             ),
+            pytest.param(
+                [
+                    (10, "start", {}),
+                    (50, "exit", {"status": 0, "expected": False}),
+                    (51, "start", {}),
+                    (51.5, "ready", {}),
+                    (60, "SIGTERM", {}),
+                    (61, "exit", {"status": 0}),
+                ],
+                ["FAULT"],
+                id="ended by itself and was stopped after its next start",
+            ),
+            pytest.param(
+                [
+                    (10, "start", {}),
+                    (50, "SIGTERM", {}),
+                    (51, "exit", {"status": 0, "expected": 0}),
+                ],
+                [],
+                id="ended after SIGTERM",
+            ),
+            pytest.param([(10, "start", {}), (50, "exit", {"status": 0})], [], id="expected"),
             pytest.param(
                 [(50, "SIGTERM", {}), (55, "exit", {"status": 1})], ["FAULT"], id="odd status"
             ),
+            pytest.param(
+                [(50, "SIGTERM", {}), (52, "exit", {"status": 1}), (53, "SIGKILL", {})],
+                ["FAULT"],
+                id="odd status, killed afterwards",
+            ),
+            pytest.param([(50, "SIGTERM", {}), (53, "SIGKILL", {})], [], id="end not recorded"),
             pytest.param([(50, "SIGTERM", {}), (55, "exit", {"status": 0})], [], id="status 0"),
             pytest.param(
                 [(50, "SIGTERM", {}), (56, "SIGKILL", {}), (56.1, "exit", {"status": -9})],
@@ -472,6 +544,11 @@
         [
             pytest.param([], {20: 503, 31: 200}, ["FAULT"], id="late"),
             pytest.param([], {}, ["FAULT"], id="never"),
+            pytest.param(
+                [stop(40), make_event(41, "exit", status=0)], {}, ["FAULT"], id="stopped afterwards"
+            ),
+            pytest.param([stop(15), make_event(16, "exit", status=0)], {}, [], id="stopped"),
+            pytest.param([*make_polls("vm2", {15: 200})], {}, ["FAULT"], id="another is ready"),
             pytest.param([], {29: 200}, [], id="in time"),
             pytest.param([make_event(15, "ready")], {}, [], id="ready by its own word"),
             pytest.param([make_event(15, "SIGKILL")], {}, [], id="killed"),
@@ -513,6 +590,12 @@
             records += make_polls(vm, polls)
         assert rules_of(*records) == []
 
+    def test_readiness_is_not_judged_beyond_the_end_of_the_records(self):
+        """Guards against taking the last polls of a soak for those 4 s after SIGTERM."""
+        stops = [stop(10, vm=vm) for vm in ("vm1", "vm2")]
+        polls = [poll for vm in ("vm1", "vm2") for poll in make_polls(vm, {9: 200, 13: 200})]
+        assert rules_of(*stops, *polls) == []
+
 
 class TestSteering:
     """DRAIN, EVAC, CONFIG, ROUTE and BUDGET."""
@@ -539,6 +622,11 @@
         request = make_request(kind="idempotent", status=502, seal=None)
         assert rules_of(leave, request, make_run(**run), *events) == rules
 
+    def test_arrival_that_no_caller_sent_is_unasked_only(self):
+        """Guards against a checker that fails on a run without a request."""
+        leave = make_event(97.5, "leave", vm="", target="t1")
+        assert rules_of(leave, make_run()) == ["UNASKED"]
+
     @pytest.mark.parametrize(
         ("events", "run", "rules"),
         [
