--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -5,7 +5,7 @@
 
 from standins.soak.history import History, Violation, load_history
 from standins.soak.lifecycles import find_faults, find_late_readiness
-from standins.soak.losses import find_losses
+from standins.soak.losses import find_excused_cuts, find_losses
 from standins.soak.steering import find_excess_retries, find_late_arrivals, find_stale_configs
 
 __all__ = ["History", "Violation", "find_violations", "load_history", "summarize"]
@@ -111,6 +111,12 @@
     lines += [f"  {count:7} {outcome}" for outcome, count in sorted(outcomes.items())]
     lines.append("losses by whole seconds after the VM's SIGTERM")
     lines += [f"  {count:7} {after}" for after, count in sorted(_group_losses(history, violations))]
+    excused = find_excused_cuts(history)
+    lines.append("requests cut by a VM that are not counted")
+    lines += [
+        f"  {count:7} {reason}"
+        for reason, count in sorted(Counter(cut.reason for cut in excused).items())
+    ]
     lines.append("violations by rule")
     rules = Counter(violation.rule for violation in violations)
     lines += [f"  {count:7} {rule}" for rule, count in sorted(rules.items())]
@@ -118,6 +124,7 @@
         f"{violation.rule} {violation.at:.3f} {violation.vm or '-'}: {violation.detail}"
         for violation in violations
     ]
+    lines += [f"not counted: {cut.reason}: {cut.detail}" for cut in excused]
     return "\n".join(lines)
 
 
--- a/standins/soak/losses.py
+++ b/standins/soak/losses.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from standins.soak.history import BROKEN_OFF, DROPPED, Event, History, Request, Violation
 
@@ -12,13 +13,18 @@
 _MAX_SENT_AFTER_STOP_S = 3.0
 
 
+class ExcusedCut(NamedTuple):
+    """A request without a complete response that is not counted, and why."""
+
+    reason: str
+    detail: str
+
+
 def was_cut(history: History, request: Request) -> bool:
     """Returns whether a whole request got no complete response and was passed on or held."""
     if request.last_byte_at is None:
         return False
-    if request.outcome not in {"reset", "closed"} and (
-        request.outcome != "answered" or request.complete
-    ):
+    if not _is_incomplete(request):
         return False
     slack_s = history.bounds.lossSlackMs / 1000
     return _was_passed_on(history, request) or request.ended_at > request.last_byte_at + slack_s
@@ -92,6 +98,35 @@
     return violations
 
 
+def find_excused_cuts(history: History) -> list[ExcusedCut]:
+    """Returns requests that a VM left without a whole response and that are not counted."""
+    lost = {violation.detail for violation in find_losses(history)}
+    excused = []
+    for request in history.requests:
+        if not (_is_incomplete(request) or _replaces_a_run(history, request)):
+            continue
+        work = find_planned_work(history, request)
+        detail = _describe(history, request, work).detail
+        if detail in lost:
+            continue
+        reason = find_exception(history, request, work)
+        if request.last_byte_at is None:
+            reason = "not sent whole"
+        elif _is_incomplete(request) and not was_cut(history, request):
+            reason = "not passed on, and ended within lossSlackMs of its last byte"
+        elif not reason:
+            reason = "apart from planned work" if work is None else f"{work.event}: not counted"
+        excused.append(ExcusedCut(reason, detail))
+    return excused
+
+
+def _is_incomplete(request: Request) -> bool:
+    """Returns whether the connection ended without a complete response."""
+    return request.outcome in {"reset", "closed"} or (
+        request.outcome == "answered" and not request.complete
+    )
+
+
 def _was_passed_on(history: History, request: Request) -> bool:
     arrivals = history.arrivals_by_id.get(request.id, [])
     return any(run.reached_at <= request.ended_at for run in arrivals)
--- a/tests/standins/test_soak_checks.py
+++ b/tests/standins/test_soak_checks.py
@@ -774,3 +774,32 @@
         assert "1 LOST" in text
         for part in ("id=r1", "connection=c1", "1.500 s after SIGTERM at 99.000", "see vm1.log"):
             assert part in text
+
+    @pytest.mark.parametrize(
+        ("records", "reason"),
+        [
+            ([stop(), make_cut(last_byte_at=None)], "not sent whole"),
+            ([stop(), make_cut(last_byte_at=100.4)], "not passed on, and ended within lossSlackMs"),
+            ([make_cut(), make_dropped_run()], "apart from planned work"),
+            ([stop(), make_cut(), make_run(outcome="cut", status=0)], "the server broke off"),
+            (
+                [
+                    stop(),
+                    make_request(
+                        status=502, seal=None, reply_id=None, sent_at=102.0, ended_at=104.3
+                    ),
+                    make_dropped_run(started_at=102.1, ended_at=104.28),
+                ],
+                "the server was still at work in the last sixth",
+            ),
+        ],
+    )
+    def test_summary_names_the_exception_of_each_cut_that_is_not_counted(self, records, reason):
+        """Guards against exceptions that hide requests from the reader."""
+        text = summarize(make_history(*records))
+        assert f"not counted: {reason}" in text
+        assert "LOST" not in text
+
+    def test_summary_does_not_excuse_what_is_lost(self):
+        """Guards against a loss that is listed as excused too."""
+        assert "not counted:" not in summarize(make_history(stop(), make_cut(), make_dropped_run()))
