End a soak's freeze with the process that was frozen

A process that was killed while it was frozen gets no resume: its freeze lasted until the next resume of that VM, or for good, and excused all later losses of its next starts.

--- a/standins/soak/history.py
+++ b/standins/soak/history.py
@@ -285,7 +285,7 @@
             if event.event == "SIGKILL" and not self._ends_a_stop(event):
                 yield Span(event.at, self._end_of(event, "start"))
             elif event.event in {"freeze", "pause"}:
-                end = event.until or self._end_of(event, "resume")
+                end = event.until or self._end_of(event, "resume", "exit", "start")
                 if event.event == "freeze" or end - event.at > MAX_BUSY_PAUSE_S:
                     yield Span(event.at, end)
         for event in self.find_events(*_LINK_FAULTS):
@@ -300,8 +300,8 @@
             last is not None and last.event == "SIGTERM" and kill.at >= last.at + self.bounds.graceS
         )
 
-    def _end_of(self, event: Event, name: str) -> float:
-        later = self.next_event(event, name)
+    def _end_of(self, event: Event, *names: str) -> float:
+        later = self.next_event(event, *names)
         return later.at if later else float("inf")
 
 
--- a/tests/standins/test_soak_checks.py
+++ b/tests/standins/test_soak_checks.py
@@ -236,6 +236,9 @@
             pytest.param(
                 [make_event(90.0, "freeze"), make_event(95.9, "resume")], True, id="frozen before"
             ),
+            pytest.param(
+                [make_event(90.0, "freeze"), make_event(91.0, "exit")], True, id="ended frozen"
+            ),
             pytest.param(
                 [make_event(100.1, "pause"), make_event(100.25, "resume")], True, id="busy"
             ),
@@ -703,6 +706,7 @@
         config = make_event(config_at, "config", vm="", routes={"/a/": "ledger", "/c/": "ledger"})
         request = make_request(**{"route": "/c/", "status": 404, "seal": None, **answer})
         assert rules_of(config, request) == rules
+        assert rules_of(config, request, make_event(99.0, "freeze")) == []
 
     @pytest.mark.parametrize(
         ("repeats", "rules"), [pytest.param(6, ["BUDGET"], id="over"), pytest.param(5, [], id="at")]
