--- a/tests/standins/soak_records.py
+++ b/tests/standins/soak_records.py
@@ -1,6 +1,7 @@
 """Builders of small soak histories: one VM, one target, times in seconds."""
 
-from standins.soak.history import Event, History, Poll, Request, Run
+from standins.soak.checks import find_violations
+from standins.soak.history import DROPPED, Event, History, Poll, Request, Run
 
 CONFIG = Event(at=0.0, event="config", version="1", routes={"/a/": "ledger", "/b/": "archive"})
 
@@ -72,3 +73,23 @@
         kinds[type(record)].append(record)
     requests, runs, events, polls = kinds.values()
     return History(requests=requests, runs=runs, events=events, polls=polls, bounds=bounds)
+
+
+def make_dropped_run(**changes):
+    """Returns a run whose VM closed the connection."""
+    return make_run(**{"outcome": DROPPED, "status": 0, "ended_at": 100.5, **changes})
+
+
+def stop(at=99.0, **fields):
+    """Returns the SIGTERM of the VM."""
+    return make_event(at, "SIGTERM", **fields)
+
+
+def ended_stop(at):
+    """Returns a SIGTERM of the VM and its end."""
+    return [stop(at), make_event(at + 5, "exit", status=0)]
+
+
+def rules_of(*records, bounds=None):
+    """Returns the rules that the records show broken."""
+    return [violation.rule for violation in find_violations(make_history(*records, bounds=bounds))]
