Count the grace period of a soak's stop from the first SIGTERM

Stops that overlap send a second SIGTERM. The kill at the end of the first grace period then counted as unplanned and excused what the VM still held.

--- a/standins/soak/history.py
+++ b/standins/soak/history.py
@@ -294,11 +294,12 @@
 
     def _ends_a_stop(self, kill: Event) -> bool:
         """Returns whether a kill belongs to a planned stop, after the grace period."""
-        stops = self.find_events("SIGTERM", "start", vm=kill.vm)
-        last = next((event for event in reversed(stops) if event.at <= kill.at), None)
-        return (
-            last is not None and last.event == "SIGTERM" and kill.at >= last.at + self.bounds.graceS
-        )
+        stopped_at = float("inf")
+        for event in self.find_events("SIGTERM", "start", vm=kill.vm):
+            if event.at > kill.at:
+                break
+            stopped_at = float("inf") if event.event == "start" else min(stopped_at, event.at)
+        return kill.at >= stopped_at + self.bounds.graceS
 
     def _end_of(self, event: Event, *names: str) -> float:
         later = self.next_event(event, *names)
--- a/tests/standins/test_soak_losses.py
+++ b/tests/standins/test_soak_losses.py
@@ -238,10 +238,15 @@
         records = [stop(), make_cut(), make_dropped_run(), make_event(120.0, "exit", status=0)]
         assert ("LOST" in rules_of(*records, *events)) == lost
 
-    def test_the_kill_at_the_end_of_the_grace_period_excuses_nothing(self):
-        """Guards against excusing what a VM holds until the platform kills it."""
+    @pytest.mark.parametrize("again_at", [99.0, 102.0])
+    def test_the_kill_at_the_end_of_the_grace_period_excuses_nothing(self, again_at):
+        """Guards against excusing what a VM holds until the platform kills it.
+
+        A second SIGTERM does not prolong the grace period of the first.
+        """
         records = [
             stop(),
+            stop(again_at),
             make_event(105.0, "SIGKILL"),
             make_event(105.01, "exit", status=-9),
             make_cut(sent_at=104.0, ended_at=105.01),
