Run a deployment as real processes with faults drawn from a seed

`python -m standins.soak` starts the VMs of a deployment on loopback addresses, the store's stand-in, target processes and load processes with the habits of the deployment's clients, injects faults by seed, and leaves a record that the checkers judge.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 
-.PHONY: demo test bench install
+.PHONY: demo test bench soak install
+
+SEED ?= 1
+SOAK ?=
 
 install: $(VENV)/installed
 
@@ -21,3 +24,6 @@
 
 bench: install
 	$(PYTHON) -m pytest benchmarks --benchmark-enable
+
+soak: install
+	$(PYTHON) -m standins.soak --seed $(SEED) $(SOAK)
--- /dev/null
+++ b/standins/soak/__main__.py
@@ -0,0 +1,86 @@
+"""Runs a deployment as processes with load and faults, and judges what callers and targets saw.
+
+Usage: standins.soak [options]
+
+Options:
+  --deployment NAME   Deployment, a file in deploy/soak [default: campoverde].
+  --seed N            Seed of faults and load [default: 1].
+  --seconds S         Duration of the load in seconds [default: 24].
+  --load-share SHARE  Share of the deployment's rate [default: 0.2].
+  --faults MIX        Faults, separated by commas: none, stops, starved, kills, signals, configs,
+                      starts, freezes, leaves, store, herd, all [default: stops].
+  --busy N            Processes that keep cores busy during the load [default: 0].
+  --loaders N         Processes that send load [default: 2].
+  --hosts N           Processes that host targets [default: 2].
+  --source DIR        Directory that contains the package for the VMs to run [default: src].
+  --out DIR           Directory for settings, logs and records [default: soak-run].
+
+Exits with 1 if a promise was broken, and with 2 if the run could not start.
+"""
+
+import asyncio
+import shlex
+import shutil
+import sys
+from pathlib import Path
+
+from docopt import docopt
+
+from standins.soak import checks
+from standins.soak.faults import draw_faults
+from standins.soak.layout import Layout, choose_network, load_deployment
+from standins.soak.records import Plan
+from standins.soak.runner import Options, Runner, StartError
+
+#: Longest time in seconds for which busy processes run.
+_BUSY_S = 30.0
+
+
+def main() -> None:
+    """Runs the command."""
+    arguments = docopt(__doc__)
+    deployment = load_deployment(arguments["--deployment"])
+    seed, seconds = int(arguments["--seed"]), float(arguments["--seconds"])
+    network = choose_network()
+    layout = Layout(deployment, network)
+    plan = Plan(
+        deployment=deployment,
+        network=network,
+        seed=seed,
+        rate=deployment["rate"] * float(arguments["--load-share"]),
+        seconds=seconds,
+        loaders=int(arguments["--loaders"]),
+        hosts=int(arguments["--hosts"]),
+        faults=draw_faults(arguments["--faults"], layout=layout, seed=seed, seconds=seconds),
+    )
+    directory = Path(arguments["--out"]).resolve()
+    if directory.exists() and not (directory / "plan.json").exists() and any(directory.iterdir()):
+        sys.exit(f"{directory} holds other files")
+    shutil.rmtree(directory, ignore_errors=True)
+    directory.mkdir(parents=True)
+    source = Path(arguments["--source"]).resolve()
+    options = Options(directory, source, int(arguments["--busy"]), min(_BUSY_S, seconds + 6.0))
+    print(f"run again: python -m standins.soak {shlex.join(sys.argv[1:])}", flush=True)
+    try:
+        asyncio.run(Runner(plan=plan, options=options).run())
+    except StartError as error:
+        print(f"could not run: {error}", file=sys.stderr)
+        sys.exit(2)
+    sys.exit(1 if _report(directory) else 0)
+
+
+def _report(directory: Path) -> bool:
+    """Prints counts and violations, and returns whether there are any."""
+    history = checks.load_history(directory)
+    print(checks.summarize(history))
+    slack_s = history.bounds.lossSlackMs / 1000
+    for request in history.requests:
+        sent_at = request.last_byte_at
+        if sent_at and request.outcome in {"reset", "closed"} and not history.runs_of(request.id):
+            if request.ended_at - sent_at <= slack_s:
+                print(f"unanswered within {slack_s:g} s: {request.vm} {request.describe()}")
+    return bool(checks.find_violations(history))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/soak/connections.py
@@ -0,0 +1,194 @@
+"""A client's connection to an entry VM, with the record of each request on it."""
+
+import asyncio
+import time
+import zlib
+from collections import deque
+from typing import Any
+
+import httptools
+
+_CONNECT_S = 1.0
+#: Bytes a second and interval of bodies on a slow link.
+_SLOW_BYTES_PER_S = 60_000
+_SLOW_INTERVAL_S = 0.1
+
+
+class Exchange:
+    """A request and what is known about its response.
+
+    Attributes:
+        record: Fields of the request's line in the record.
+        ended: Resolved at the end of the exchange.
+        headers: Headers of the response.
+        body: Body of the response.
+    """
+
+    def __init__(self, *, record: dict[str, Any]) -> None:
+        """Creates an exchange without response.
+
+        Args:
+            record: Fields that are known before the request is sent.
+        """
+        self.record = record
+        self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.headers: dict[str, str] = {}
+        self.body = bytearray()
+
+    def end(self, outcome: str) -> None:
+        """Ends the exchange; later calls have no effect."""
+        if self.ended.done():
+            return
+        seal = self.headers.get("x-carawaybank-server-seal")
+        parts = seal.rsplit(".", 3)[1:] if seal else []
+        expected = [str(self.record["status"]), str(len(self.body))]
+        self.record |= {
+            "ended_at": time.monotonic(),
+            "outcome": outcome,
+            "complete": outcome == "answered",
+            "seal": seal,
+            "reply_id": self.headers.get("x-carawaybank-request-id"),
+            "body_ok": parts == [*expected, f"{zlib.crc32(self.body):08x}"],
+        }
+        self.ended.set_result(None)
+
+
+class CallerConnection(asyncio.Protocol):
+    """A connection; responses come in the order of the requests.
+
+    Attributes:
+        address: Address of the VM.
+        number: Number of the connection among those of its process.
+        position: Number of requests sent so far.
+        is_told_to_close: Whether a response said that the connection ends.
+        is_lost: Whether the connection has ended.
+        idle_since: Monotonic time of the last response.
+        waiting: Requests without a complete response.
+    """
+
+    def __init__(self, *, address: str, number: int) -> None:
+        """Creates a connection that is not open yet.
+
+        Args:
+            address: Address of the VM.
+            number: Number of the connection among those of its process.
+        """
+        self.address, self.number = address, number
+        self.position = 0
+        self.is_told_to_close = self.is_lost = False
+        self.idle_since = time.monotonic()
+        self.waiting: deque[Exchange] = deque()
+        self._parser = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._drained = asyncio.Event()
+        self._drained.set()
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether a further request may be sent."""
+        return not (self.is_told_to_close or self.is_lost)
+
+    async def open(self) -> None:
+        """Connects.
+
+        Raises:
+            OSError: If the connection is refused or not established within a second.
+        """
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(_CONNECT_S):
+            await loop.create_connection(lambda: self, host, int(port))
+
+    async def exchange(
+        self, exchange: Exchange, data: bytes, *, timeout_s: float, head_bytes: int = 0
+    ) -> None:
+        """Sends a request and waits for the end of the exchange.
+
+        Args:
+            exchange: The request, which is ended in any case.
+            data: Its bytes.
+            timeout_s: Seconds until the client gives up and closes the connection.
+            head_bytes: Bytes to send at once before a slow body; 0 to send all at once.
+        """
+        exchange.record |= {"position": self.position, "sent_at": time.monotonic()}
+        self.position += 1
+        self.waiting.append(exchange)
+        sending = asyncio.create_task(self._send(exchange, data, head_bytes))
+        if self.is_lost:
+            exchange.end("closed")
+        await asyncio.wait([exchange.ended], timeout=timeout_s)
+        if not exchange.ended.done():
+            exchange.end("timeout")
+            self.close()
+        sending.cancel()
+        exchange.record["told_to_close"] = self.is_told_to_close
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self.is_told_to_close = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _send(self, exchange: Exchange, data: bytes, head_bytes: int) -> None:
+        step = int(_SLOW_BYTES_PER_S * _SLOW_INTERVAL_S)
+        sent = 0
+        while sent < len(data) and self._transport is not None and not self.is_lost:
+            size = step if sent else head_bytes or len(data)
+            self._transport.write(data[sent : sent + size])
+            sent += size
+            await self._drained.wait()
+            if sent < len(data):
+                await asyncio.sleep(_SLOW_INTERVAL_S)
+        if sent >= len(data) and not self.is_lost:
+            exchange.record["last_byte_at"] = time.monotonic()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        transport.set_write_buffer_limits(0)
+        self._transport = transport
+
+    def pause_writing(self) -> None:
+        """Notes that bytes wait for the kernel."""
+        self._drained.clear()
+
+    def resume_writing(self) -> None:
+        """Notes that the kernel has taken all bytes."""
+        self._drained.set()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends all requests that wait."""
+        self.is_lost = True
+        self._drained.set()
+        while self.waiting:
+            self.waiting.popleft().end("reset" if exc else "closed")
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.close()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps a header of the first waiting request's response."""
+        if self.waiting:
+            self.waiting[0].headers[name.decode().lower()] = value.decode()
+
+    def on_headers_complete(self) -> None:
+        """Keeps the status and whether the connection ends."""
+        if self.waiting:
+            self.waiting[0].record["status"] = self._parser.get_status_code()
+            value = self.waiting[0].headers.get("connection", "")
+            self.is_told_to_close = self.is_told_to_close or value.lower() == "close"
+
+    def on_body(self, data: bytes) -> None:
+        """Keeps a part of the body."""
+        if self.waiting:
+            self.waiting[0].body += data
+
+    def on_message_complete(self) -> None:
+        """Ends the first waiting request."""
+        self.idle_since = time.monotonic()
+        if self.waiting:
+            self.waiting.popleft().end("answered")
--- /dev/null
+++ b/standins/soak/faults.py
@@ -0,0 +1,92 @@
+"""Faults of a run, drawn from its seed."""
+
+import random
+
+from standins.soak.layout import Layout
+from standins.soak.records import Fault
+
+_ALL = ("stops", "kills", "signals", "starts", "freezes", "configs", "leaves", "store", "herd")
+#: Names that a mix may contain.
+MIXES = ("none", "starved", "all", *_ALL)
+_FIRST_S = 4.0
+_STOP_GAP_S = 1.3
+#: Seconds at the end of a run without new faults, in which disturbed processes come back.
+_LAST_S = 4.0
+
+
+def draw_faults(mix: str, *, layout: Layout, seed: int, seconds: float) -> list[Fault]:
+    """Returns the planned faults of a run in the order of their times.
+
+    Args:
+        mix: One of ``MIXES``, or several separated by commas.
+        layout: The deployment.
+        seed: Seed of the run.
+        seconds: Duration of the load in seconds.
+
+    Raises:
+        ValueError: If a mix is unknown.
+    """
+    names = mix.split(",")
+    if unknown := set(names) - set(MIXES):
+        raise ValueError(f"unknown faults: {', '.join(sorted(unknown))}")
+    if "all" in names:
+        names = [*_ALL]
+    draw = _Draw(layout=layout, rng=random.Random(f"{seed}-faults"), seconds=seconds)
+    faults = [fault for name in names for fault in draw.draw(name)]
+    return sorted(faults, key=lambda fault: fault["at"])
+
+
+class _Draw:
+    """Draws the faults of each mix."""
+
+    def __init__(self, *, layout: Layout, rng: random.Random, seconds: float) -> None:
+        self._layout, self._rng, self._seconds = layout, rng, seconds
+        self._vms = [vm.name for vm in layout.vms]
+
+    def draw(self, name: str) -> list[Fault]:
+        draws = {
+            "none": list[Fault],
+            "stops": lambda: self._stops("stop"),
+            "starved": lambda: self._stops("starved_stop"),
+            "kills": lambda: self._series("kill", self._vms, 3, 1.0),
+            "freezes": lambda: self._series("freeze", self._vms, 2, self._rng.uniform(1.0, 6.0)),
+            "starts": self._starts,
+            "signals": lambda: self._series("hup", self._vms, 8, 0.0),
+            "configs": lambda: self._series("config", [""], 4, 0.0),
+            "leaves": self._leaves,
+            "store": lambda: self._series("store_away", [""], 2, 3.0),
+            "herd": self._herd,
+        }
+        return draws[name]()
+
+    def _time(self) -> float:
+        return self._rng.uniform(_FIRST_S, max(_FIRST_S + 1.0, self._seconds - _LAST_S))
+
+    def _stops(self, kind: str) -> list[Fault]:
+        count = min(self._layout.deployment["stops"], len(self._vms))
+        chosen = self._rng.sample(self._vms, count)
+        return [
+            Fault(at=_FIRST_S + number * _STOP_GAP_S, kind=kind, subject=vm, for_s=0.5)
+            for number, vm in enumerate(chosen)
+        ]
+
+    def _series(self, kind: str, subjects: list[str], count: int, for_s: float) -> list[Fault]:
+        return [
+            Fault(at=self._time(), kind=kind, subject=self._rng.choice(subjects), for_s=for_s)
+            for _ in range(count)
+        ]
+
+    def _starts(self) -> list[Fault]:
+        faults = self._series("stop_and_hup", self._vms, 3, 0.5)
+        return [Fault(**fault, after_start_s=self._rng.uniform(0.0, 0.6)) for fault in faults]
+
+    def _leaves(self) -> list[Fault]:
+        targets = [target.name for target in self._layout.targets]
+        chosen = self._rng.sample(targets, max(1, len(targets) // 10))
+        return [Fault(at=self._time(), kind="leave", subject=name, for_s=1.0) for name in chosen]
+
+    def _herd(self) -> list[Fault]:
+        at = self._time()
+        half = self._rng.sample(self._vms, len(self._vms) // 2)
+        stops = [Fault(at=at, kind="stop", subject=vm, for_s=0.5) for vm in half]
+        return [*stops, Fault(at=self._seconds - _LAST_S, kind="kill_all", subject="", for_s=1.0)]
--- /dev/null
+++ b/standins/soak/fleet.py
@@ -0,0 +1,195 @@
+"""The processes of a run's entry VMs: starts, signals, readiness checks and ends."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+
+from carawaybank.client import ClientConnection, HttpCall
+from standins.soak.layout import Layout, Vm
+from standins.soak.records import Recorder
+
+_POLL_S = 1.0
+_START_POLL_S = 0.1
+#: Duty cycle of a process that gets little processor time.
+_PAUSED_S = 0.15
+_RUNNING_S = 0.10
+
+
+class VmProcess:
+    """The process of an entry VM, started again after planned ends.
+
+    Attributes:
+        vm: Name and addresses.
+        process: The current or last process.
+        is_expected_to_end: Whether the next end of the process is the runner's doing.
+        peak_mb: Largest memory of the current process so far, in megabytes.
+        descriptors: Largest number of open descriptors seen so far.
+    """
+
+    def __init__(
+        self, *, vm: Vm, layout: Layout, directory: Path, source: Path, recorder: Recorder
+    ) -> None:
+        """Writes the settings of a VM that is not started yet.
+
+        Args:
+            vm: Name and addresses.
+            layout: The deployment.
+            directory: Directory of settings, logs and records.
+            source: Directory that contains the package to run.
+            recorder: Takes a line for each event.
+        """
+        self.vm = vm
+        self.process: asyncio.subprocess.Process | None = None
+        self.is_expected_to_end = False
+        self.peak_mb = 0.0
+        self.descriptors = 0
+        self._grace_s = layout.deployment["bounds"]["graceS"]
+        self._recorder, self._source = recorder, source
+        self._settings = directory / f"{vm.name}.toml"
+        self._log = directory / f"{vm.name}.log"
+        self._settings.write_text(layout.settings(vm))
+        self._ended: asyncio.Task[None] | None = None
+        self._starting = asyncio.Lock()
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+    async def start(self) -> None:
+        """Starts the process, unless it runs."""
+        async with self._starting:
+            if not self.is_running:
+                await self._start()
+
+    async def _start(self) -> None:
+        environment = {**os.environ, "CARAWAYBANK_SETTINGS": str(self._settings)}
+        environment["PYTHONPATH"] = str(self._source)
+        self.is_expected_to_end = False
+        self.peak_mb, self.descriptors = 0.0, 0
+        self._event("start")
+        with self._log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "carawaybank.platform",
+                env=environment, cwd=self._settings.parent, stdout=log, stderr=log,
+            )  # fmt: skip
+        self._ended = asyncio.create_task(self._note_end(self.process))
+
+    def send(self, number: signal.Signals, *, event: str = "") -> None:
+        """Sends a signal to the process if it runs.
+
+        Args:
+            number: The signal.
+            event: Event to record; the name of the signal if empty.
+        """
+        if self.is_running and self.process is not None:
+            self._event(event or number.name)
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+    async def stop(self, *, is_starved: bool = False) -> None:
+        """Stops the process as the platform does, which kills it after the grace.
+
+        Args:
+            is_starved: Whether the process is paused for most of the time until it ends.
+        """
+        if not self.is_running or self._ended is None:
+            return
+        ended = self._ended
+        self.is_expected_to_end = True
+        self.send(signal.SIGTERM)
+        pausing = asyncio.create_task(self._pause()) if is_starved else None
+        await asyncio.wait([ended], timeout=self._grace_s)
+        if pausing is not None:
+            pausing.cancel()
+        if not ended.done():
+            await self.kill()
+
+    async def kill(self) -> None:
+        """Kills the process if it runs, and waits for its end."""
+        if self.is_running and self._ended is not None:
+            self.is_expected_to_end = True
+            self.send(signal.SIGKILL)
+            await self._ended
+
+    async def freeze(self, for_s: float) -> None:
+        """Pauses the process for some seconds."""
+        self.send(signal.SIGSTOP, event="freeze")
+        await asyncio.sleep(for_s)
+        self.send(signal.SIGCONT, event="resume")
+
+    async def wait_until_ready(self, timeout_s: float) -> bool:
+        """Returns whether the process becomes ready in time, and records when."""
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline and self.is_running:
+            if await self.readiness() == 200:
+                self._event("ready")
+                return True
+            await asyncio.sleep(_START_POLL_S)
+        return False
+
+    async def readiness(self) -> int:
+        """Returns the status of a readiness check; 0 without response within a second."""
+        try:
+            async with asyncio.timeout(_POLL_S):
+                address = self.vm.ready_address
+                connection = await ClientConnection.open(address, timeout_s=_POLL_S)
+                try:
+                    call = HttpCall("GET", "/readyz", [("Host", address)], b"")
+                    return (await connection.exchange(call, timeout_s=_POLL_S)).status
+                finally:
+                    connection.close()
+        except Exception:  # The process does not listen or does not respond.
+            return 0
+
+    async def poll(self) -> None:
+        """Records readiness and samples memory and descriptors, once a second."""
+        while True:
+            started_at = time.monotonic()
+            status = await self.readiness()
+            self._recorder.add("ready", at=started_at, vm=self.vm.name, status=status)
+            self._sample()
+            await asyncio.sleep(max(0.0, started_at + _POLL_S - time.monotonic()))
+
+    def _sample(self) -> None:
+        if not self.is_running or self.process is None:
+            return
+        directory = Path(f"/proc/{self.process.pid}")
+        with contextlib.suppress(OSError):  # The process has just ended.
+            lines = (directory / "status").read_text().splitlines()
+            peaks = [int(line.split()[1]) / 1000 for line in lines if line.startswith("VmHWM")]
+            self.peak_mb = max([self.peak_mb, *peaks])
+            self.descriptors = max(self.descriptors, len(list((directory / "fd").iterdir())))
+
+    async def _note_end(self, process: asyncio.subprocess.Process) -> None:
+        status = await process.wait()
+        self._event(
+            "exit",
+            status=status,
+            expected=self.is_expected_to_end,
+            peak_mb=round(self.peak_mb, 1),
+            descriptors=self.descriptors,
+        )
+
+    async def _pause(self) -> None:
+        """Pauses the process in each cycle until cancelled."""
+        process = self.process
+        self._event("starved")
+        try:
+            while process is not None and process.returncode is None:
+                process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(_PAUSED_S)
+                process.send_signal(signal.SIGCONT)
+                await asyncio.sleep(_RUNNING_S)
+        except ProcessLookupError:
+            return
+        finally:
+            self._event("relieved")
+
+    def _event(self, event: str, **values: object) -> None:
+        pid = self.process.pid if self.process is not None else 0
+        self._recorder.event(event, vm=self.vm.name, pid=pid, **values)
--- /dev/null
+++ b/standins/soak/layout.py
@@ -0,0 +1,288 @@
+"""Sizes of a deployment, read from a file, and the addresses of its processes."""
+
+import os
+import tomllib
+from pathlib import Path
+from typing import NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+#: Directory of the deployments' files.
+DEPLOYMENTS = Path(__file__).parents[2] / "deploy" / "soak"
+HOST = "ficu95.example"
+TARGET_PORT = 20_000
+_FRONT, _READY, _DIRECTORY, _SIBLING, _STORE, _CONTROL, _METRICS = range(8100, 8107)
+
+
+class Place(TypedDict):
+    """A failure domain.
+
+    Attributes:
+        name: Name of the failure domain.
+        region: Its region.
+        vms: Number of its VMs.
+        share: Its share of the load, relative to that of the others.
+    """
+
+    name: str
+    region: str
+    vms: int
+    share: float
+
+
+class Service(TypedDict):
+    """A service and its targets.
+
+    Attributes:
+        name: Name of the service.
+        targets: Number of targets by failure domain.
+        slots: Requests that a target runs at once.
+        queue: Requests that wait at a target; further ones are rejected.
+    """
+
+    name: str
+    targets: dict[str, int]
+    slots: int
+    queue: int
+
+
+class RequestClass(TypedDict):
+    """A kind of requests and the habits of the clients that send them.
+
+    Attributes:
+        name: Name of the class and of its route.
+        service: Service of the route.
+        also: Service to which a new configuration may move the route.
+        method: HTTP method.
+        kind: Kind of the route; only ``idempotent`` requests may run more than once.
+        habit: ``fresh`` connections, a ``pool`` of them, or a ``pipeline`` on each.
+        share: Share of the load, relative to that of the other classes.
+        work_ms: Mean duration of a run in milliseconds.
+        deadline_s: Seconds that a client waits.
+        timeout_ms: Time-out of the route in milliseconds.
+        slo_ms: Time within which a response earns its full benefit, in milliseconds.
+        priority: Rank of the route; 0 is the highest.
+        request_bytes: Mean size of a request's body.
+        response_bytes: Mean size of a response's body.
+        slow_share: Share of requests whose bodies are sent over a slow link.
+    """
+
+    name: str
+    service: str
+    also: NotRequired[str]
+    method: str
+    kind: str
+    habit: str
+    share: float
+    work_ms: float
+    deadline_s: float
+    timeout_ms: int
+    slo_ms: int
+    priority: int
+    request_bytes: int
+    response_bytes: int
+    slow_share: NotRequired[float]
+
+
+class Deployment(TypedDict):
+    """The content of a deployment's file.
+
+    Attributes:
+        name: Name of the deployment.
+        rate: Requests per second of all clients at full load.
+        clients: Number of clients.
+        stops: Number of planned stops in a run.
+        places: Failure domains.
+        services: Services.
+        classes: Classes of requests.
+        bounds: Bounds by the names of the platform.
+    """
+
+    name: str
+    rate: float
+    clients: int
+    stops: int
+    places: list[Place]
+    services: list[Service]
+    classes: list[RequestClass]
+    bounds: dict[str, float]
+
+
+class Vm(NamedTuple):
+    """Name, locality and IP address of an entry VM."""
+
+    name: str
+    failure_domain: str
+    region: str
+    ip: str
+
+    @property
+    def callers_address(self) -> str:
+        """Address for requests."""
+        return f"{self.ip}:{_FRONT}"
+
+    @property
+    def ready_address(self) -> str:
+        """Address for readiness checks."""
+        return f"{self.ip}:{_READY}"
+
+    @property
+    def directory_address(self) -> str:
+        """Address for look-ups."""
+        return f"{self.ip}:{_DIRECTORY}"
+
+
+class Target(NamedTuple):
+    """Name, locality and address of a target."""
+
+    name: str
+    service: str
+    failure_domain: str
+    slots: int
+    queue: int
+    address: str
+
+
+class Layout(NamedTuple):
+    """A deployment and the addresses of its processes.
+
+    Attributes:
+        deployment: The deployment.
+        network: First three numbers of all IP addresses.
+    """
+
+    deployment: Deployment
+    network: str
+
+    @property
+    def store_address(self) -> str:
+        """Address of the store."""
+        return f"{self.network}.1:{_STORE}"
+
+    @property
+    def vms(self) -> list[Vm]:
+        """Entry VMs of all failure domains."""
+        found: list[Vm] = []
+        for place in self.deployment["places"]:
+            for number in range(1, place["vms"] + 1):
+                ip = f"{self.network}.{10 + len(found)}"
+                found.append(Vm(f"{place['name']}-{number}", place["name"], place["region"], ip))
+        return found
+
+    @property
+    def targets(self) -> list[Target]:
+        """Targets of all services."""
+        found: list[Target] = []
+        for service in self.deployment["services"]:
+            for place, count in service["targets"].items():
+                for number in range(1, count + 1):
+                    name = f"{service['name']}-{place}-{number}"
+                    address = f"{self.network}.2:{TARGET_PORT + len(found)}"
+                    sizes = service["slots"], service["queue"]
+                    found.append(Target(name, service["name"], place, *sizes, address))
+        return found
+
+    def settings(self, vm: Vm) -> str:
+        """Returns the settings file of an entry VM."""
+        bounds = self.deployment["bounds"]
+        regions = (f'{place["name"]} = "{place["region"]}"' for place in self.deployment["places"])
+        seeds = ", ".join(f'"{other.ip}:{_CONTROL}"' for other in self.vms[:3])
+        contracts = ("base", "drain", "config", "cost", "retry", "recover", "places", "platform")
+        return "\n".join(
+            [
+                "[vm]",
+                f'name = "{vm.name}"',
+                f'ip = "{vm.ip}"',
+                f'failure_domain = "{vm.failure_domain}"',
+                f'region = "{vm.region}"',
+                f'callers_address = "{vm.callers_address}"',
+                f'ready_address = "{vm.ready_address}"',
+                f'directory_address = "{vm.directory_address}"',
+                f'control_address = "{vm.ip}:{_CONTROL}"',
+                f"sibling_port = {_SIBLING}",
+                f"metrics_port = {_METRICS}",
+                "cpu_share = 0.86\ncores = 1\nlink_mbps = 1000.0",
+                f"[siblings]\nseeds = [{seeds}]",
+                f'[store]\naddress = "{self.store_address}"',
+                "[regions]",
+                *regions,
+                "[contracts]",
+                *(f"{name} = true" for name in contracts),
+                "[bounds]",
+                f"stop_within_s = {bounds['graceS']}",
+                f"retry_share = {bounds['retryRatio']}",
+                f"retry_slack = {bounds['retrySlack']}",
+                f"retry_window_s = {bounds['retryWindowS']}",
+                "cold_factor = 1.5\ncold_slack = 5\nlookup_ttl_s = 5\nmost_shift = 0.15",
+                f"memory_mb = {bounds['memoryMb']}",
+                "",
+            ]
+        )
+
+    def routes(self, moved: frozenset[str] = frozenset()) -> dict[str, str]:
+        """Returns the service of each route by its prefix.
+
+        Args:
+            moved: Classes whose route has been moved to its other service.
+        """
+        return {
+            f"/{each['name']}/": each["also"] if each["name"] in moved else each["service"]
+            for each in self.deployment["classes"]
+        }
+
+    def configuration(self, version: int, moved: frozenset[str] = frozenset()) -> dict[str, object]:
+        """Returns a configuration as the operator writes it.
+
+        Args:
+            version: Its version.
+            moved: Classes whose route has been moved to its other service.
+        """
+        services = self.routes(moved)
+        resources: list[dict[str, object]] = [
+            _route(each, services[f"/{each['name']}/"]) for each in self.deployment["classes"]
+        ]
+        for service in self.deployment["services"]:
+            spec = {"healthPath": "/healthz", "maxConns": 390, "coldS": 3.0, "coldPerS": 14.0}
+            metadata = {"name": service["name"]}
+            resources.append({"resKind": "services", "metadata": metadata, "spec": spec})
+        limits = {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 67_108_864,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        }
+        resources.append({"resKind": "limits", "metadata": {}, "spec": limits})
+        return {"version": f"{version:08x}", "resources": resources}
+
+
+def load_deployment(name: str) -> Deployment:
+    """Returns a deployment by the name of its file.
+
+    Raises:
+        OSError: If there is no such file.
+        msgspec.ValidationError: If its content is not that of a deployment.
+    """
+    text = (DEPLOYMENTS / f"{name}.toml").read_text()
+    return msgspec.convert(tomllib.loads(text), Deployment)
+
+
+def choose_network() -> str:
+    """Returns the first numbers of loopback addresses that other processes' runs do not use."""
+    pid = os.getpid()
+    return f"127.{210 + pid % 45}.{pid // 45 % 250}"
+
+
+def _route(each: RequestClass, service: str) -> dict[str, object]:
+    spec = {
+        "host": HOST,
+        "prefix": f"/{each['name']}/",
+        "kind": each["kind"],
+        "timeoutMs": each["timeout_ms"],
+        "sloMs": each["slo_ms"],
+        "priority": each["priority"],
+        "service": service,
+        "attempts": 2,
+        "sticky": False,
+        "homeRegions": [],
+    }
+    return {"resKind": "routes", "metadata": {"name": each["name"]}, "spec": spec}
--- /dev/null
+++ b/standins/soak/load.py
@@ -0,0 +1,283 @@
+"""A process that sends a part of a deployment's load and records each request.
+
+Usage: python -m standins.soak.load DIRECTORY NUMBER
+
+Reads the plan in DIRECTORY; a line with the monotonic time of the start on standard input begins
+the load. Arrivals are an open loop: they do not wait for responses.
+"""
+
+import asyncio
+import json
+import random
+import sys
+import time
+import zlib
+from collections import defaultdict
+from pathlib import Path
+from typing import NamedTuple
+from urllib.parse import urlencode
+
+from carawaybank.client import ClientConnection, HttpCall
+from standins.soak.connections import CallerConnection, Exchange
+from standins.soak.layout import HOST, Place, RequestClass
+from standins.soak.records import Plan, Recorder
+
+_PIPELINE_DEPTH = 3
+#: Clients reuse connections that were idle for at most four fifths of the limit of 15 s.
+_REUSE_S = 12.0
+_LOOKUP_S = 1.0
+_PROMISES = (408, 421, 429, 503)
+#: Statuses after which no request is sent again.
+_FINAL = (400, 401, 404, 413, 431)
+_TAIL_S = 10.0
+
+
+class LoadContext(NamedTuple):
+    """What the clients of a process share."""
+
+    plan: Plan
+    recorder: Recorder
+    rng: random.Random
+    vms: dict[str, str]
+    number: int
+
+
+class Client:
+    """A client in a failure domain: its look-up, its connections and its requests.
+
+    Attributes:
+        sent: Number of requests of all clients of the process so far.
+        opened: Number of connections of all clients of the process so far.
+    """
+
+    sent = 0
+    opened = 0
+
+    def __init__(self, *, context: LoadContext, place: Place) -> None:
+        """Creates a client without connections.
+
+        Args:
+            context: What the clients of the process share.
+            place: Failure domain of the client.
+        """
+        self._context, self._place = context, place
+        self._addresses: list[str] = []
+        self._kept_until = 0.0
+        self._failed: set[str] = set()
+        self._idle: dict[str, list[CallerConnection]] = defaultdict(list)
+        self._looking = asyncio.Lock()
+
+    async def request(self, kind: RequestClass) -> None:
+        """Sends a request, and once more where the protocol allows it."""
+        deadline = time.monotonic() + kind["deadline_s"]
+        for _ in range(2):
+            left_s = deadline - time.monotonic()
+            if left_s < 0.1:
+                return
+            record = await self._attempt(kind, left_s)
+            if not self._may_repeat(kind, record):
+                return
+            retry_after_s = float(str(record["retry_after_s"]))
+            await asyncio.sleep(min(retry_after_s, (deadline - time.monotonic()) / 3))
+
+    @staticmethod
+    def _may_repeat(kind: RequestClass, record: dict[str, object]) -> bool:
+        status = record["status"]
+        if status in _PROMISES or record["outcome"] == "refused":
+            return True
+        if kind["kind"] != "idempotent" or status in _FINAL:
+            return False
+        return status == 0 or (isinstance(status, int) and status >= 500)
+
+    async def _attempt(self, kind: RequestClass, left_s: float) -> dict[str, object]:
+        context = self._context
+        Client.sent += 1
+        rng = context.rng
+        size = int(kind["request_bytes"] * rng.uniform(0.5, 1.5))
+        request_id = f"{context.plan.seed}-{context.number}-{Client.sent}"
+        body = rng.randbytes(size)
+        path = f"/{kind['name']}/{rng.randrange(200)}"
+        exchange = Exchange(record=_make_record(request_id, path, kind, body, left_s))
+        fresh = kind["habit"] != "pipeline" and (kind["habit"] == "fresh" or None)
+        connection = await self._connect(kind["name"], fresh is True, exchange)
+        if connection is not None:
+            lines = _format_head(kind["method"], path, request_id, left_s, size)
+            is_slow = size > 0 and rng.random() < kind.get("slow_share", 0.0)
+            head_bytes = len(lines) if is_slow else 0
+            if kind["habit"] == "pipeline":
+                self._idle[kind["name"]].append(connection)
+            await connection.exchange(
+                exchange, lines + body, timeout_s=left_s, head_bytes=head_bytes
+            )
+            self._release(kind, connection)
+        retry_after = exchange.headers.get("retry-after", "0")
+        context.recorder.add("request", **exchange.record)
+        return {**exchange.record, "retry_after_s": retry_after}
+
+    def _release(self, kind: RequestClass, connection: CallerConnection) -> None:
+        if not connection.is_usable or kind["habit"] == "fresh":
+            if not connection.waiting:
+                connection.close()
+        elif connection not in self._idle[kind["name"]]:
+            self._idle[kind["name"]].append(connection)
+
+    async def _connect(self, name: str, fresh: bool, exchange: Exchange) -> CallerConnection | None:
+        await self._look_up()
+        if not fresh and (kept := self._take_idle(name)) is not None:
+            self._note(exchange, kept)
+            return kept
+        choices = [each for each in self._addresses if each not in self._failed]
+        if not choices:
+            self._failed.clear()
+            choices = self._addresses
+        exchange.record["sent_at"] = time.monotonic()
+        if not choices:
+            exchange.end("refused")
+            return None
+        address = self._context.rng.choice(choices)
+        Client.opened += 1
+        connection = CallerConnection(address=address, number=Client.opened)
+        self._note(exchange, connection)
+        try:
+            await connection.open()
+        except (OSError, TimeoutError):
+            self._failed.add(address)
+            exchange.end("refused")
+            return None
+        return connection
+
+    def _note(self, exchange: Exchange, connection: CallerConnection) -> None:
+        number = f"{self._context.number}-{connection.number}"
+        vm = self._context.vms[connection.address]
+        exchange.record |= {"vm": vm, "address": connection.address, "connection": number}
+
+    def _take_idle(self, name: str) -> CallerConnection | None:
+        kept = self._idle[name]
+        for connection in list(kept):
+            is_old = time.monotonic() - connection.idle_since > _REUSE_S
+            is_free = len(connection.waiting) < _PIPELINE_DEPTH
+            if connection.address not in self._addresses or is_old or not connection.is_usable:
+                kept.remove(connection)
+                if not connection.waiting:
+                    connection.close()
+            elif is_free:
+                kept.remove(connection)
+                return connection
+        return None
+
+    async def _look_up(self) -> None:
+        async with self._looking:
+            if time.monotonic() < self._kept_until:
+                return
+            query = {"name": HOST, "region": self._place["region"], "zone": self._place["name"]}
+            for address in self._nearest():
+                try:
+                    found = await fetch(address, f"/resolve?{urlencode(query)}")
+                    addresses = json.loads(found)["addrs"]
+                except Exception:  # The next VM is asked, as clients do.
+                    continue
+                if addresses:
+                    self._addresses = addresses
+                    self._failed.clear()
+                    self._kept_until = time.monotonic() + self._context.rng.uniform(5.0, 15.0)
+                    return
+            self._kept_until = time.monotonic() + 1.0
+
+    def _nearest(self) -> list[str]:
+        rng = self._context.rng
+        vms = self._context.plan.layout.vms
+        rng.shuffle(vms)
+        here = self._place
+        vms.sort(key=lambda vm: (vm.region != here["region"], vm.failure_domain != here["name"]))
+        return [vm.directory_address for vm in vms[:3]]
+
+
+async def fetch(address: str, path: str) -> bytes:
+    """Returns the body of a response with status 200.
+
+    Raises:
+        OSError: If there is no such response within a second.
+    """
+    async with asyncio.timeout(_LOOKUP_S):
+        connection = await ClientConnection.open(address, timeout_s=_LOOKUP_S)
+        try:
+            call = HttpCall("GET", path, [("Host", HOST)], b"")
+            reply = await connection.exchange(call, timeout_s=_LOOKUP_S)
+        finally:
+            connection.close()
+    if reply.status != 200:
+        raise OSError(f"{address} responded with {reply.status}")
+    return bytes(reply.body)
+
+
+def _make_record(
+    request_id: str, path: str, kind: RequestClass, body: bytes, left_s: float
+) -> dict[str, object]:
+    return {
+        "id": request_id,
+        "vm": "",
+        "address": "",
+        "route": f"/{kind['name']}/",
+        "path": path,
+        "method": kind["method"],
+        "kind": kind["kind"],
+        "connection": "",
+        "position": 0,
+        "sent_at": 0.0,
+        "last_byte_at": None,
+        "status": 0,
+        "told_to_close": False,
+        "deadline_s": left_s,
+        "timeout_s": kind["timeout_ms"] / 1000,
+        "body_hash": f"{zlib.crc32(body):08x}",
+    }
+
+
+def _format_head(method: str, path: str, request_id: str, left_s: float, size: int) -> bytes:
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Carawaybank-Request-Id: {request_id}",
+        f"X-Carawaybank-Affinity-Key: {path.rpartition('/')[2]}",
+        f"X-Carawaybank-Deadline-Ms: {int(left_s * 1000)}",
+    ]
+    if method == "POST":
+        lines.append(f"Content-Length: {size}")
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+async def _run(directory: Path, number: int) -> None:
+    plan = Plan.read(directory)
+    rng = random.Random(f"{plan.seed}-load-{number}")
+    context = LoadContext(
+        plan=plan,
+        recorder=Recorder(path=directory / f"load-{number}.jsonl"),
+        rng=rng,
+        vms={vm.callers_address: vm.name for vm in plan.layout.vms},
+        number=number,
+    )
+    places, classes = plan.deployment["places"], plan.deployment["classes"]
+    chosen = rng.choices(
+        places,
+        [place["share"] for place in places],
+        k=max(1, plan.deployment["clients"] // plan.loaders),
+    )
+    clients = [Client(context=context, place=place) for place in chosen]
+    shares = [each["share"] for each in classes]
+    print("ready", flush=True)
+    loop = asyncio.get_running_loop()
+    at = started_at = float(await loop.run_in_executor(None, sys.stdin.readline))
+    tasks: set[asyncio.Task[None]] = set()
+    while (at := at + rng.expovariate(plan.rate / plan.loaders)) < started_at + plan.seconds:
+        await asyncio.sleep(max(0.0, at - time.monotonic()))
+        request = rng.choice(clients).request(rng.choices(classes, shares)[0])
+        task = asyncio.create_task(request)
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+    if tasks:
+        _, late = await asyncio.wait(tasks, timeout=_TAIL_S)
+        print(f"{len(late)} requests did not end", file=sys.stderr)
+
+
+if __name__ == "__main__":
+    asyncio.run(_run(Path(sys.argv[1]), int(sys.argv[2])))
--- /dev/null
+++ b/standins/soak/runner.py
@@ -0,0 +1,239 @@
+"""Runs a deployment with load and faults, and leaves the record of what was seen."""
+
+import asyncio
+import contextlib
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import NamedTuple
+
+from standins.rowstore import RowStore
+from standins.soak.fleet import VmProcess
+from standins.soak.records import Fault, Plan, Recorder
+
+#: Seconds until a VM that was started has to be ready.
+START_S = 20.0
+_LEAD_S = 2.0
+_LOAD_TAIL_S = 15.0
+_BUSY = """
+import sys, time
+end = time.monotonic() + float(sys.argv[1])
+while time.monotonic() < end:
+    pass
+"""
+
+
+class StartError(Exception):
+    """A process of the run did not start."""
+
+
+class Options(NamedTuple):
+    """Options of a run.
+
+    Attributes:
+        directory: Existing directory for settings, logs and records.
+        source: Directory that contains the package that VMs run.
+        busy: Number of processes that keep cores busy during the load.
+        busy_s: Seconds after which they end by themselves.
+    """
+
+    directory: Path
+    source: Path
+    busy: int
+    busy_s: float
+
+
+class Runner:
+    """Starts all processes of a run, injects the faults and ends what it started."""
+
+    def __init__(self, *, plan: Plan, options: Options) -> None:
+        """Prepares a run.
+
+        Args:
+            plan: What all processes of the run know.
+            options: Directories, and the processes that keep cores busy.
+        """
+        self._plan, self._options = plan, options
+        self._recorder = Recorder(path=options.directory / "runner.jsonl")
+        self._store = RowStore()
+        self._version = 1
+        self._moved: frozenset[str] = frozenset()
+        self._helpers: list[asyncio.subprocess.Process] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._vms = {
+            vm.name: VmProcess(
+                vm=vm,
+                layout=plan.layout,
+                directory=options.directory,
+                source=options.source,
+                recorder=self._recorder,
+            )
+            for vm in plan.layout.vms
+        }
+
+    async def run(self) -> None:
+        """Runs to the end.
+
+        Raises:
+            StartError: If a process did not start.
+        """
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        self._write_meta()
+        try:
+            await self._start()
+            await self._play()
+            await asyncio.gather(*(vm.stop() for vm in self._vms.values()))
+        finally:
+            await self._end()
+
+    async def _start(self) -> None:
+        self._plan.write(self._options.directory)
+        await self._store.start(self._plan.layout.store_address)
+        await self._configure()
+        hosts = [await self._help("targets", number) for number in range(self._plan.hosts)]
+        loaders = [await self._help("load", number) for number in range(self._plan.loaders)]
+        self._hosts, self._loaders = hosts, loaders
+        await asyncio.sleep(1.0)
+        ready = await asyncio.gather(*(self._start_vm(vm) for vm in self._vms.values()))
+        if not all(ready):
+            raise StartError(f"a VM was not ready within {START_S} s")
+        await asyncio.sleep(_LEAD_S)
+
+    async def _help(self, module: str, number: int) -> asyncio.subprocess.Process:
+        """Starts a process of the load or of targets and waits until it is prepared."""
+        pipe = asyncio.subprocess.PIPE
+        log_path = self._options.directory / f"{module}-{number}.log"
+        with log_path.open("wb") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", f"standins.soak.{module}",
+                str(self._options.directory), str(number), stdin=pipe, stdout=pipe, stderr=log,
+            )  # fmt: skip
+        self._helpers.append(process)
+        assert process.stdout is not None
+        if not await asyncio.wait_for(process.stdout.readline(), START_S):
+            raise StartError(f"{module}-{number} ended, see {log_path}")
+        return process
+
+    async def _play(self) -> None:
+        started_at = time.monotonic() + 0.5
+        self._tasks = [asyncio.create_task(vm.poll()) for vm in self._vms.values()]
+        for process in self._helpers:
+            assert process.stdin is not None
+            process.stdin.write(f"{started_at}\n".encode())
+        for _ in range(self._options.busy):
+            self._helpers.append(
+                await asyncio.create_subprocess_exec(
+                    sys.executable, "-S", "-c", _BUSY, str(self._options.busy_s)
+                )
+            )
+        self._recorder.event("load", seconds=self._plan.seconds, starts_at=started_at)
+        faults = [
+            asyncio.create_task(self._inject(fault, started_at)) for fault in self._plan.faults
+        ]
+        await asyncio.sleep(started_at + self._plan.seconds - time.monotonic())
+        await asyncio.gather(*faults)
+        ends = [asyncio.create_task(process.wait()) for process in self._loaders]
+        await asyncio.wait(ends, timeout=_LOAD_TAIL_S)
+        self._recorder.event("load_end")
+
+    async def _inject(self, fault: Fault, started_at: float) -> None:
+        handlers: dict[str, Callable[[Fault], Awaitable[None]]] = {
+            "stop": self._stop,
+            "starved_stop": self._stop,
+            "kill": self._kill,
+            "hup": self._hang_up,
+            "config": self._change_configuration,
+            "store_away": self._lose_store,
+            "kill_all": self._kill_all,
+            "freeze": self._freeze,
+            "stop_and_hup": self._stop,
+        }
+        if (handler := handlers.get(fault["kind"])) is not None:
+            await asyncio.sleep(max(0.0, started_at + fault["at"] - time.monotonic()))
+            await handler(fault)
+
+    async def _start_vm(self, vm: VmProcess) -> bool:
+        await vm.start()
+        return await vm.wait_until_ready(START_S)
+
+    async def _stop(self, fault: Fault) -> None:
+        vm = self._vms[fault["subject"]]
+        await vm.stop(is_starved=fault["kind"] == "starved_stop")
+        await asyncio.sleep(fault["for_s"])
+        if fault["kind"] != "stop_and_hup":
+            await self._start_vm(vm)
+            return
+        await vm.start()
+        await asyncio.sleep(fault["after_start_s"])
+        await self._hang_up(fault)
+        await vm.wait_until_ready(START_S)
+
+    async def _kill(self, fault: Fault) -> None:
+        vm = self._vms[fault["subject"]]
+        await vm.kill()
+        await asyncio.sleep(fault["for_s"])
+        await self._start_vm(vm)
+
+    async def _kill_all(self, fault: Fault) -> None:
+        await asyncio.gather(*(vm.kill() for vm in self._vms.values()))
+        await asyncio.sleep(fault["for_s"])
+        await asyncio.gather(*(self._start_vm(vm) for vm in self._vms.values()))
+
+    async def _hang_up(self, fault: Fault) -> None:
+        self._vms[fault["subject"]].send(signal.SIGHUP)
+
+    async def _freeze(self, fault: Fault) -> None:
+        await self._vms[fault["subject"]].freeze(fault["for_s"])
+
+    async def _lose_store(self, fault: Fault) -> None:
+        self._recorder.event("store_away")
+        self._store.set_error_status(503)
+        await asyncio.sleep(fault["for_s"])
+        self._store.set_error_status(0)
+        self._recorder.event("store_back")
+
+    async def _change_configuration(self, _: Fault) -> None:
+        """Moves each route that has another service there, or back."""
+        movable = {each["name"] for each in self._plan.deployment["classes"] if "also" in each}
+        self._moved = frozenset(movable - self._moved)
+        await self._configure()
+
+    async def _configure(self) -> None:
+        layout, version = self._plan.layout, self._version
+        self._version += 3
+        await self._store.put("op", "config", layout.configuration(version, self._moved))
+        routes = layout.routes(self._moved)
+        self._recorder.event("config", version=f"{version:08x}", routes=routes)
+
+    def _write_meta(self) -> None:
+        plan, source = self._plan, self._options.source
+        found = subprocess.run(
+            ["git", "-C", str(source), "describe", "--always", "--dirty"],
+            capture_output=True, text=True, check=False, timeout=10,
+        )  # fmt: skip
+        self._recorder.add(
+            "meta",
+            seed=plan.seed,
+            deployment=plan.deployment["name"],
+            bounds=plan.deployment["bounds"],
+            commit=found.stdout.strip(),
+            faults=plan.faults,
+        )
+
+    async def _end(self) -> None:
+        """Ends all processes that the run started."""
+        for task in self._tasks:
+            task.cancel()
+        for vm in self._vms.values():
+            await vm.kill()
+        for process in self._helpers:
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
+            await process.wait()
+        await self._store.stop()
--- /dev/null
+++ b/tests/standins/test_soak.py
@@ -0,0 +1,99 @@
+"""The soak: its plan, the settings of its VMs, and short runs of real processes."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from carawaybank import deployment
+from standins.soak.faults import MIXES, draw_faults
+from standins.soak.layout import DEPLOYMENTS, Layout, load_deployment
+
+NAMES = sorted(path.stem for path in DEPLOYMENTS.glob("*.toml"))
+SOURCE = Path(deployment.__file__).parents[1]
+RUN_S = 90
+#: Ends a VM with an error at SIGTERM, whatever it is doing.
+ABRUPT_STOP = """
+import asyncio, os, signal
+add = asyncio.SelectorEventLoop.add_signal_handler
+def add_signal_handler(loop, number, callback, *arguments):
+    if number == signal.SIGTERM:
+        callback, arguments = os._exit, (3,)
+    return add(loop, number, callback, *arguments)
+asyncio.SelectorEventLoop.add_signal_handler = add_signal_handler
+"""
+
+
+def run_soak(directory, *options, source=SOURCE):
+    command = [
+        sys.executable, "-m", "standins.soak", "--deployment", "small", "--load-share", "1",
+        "--loaders", "1", "--hosts", "1", "--source", str(source), "--out", str(directory / "run"),
+        *options,
+    ]  # fmt: skip
+    environment = {**os.environ, "PYTHONPATH": str(SOURCE)}
+    return subprocess.run(
+        command,
+        cwd=DEPLOYMENTS.parents[1],
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=RUN_S,
+        check=False,
+    )
+
+
+def make_layout(name):
+    return Layout(load_deployment(name), "127.210.0")
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_vms_start_from_the_settings_of_a_deployment(name, tmp_path):
+    """Guards against a deployment's file with which no VM of the soak starts."""
+    layout = make_layout(name)
+    for vm in layout.vms:
+        path = tmp_path / "vm.toml"
+        path.write_text(layout.settings(vm))
+        assert deployment.load(path).vm == vm.name
+    places = {place["name"] for place in layout.deployment["places"]}
+    assert {target.failure_domain for target in layout.targets} <= places
+
+
+@pytest.mark.parametrize("mix", MIXES)
+def test_a_seed_draws_the_same_faults_each_time(mix):
+    """Guards against a failing run that its seed does not repeat."""
+    layout = make_layout("small")
+    faults = draw_faults(mix, layout=layout, seed=3, seconds=20.0)
+    assert faults == draw_faults(mix, layout=layout, seed=3, seconds=20.0)
+    assert bool(faults) == (mix != "none")
+    names = {vm.name for vm in layout.vms} | {target.name for target in layout.targets} | {""}
+    assert all(fault["subject"] in names and 0 < fault["at"] < 20 for fault in faults)
+
+
+def test_unknown_faults_are_rejected():
+    """Guards against a misspelt mix of faults that runs without any."""
+    with pytest.raises(ValueError, match="stosp"):
+        draw_faults("stops,stosp", layout=make_layout("small"), seed=1, seconds=20.0)
+
+
+@pytest.mark.processes
+def test_stops_signals_and_configurations_break_no_promise(tmp_path):
+    """Guards against stops, SIGHUP and configurations that cost callers their responses."""
+    options = "--seed", "3", "--seconds", "14", "--faults", "stops,signals,configs"
+    finished = run_soak(tmp_path, *options)
+    assert finished.returncode == 0, finished.stdout + finished.stderr
+
+
+@pytest.mark.processes
+def test_a_vm_that_stops_abruptly_is_found(tmp_path):
+    """Guards against a soak that holds although VMs lose requests and end with an error."""
+    source = tmp_path / "source"
+    source.mkdir()
+    (source / "carawaybank").symlink_to(SOURCE / "carawaybank")
+    (source / "sitecustomize.py").write_text(ABRUPT_STOP)
+    options = "--seed", "3", "--seconds", "7", "--faults", "stops"
+    finished = run_soak(tmp_path, *options, source=source)
+    assert finished.returncode == 1, finished.stdout + finished.stderr
+    for rule in ("LOST", "FAULT"):
+        assert f"\n{rule} " in finished.stdout
