--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -76,9 +76,10 @@
     slack_s = history.bounds.lossSlackMs / 1000
     for request in history.requests:
         sent_at = request.last_byte_at
-        if sent_at and request.outcome in {"reset", "closed"} and not history.runs_of(request.id):
-            if request.ended_at - sent_at <= slack_s:
-                print(f"unanswered within {slack_s:g} s: {request.vm} {request.describe()}")
+        if not sent_at or request.outcome not in {"reset", "closed"}:
+            continue
+        if request.ended_at - sent_at <= slack_s and not history.runs_of(request.id):
+            print(f"unanswered within {slack_s:g} s: {request.vm} {request.describe()}")
     return bool(checks.find_violations(history))
 
 
