Report bytes in a soak that are no response, or that no request waits for

MIXED names both, and the records had no word for them: a caller that gets them ends with the outcome 'garbled', or records the event 'surplus'.

--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from standins.soak.history import History, Violation, load_history
+from standins.soak.history import BROKEN_OFF, History, Violation, load_history
 from standins.soak.lifecycles import find_faults, find_late_readiness
 from standins.soak.losses import find_excused_cuts, find_losses
 from standins.soak.steering import find_excess_retries, find_late_arrivals, find_stale_configs
@@ -79,13 +79,16 @@
 
 def find_mixed_answers(history: History) -> Iterable[Violation]:
     """MIXED: finds answers that are not the target's whole answer to the caller's request."""
+    for event in history.find_events("surplus"):
+        detail = f"bytes on a connection with no request waiting; see {event.vm}.log"
+        yield Violation("MIXED", event.at, event.vm, detail)
     for request in history.requests:
-        if not request.status:
-            continue
         runs = history.arrivals_by_id.get(request.id, [])
         statuses = {run.status for run in runs}
         all_ended = all(run.ended_at is not None for run in runs)
         faults = []
+        if request.outcome == "garbled" and not any(run.outcome in BROKEN_OFF for run in runs):
+            faults.append("bytes that are no response")
         if 200 <= request.status < 300 and request.complete and not request.seal:
             faults.append("success without a seal")
         if request.reply_id and request.reply_id != request.id:
--- a/tests/standins/test_soak_checks.py
+++ b/tests/standins/test_soak_checks.py
@@ -9,6 +9,7 @@
 from tests.standins.soak_records import (
     make_cut,
     make_dropped_run,
+    make_event,
     make_history,
     make_request,
     make_run,
@@ -96,6 +97,18 @@
         pytest.param({"body_ok": False}, {}, ["MIXED"], id="other body that looks complete"),
         pytest.param({"status": 500}, {}, ["MIXED"], id="sealed with another status"),
         pytest.param({}, {"status": 500}, ["MIXED"], id="success where the target failed"),
+        pytest.param(
+            {"outcome": "garbled", "status": 0, "complete": False, "seal": None},
+            {},
+            ["MIXED"],
+            id="no response in the protocol",
+        ),
+        pytest.param(
+            {"outcome": "garbled", "status": 0, "complete": False, "seal": None},
+            {"outcome": "cut", "status": 0},
+            [],
+            id="garbled where the target broke off",
+        ),
         pytest.param({"body_ok": False, "complete": False}, {}, [], id="looks incomplete"),
         pytest.param({"seal": None, "complete": False}, {}, [], id="success cut off"),
         pytest.param({"status": 502, "seal": None}, {}, [], id="own failure"),
@@ -108,6 +121,11 @@
     assert rules_of(make_request(**request_), make_run(**run)) == rules
 
 
+def test_bytes_on_an_idle_connection_are_mixed():
+    """Guards against responses that no request waits for."""
+    assert rules_of(make_event(100.0, "surplus")) == ["MIXED"]
+
+
 class TestRecords:
     """Reading of records and the summary."""
 
