--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -8,7 +8,7 @@
   --seconds S         Duration of the load in seconds [default: 24].
   --load-share SHARE  Share of the deployment's rate [default: 0.2].
   --faults MIX        Faults, separated by commas: none, stops, starved, kills, signals, configs,
-                      starts, freezes, leaves, store, herd, all [default: stops].
+                      starts, freezes, leaves, evacuations, store, herd, all [default: stops].
   --busy N            Processes that keep cores busy during the load [default: 0].
   --loaders N         Processes that send load [default: 2].
   --hosts N           Processes that host targets [default: 2].
@@ -75,10 +75,10 @@
     print(checks.summarize(history))
     slack_s = history.bounds.lossSlackMs / 1000
     for request in history.requests:
-        sent_at = request.last_byte_at
-        if sent_at and request.outcome in {"reset", "closed"} and not history.runs_of(request.id):
-            if request.ended_at - sent_at <= slack_s:
-                print(f"unanswered within {slack_s:g} s: {request.vm} {request.describe()}")
+        wait_s = request.ended_at - (request.last_byte_at or 0.0)
+        is_cut = request.outcome in {"reset", "closed"} and not history.runs_of(request.id)
+        if is_cut and wait_s <= slack_s:
+            print(f"unanswered within {slack_s:g} s: {request.vm} {request.describe()}")
     return bool(checks.find_violations(history))
 
 
