Evacuate a failure domain in a soak

The checkers judge arrivals in evacuated failure domains, but no fault of the soak evacuated one. The mix `evacuations`, part of `all`, writes the order to the store and takes it back after 9 s.

--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -5,7 +5,10 @@
 from standins.soak.layout import Layout
 from standins.soak.records import Fault
 
-_ALL = ("stops", "kills", "signals", "starts", "freezes", "configs", "leaves", "store", "herd")
+_ALL = (
+    "stops", "kills", "signals", "starts", "freezes", "configs", "leaves", "evacuations", "store",
+    "herd",
+)  # fmt: skip
 #: Names that a mix may contain.
 MIXES = ("none", "starved", "all", *_ALL)
 _FIRST_S = 4.0
@@ -44,6 +47,7 @@
         self._vms = [vm.name for vm in layout.vms]
 
     def draw(self, name: str) -> list[Fault]:
+        places = [place["name"] for place in self._layout.deployment["places"]]
         draws = {
             "none": list[Fault],
             "stops": lambda: self._stops("stop"),
@@ -54,6 +58,7 @@
             "signals": lambda: self._series("hup", self._vms, 8, 0.0),
             "configs": lambda: self._series("config", [""], 4, 0.0),
             "leaves": self._leaves,
+            "evacuations": lambda: self._series("evacuate", places, 1, 9.0),
             "store": lambda: self._series("store_away", [""], 2, 3.0),
             "herd": self._herd,
         }
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -151,6 +151,7 @@
             "store_away": self._lose_store,
             "kill_all": self._kill_all,
             "freeze": self._freeze,
+            "evacuate": self._evacuate,
             "stop_and_hup": self._stop,
         }
         if (handler := handlers.get(fault["kind"])) is not None:
@@ -190,6 +191,14 @@
     async def _freeze(self, fault: Fault) -> None:
         await self._vms[fault["subject"]].freeze(fault["for_s"])
 
+    async def _evacuate(self, fault: Fault) -> None:
+        place = fault["subject"]
+        await self._store.put("op", f"evacuate/{place}", {})
+        self._recorder.event("evacuate", failure_domain=place)
+        await asyncio.sleep(fault["for_s"])
+        await self._store.delete("op", f"evacuate/{place}")
+        self._recorder.event("unevacuate", failure_domain=place)
+
     async def _lose_store(self, fault: Fault) -> None:
         self._recorder.event("store_away")
         self._store.set_error_status(503)
