List excused own answers of a soak beside stops only, and cover the rest of the trial's changes

A loaded run without a lost request listed 164 own answers, most of them at the route's timeout and apart from any stop, which no sentence of LOST is about. They are no longer listed; what is counted as LOST does not change. New cases hold conditions that the trial could drop unnoticed, among them the requests of the window before a burst of retries.

--- a/standins/soak/losses.py
+++ b/standins/soak/losses.py
@@ -103,9 +103,12 @@
     lost = {violation.detail for violation in find_losses(history)}
     excused = []
     for request in history.requests:
-        if not (_is_incomplete(request) or _replaces_a_run(history, request)):
+        own_answer = _replaces_a_run(history, request)
+        if not (own_answer or _is_incomplete(request)):
             continue
         work = find_planned_work(history, request)
+        if own_answer and (work is None or work.event != "SIGTERM"):
+            continue
         detail = _describe(history, request, work).detail
         if detail in lost:
             continue
--- a/tests/standins/test_soak_checks.py
+++ b/tests/standins/test_soak_checks.py
@@ -188,6 +188,14 @@
         assert f"not counted: {reason}" in text
         assert "LOST" not in text
 
+    def test_summary_passes_over_own_answers_apart_from_stops(self):
+        """Guards against findings that are buried under answers at the route's timeout."""
+        answer = make_request(status=504, seal=None, reply_id=None, timeout_s=0.4)
+        assert "not counted:" not in summarize(make_history(answer, make_dropped_run()))
+        assert "not counted: the time" in summarize(
+            make_history(stop(), answer, make_dropped_run())
+        )
+
     def test_summary_does_not_excuse_what_is_lost(self):
         """Guards against a loss that is listed as excused too."""
         assert "not counted:" not in summarize(make_history(stop(), make_cut(), make_dropped_run()))
--- a/tests/standins/test_soak_lifecycles.py
+++ b/tests/standins/test_soak_lifecycles.py
@@ -78,6 +78,12 @@
                 id="killed within the grace period",
             ),
             pytest.param([(50, "SIGTERM", {})], ["FAULT"], id="never ended"),
+            pytest.param(
+                [(50, "SIGTERM", {}), (56.1, "exit", {"status": 0})], ["FAULT"], id="ended late"
+            ),
+            pytest.param(
+                [(50, "exit", {"status": 0, "expected": False})], ["FAULT"], id="start not recorded"
+            ),
             pytest.param([(98, "SIGTERM", {})], [], id="soak ended before"),
             pytest.param(
                 [(50, "SIGTERM", {}), (51, "freeze", {"until": 57}), (58, "exit", {"status": 0})],
--- a/tests/standins/test_soak_losses.py
+++ b/tests/standins/test_soak_losses.py
@@ -182,6 +182,12 @@
         run = make_dropped_run(started_at=sent_at + 0.05, ended_at=run_ended_at)
         assert ("LOST" in rules_of(stop(), request, run)) == lost
 
+    def test_run_that_began_after_the_end_of_the_request_excuses_nothing(self):
+        """Guards against taking a late run for a target that was still at work."""
+        request = make_cut(sent_at=102.0, ended_at=104.3)
+        run = make_run(started_at=104.4, ended_at=104.8)
+        assert "LOST" in rules_of(stop(), request, run)
+
     def test_last_sixth_excuses_nothing_after_sighup(self):
         """Guards against applying the exception for stops to SIGHUP."""
         request = make_cut(sent_at=101.0, ended_at=104.3)
@@ -304,6 +310,15 @@
         assert rules_of(make_event(99.0, "start"), *records) == []
         assert rules_of(*(record for record in records if hasattr(record, "vm"))) == []
 
+    def test_answers_that_had_begun_are_not_counted_at_any_time(self):
+        """Guards against taking an answer that was cut off for a connection without an answer."""
+        records = []
+        for number in range(4):
+            begun = {"status": 200, "seal": "s", "connection": f"c{number}"}
+            records.append(make_cut(id=f"r{number}", **begun))
+            records.append(make_dropped_run(id=f"r{number}", status=200))
+        assert rules_of(*records) == []
+
     @pytest.mark.parametrize("status", [502, 504])
     @pytest.mark.parametrize(
         ("run", "lost"),
--- a/tests/standins/test_soak_steering.py
+++ b/tests/standins/test_soak_steering.py
@@ -174,3 +174,22 @@
             records.append(make_cut(id=f"n{number}", route="/c/", sent_at=100.1, **refused))
         bounds = Bounds(retryRatio=0.2, retrySlack=0)
         assert rules_of(*records, bounds=bounds) == rules
+
+    @pytest.mark.parametrize(
+        ("repeats", "repeated_at", "rules"),
+        [
+            pytest.param(2, 107.0, [], id="window before, at the limit"),
+            pytest.param(3, 107.0, ["BUDGET"], id="window before, over the limit"),
+            pytest.param(1, 117.0, ["BUDGET"], id="earlier than the window before"),
+        ],
+    )
+    def test_requests_of_the_window_before_count(self, repeats, repeated_at, rules):
+        """Guards against a share that ignores the requests that led to late repeats."""
+        records = []
+        for number in range(10):
+            records.append(make_request(id=f"r{number}", kind="idempotent", ended_at=120.0))
+            records.append(make_run(id=f"r{number}"))
+            if number < repeats:
+                second = {"target": "t2", "started_at": repeated_at, "ended_at": repeated_at + 1}
+                records.append(make_run(id=f"r{number}", **second))
+        assert rules_of(*records, bounds=Bounds(retryRatio=0.2, retrySlack=0)) == rules
