Count a crash that several VMs see once

What callers saw: after one crash of a target that ran the same read for three VMs, all VMs refused that path with 503 for 600 s, though other targets were up.

Cause: reports counted by the VM that made them, so that one crash reached the limit of three.

Change: the router's quarantine counts by target, and a report names the start of the target, so that a target that starts again under its id counts again. The daemon of the own interface counts as before.

--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -91,7 +91,11 @@
             failure_domain=options.failure_domain, region=options.region
         )
         self.quarantine = Quarantine(
-            limit=_CRASH_LIMIT, expiry_s=_CRASH_RETENTION_S, capacity=_CRASH_CAPACITY
+            limit=_CRASH_LIMIT,
+            expiry_s=_CRASH_RETENTION_S,
+            capacity=_CRASH_CAPACITY,
+            # All entry VMs that have the same request in progress at a target report its crash.
+            crash_of=lambda report: report.target,
         )
         self.suspects = SuspectedTargets()
         #: Returns whether the memory for responses that wait for slow callers is not used up.
--- a/src/carawaybank/steering/quarantine.py
+++ b/src/carawaybank/steering/quarantine.py
@@ -1,7 +1,7 @@
 """Quarantine of requests that crash the targets that run them.
 
 Crash reports are merged as sets, so every entry VM arrives at the same count, whatever the order in
-which it receives them. A request with as many reports as the limit is refused until they expire.
+which it receives them. A request with as many crashes as the limit is refused until they expire.
 
 Usage::
 
@@ -15,7 +15,8 @@
 """
 
 from collections import OrderedDict
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import Any, NamedTuple
 
 
 class CrashReport(NamedTuple):
@@ -23,7 +24,8 @@
 
     Attributes:
         fingerprint: Digest of the request's method, service, path and body.
-        target: The target that was lost.
+        target: The target that was lost; on the users' platform its id and start, as a target may
+            start again under its id.
         vm: The entry VM that observed it.
     """
 
@@ -35,15 +37,25 @@
 class Quarantine:
     """Crash reports by request fingerprint, limited in number and age."""
 
-    def __init__(self, *, limit: int, expiry_s: float, capacity: int) -> None:
+    def __init__(
+        self,
+        *,
+        limit: int,
+        expiry_s: float,
+        capacity: int,
+        crash_of: Callable[[CrashReport], Any] = lambda report: report,
+    ) -> None:
         """Starts empty.
 
         Args:
-            limit: Number of reports at which a fingerprint is refused.
+            limit: Number of crashes at which a fingerprint is refused.
             expiry_s: Seconds after its latest report at which a fingerprint is removed.
             capacity: Maximum number of fingerprints; beyond it, the one whose latest report is
                 oldest is removed.
+            crash_of: Returns what tells crashes apart. By default each report is of one crash, also
+                if several entry VMs report the same target.
         """
+        self._crash_of = crash_of
         self._limit = limit
         self._expiry_s = expiry_s
         self._capacity = capacity
@@ -62,15 +74,15 @@
             self._reports.popitem(last=False)
         return True
 
-    def report_count(self, fingerprint: str, *, now: float) -> int:
-        """Returns the number of unexpired crash reports for a fingerprint."""
+    def crash_count(self, fingerprint: str, *, now: float) -> int:
+        """Returns the number of unexpired crashes for a fingerprint."""
         self._expire(now)
         _, reports = self._reports.get(fingerprint, (now, set()))
-        return len(reports)
+        return len({self._crash_of(report) for report in reports})
 
     def is_quarantined(self, fingerprint: str, *, now: float) -> bool:
         """Returns whether requests with the fingerprint must not run."""
-        return bool(self._reports) and self.report_count(fingerprint, now=now) >= self._limit
+        return bool(self._reports) and self.crash_count(fingerprint, now=now) >= self._limit
 
     def reports(self) -> list[CrashReport]:
         """Returns all reports, those of the least recently reported fingerprint first."""
--- a/src/carawaybank/targets/checks.py
+++ b/src/carawaybank/targets/checks.py
@@ -135,8 +135,9 @@
         if await self._paths.is_cut_off(beyond=target):
             self._log_event(target, "crash not reported", "no other target can be reached either")
             return
+        crashed = f"{target.entry.target_id}.{target.entry.incarnation}"
         for report in reports:
-            self._on_crash(report)
+            self._on_crash(report._replace(target=crashed))
 
     async def _check_health(self, target: Target) -> None:
         configuration = self._router.configuration
--- a/tests/targets/test_checks.py
+++ b/tests/targets/test_checks.py
@@ -80,6 +80,19 @@
     run_scenario(scenario)
 
 
+def test_a_crash_is_reported_by_the_start_of_the_target_that_it_ended():
+    """Guards against counting the crashes of a target that starts again under its id as one."""
+
+    async def scenario(router, server, address, reports):
+        server.close()
+        fail_request(router, Reason.CONNECTION_LOST, may_have_crashed=True)
+        await wait_until(lambda: reports)
+        entry = router.targets.find("t1").entry
+        assert reports[0].target == f"t1.{entry.incarnation}"
+
+    run_scenario(scenario)
+
+
 def test_lost_connection_to_target_that_accepts_connections_is_no_crash():
     """Guards against taking a running target out of use because one of its connections broke."""
 
