Serve the relays of a VM that stops until its stop ends

What callers saw: when a VM that is cut off from all targets stops as planned, its requests are refused with 503 from the removal of its registration on, and reads that a sibling is running for it end with 502.

Cause: a stop removes the registration first. Siblings then do not know the VM any more: they answer its relays with 403 and its questions for help not at all, so that their offers expire and the reads in progress at them are ended.

Evidence: `test_a_stop_of_a_vm_whose_requests_siblings_serve_loses_none`, with a check that no sibling rejects a relay and that no request sent after the relays began ends otherwise than with 200 or 503.

Change: the directory of VMs keeps the record of a VM that removed its registration for 600 s, the longest stop of the settings, for relays and questions only. Look-ups, readers and heartbeats don't use it.

--- a/src/carawaybank/siblings/offers.py
+++ b/src/carawaybank/siblings/offers.py
@@ -128,10 +128,10 @@
         except DocumentError as error:
             self._journal.log("relays", "datagram ignored", reason=str(error))
             return
-        record = self._vms.find(message["vm"])
+        now = asyncio.get_running_loop().time()
+        record = self._vms.find_serving(message["vm"], now=now)
         if record is None:
             return
-        now = asyncio.get_running_loop().time()
         if "ask" in message:
             self._answer(record, message["ask"], now)
         if "offer" in message:
--- a/src/carawaybank/siblings/relays.py
+++ b/src/carawaybank/siblings/relays.py
@@ -257,7 +257,7 @@
             message = msgspec.msgpack.decode(request.body, type=RelayMessage)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             return self._reject(request, 400, f"malformed relay: {error}")
-        record = self._vms.find(message.vm)
+        record = self._vms.find_serving(message.vm, now=asyncio.get_running_loop().time())
         if record is None or record.sibling_address.rpartition(":")[0] != request.peer:
             return self._reject(request, 403, f"{message.vm} is not registered at this address")
         size = len(request.body)
--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -24,6 +24,9 @@
 #: Maximum number of ended VMs that are remembered, so that an older backup of the store does not
 #: add them again.
 _MAX_ENDED = 4_096
+#: Seconds for which a VM that removed its registration may still pass requests on: the longest stop
+#: that settings allow.
+_STOP_VALIDITY_S = 600.0
 #: Maximum number of VMs that a look-up lists.
 MAX_LISTED = 64
 #: Prefix of the failure domain under which reports list VMs that reach no targets. VMs of an older
@@ -105,6 +108,8 @@
         self._registered_at: dict[str, float] = {}
         #: Incarnations of ended VMs that removed their registration, by name.
         self._ended: dict[str, int] = {}
+        #: Ended VMs that may still be serving their callers, each with the time of its removal.
+        self._leaving: dict[str, tuple[float, VmRecord]] = {}
         self._liveness = Liveness(own=own.vm)
         #: Whether the store responded to the last call of this VM.
         self.reaches_store = True
@@ -146,6 +151,14 @@
         """Returns the record of another VM by its name, or None if it is not known."""
         return self._records.get(vm)
 
+    def find_serving(self, vm: str, *, now: float) -> VmRecord | None:
+        """Returns the record of another VM that may be serving callers, or None.
+
+        A VM that stops removes its registration first and then serves on for its stop time.
+        """
+        removed_at, record = self._leaving.get(vm, (float("-inf"), None))
+        return self._records.get(vm) or (record if now - removed_at <= _STOP_VALIDITY_S else None)
+
     def set_cut_off(self, is_cut_off: bool) -> None:
         """Records whether this VM has lost its paths to the targets of all services."""
         self._is_cut_off = is_cut_off
@@ -302,12 +315,14 @@
             self._registered_at.pop(vm, None)
             self._liveness.forget(vm)
             if has_ended:
-                self._record_ended(record)
+                self._record_ended(record, now)
 
-    def _record_ended(self, record: VmRecord) -> None:
+    def _record_ended(self, record: VmRecord, now: float) -> None:
         self._ended[record.vm] = record.incarnation
-        if len(self._ended) > _MAX_ENDED:
-            del self._ended[next(iter(self._ended))]
+        self._leaving[record.vm] = (now, record)
+        for known in (self._ended, self._leaving):
+            if len(known) > _MAX_ENDED:
+                del known[next(iter(known))]
 
     def record_heartbeat(self, heartbeat: Heartbeat, *, now: float) -> VmRecord | None:
         """Records a heartbeat and its reports; returns the VM's record if that changed.
--- a/tests/platform/test_stops_of_several.py
+++ b/tests/platform/test_stops_of_several.py
@@ -111,10 +111,15 @@
     async with asyncio.timeout(RELAYED_S):
         while site.read_log(VMS[1]).count('"event":"taken in"') < RELAYED:
             await asyncio.sleep(0.05)
+    before = {i for caller in site.callers for i in caller.sent}
     (stopped,) = await site.stop_vms([stopping])
     site.is_over.set()
     await traffic
     site.check_callers([stopping])
+    statuses = {i: status for caller in site.callers for i, status in caller.statuses.items()}
+    unfinished = {i: status for i, status in statuses.items() if status not in (200, 503)}
+    assert not unfinished.keys() - before, unfinished
+    assert not any('"event":"rejected"' in site.read_log(name) for name in VMS)
     assert (stopped["cut"], stopped["given_up"]) == (0, 0)
 
 
--- a/tests/siblings/test_vms.py
+++ b/tests/siblings/test_vms.py
@@ -139,6 +139,18 @@
     assert listed_names(vms, now=later) == {"own", "x"}
 
 
+def test_a_vm_that_stops_is_known_as_serving_after_its_registration_is_gone():
+    """Guards against refusing the relays of a VM that serves its callers until its stop ends."""
+    vms = make_directory(make_record("x"))
+    assert vms.find_serving("x", now=0.5) == vms.find("x")
+    vms.record_heartbeat(heartbeat("x", stopping=True), now=1.0)
+    vms.remove("x", now=1.0, has_ended=True)
+    assert vms.find("x") is None
+    assert vms.find_serving("x", now=601.0) == make_record("x", stopping=True)
+    assert vms.find_serving("x", now=601.1) is None
+    assert vms.find_serving("stranger", now=1.0) is None
+
+
 def _make_reporting(*names, cut_off=()):
     """Returns directories of VMs of one failure domain that know each other."""
     vms = {}
