Run background tasks again after an unexpected error

Callers lose a VM, and where all VMs meet the same input, all of them.

A task that fails is run again after 0.5 s, with the line `task restarted` (reason and place). With a sixth failure of one task within 60 s the process ends as before, so that its supervisor sees a fault that stays. The pause is shorter than what siblings bridge (a heartbeat each 0.6 s, four to the timeout). Weighed for each task: - watches of tables: an update may be applied in part, with its position already recorded, and would be lost; each run now begins with a full read, which replaces all rows; - registration: a write that was asked for is asked for again; - heartbeats, paths, offers, congestion, proofs, bootstrap: keep no state in a run that the next one lacks; - health checks: a target is given up for a round before its check starts, and is checked at its next turn; reports of crashes are taken out and started without a point of failure in between; - maintenance: a suspension during the pause is not noticed by it, and calls then end by their timeouts; changed settings whose application failed are not applied again until the file changes; - allotments: a pause above 0.8 s counts as a suspension, after which all that is owned is given up, so no bound is exceeded; - loading of metrics: modules that failed to load are loaded again.

--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import time
+import traceback
 from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
 from typing import Any
@@ -258,7 +259,8 @@
 
         Raises:
             ListenError: If an address to listen on stays in use.
-            TaskError: If a background task failed; raised once requests in progress have finished.
+            TaskError: If a background task failed again and again; raised once requests in progress
+                have finished.
         """
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopped.set)
@@ -268,19 +270,35 @@
         servers = await self._listen_unless_stopped()
         if servers is None:
             return
-        coroutines: list[Coroutine[Any, Any, None]] = [watch.run() for watch in self._watches]
-        coroutines += [self._registrations.register(), self._heartbeat.run(), self._checks.run()]
-        coroutines += [self._maintenance.run(), self._bootstrap.run(), self._proofs.run()]
-        coroutines += [*self._relays.coroutines(), *self._own_weight.coroutines()]
-        coroutines.append(self._metrics.load_on_demand())
-        coroutines.append(self._allotments.run())
         tasks = BackgroundTasks(on_failure=self._stop_on_failure)
-        for coroutine in coroutines:
-            tasks.start(coroutine)
+        for run in self._background_functions():
+            tasks.start_restarting(run, on_restart=self._log_restart)
         await self._stopped.wait()
         await self._stop(servers)
         tasks.cancel()
 
+    def _background_functions(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
+        """Returns what runs in the background; each can be run again after a failure."""
+        return [
+            *(watch.run for watch in self._watches),
+            self._registrations.register,
+            self._heartbeat.run,
+            self._checks.run,
+            self._maintenance.run,
+            self._bootstrap.run,
+            self._proofs.run,
+            *self._relays.background_functions(),
+            *self._own_weight.background_functions(),
+            self._metrics.load_on_demand,
+            self._allotments.run,
+        ]
+
+    def _log_restart(self, failure: TaskError) -> None:
+        cause = failure.__cause__
+        frames = traceback.extract_tb(cause.__traceback__) if cause else []
+        place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+        self._journal.log("daemon", "task restarted", reason=str(failure), place=place)
+
     def _stop_on_failure(self, failure: TaskError) -> None:
         self._journal.log("daemon", "task failed", reason=str(failure))
         self._stopped.set()
--- a/src/carawaybank/relays.py
+++ b/src/carawaybank/relays.py
@@ -148,9 +148,9 @@
         )
         return lambda: CallerConnection(context=context, connections=self._connections)
 
-    def coroutines(self) -> list[Coroutine[Any, Any, None]]:
-        """Returns the background tasks to run."""
-        return [self.paths.run(), self._offers.run(), self._congestion.run()]
+    def background_functions(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
+        """Returns what runs in the background."""
+        return [self.paths.run, self._offers.run, self._congestion.run]
 
     def receive(self, data: bytes) -> None:
         """Handles a datagram of a sibling that asks for help or offers it."""
--- a/src/carawaybank/siblings/registration.py
+++ b/src/carawaybank/siblings/registration.py
@@ -156,7 +156,11 @@
                 max_pause_s = _REWRITE_PAUSE_S + _REWRITE_PAUSE_PER_VM_S * len(self._vms.names)
                 await asyncio.sleep(self._rng.uniform(0.0, max_pause_s))
             self._write_requested.clear()
-            await self._write()
+            try:
+                await self._write()
+            except Exception:
+                self._write_requested.set()
+                raise
 
     async def _write(self) -> None:
         """Writes the rows of this VM, with retries until the store confirms them or it stops."""
--- a/src/carawaybank/siblings/weights.py
+++ b/src/carawaybank/siblings/weights.py
@@ -177,9 +177,9 @@
             counters.vm_weight = weights.own_weight
             journal.log("weights", "own", weight=weights.own_weight, **capacity._asdict())
 
-    def coroutines(self) -> list[Coroutine[Any, Any, None]]:
-        """Returns the background task to run: none if the size of this VM is not stated."""
-        return [CongestionWatch(on_sample=self.record).run()] if self._weights.own_size else []
+    def background_functions(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
+        """Returns what runs in the background: nothing if the size of this VM is not stated."""
+        return [CongestionWatch(on_sample=self.record).run] if self._weights.own_size else []
 
     def record(self, delay_s: float) -> None:
         """Adds a sample of the delay of the event loop and applies a changed level."""
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -222,6 +222,8 @@
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
+        # An update at which the last run failed may have been applied in part.
+        self._needs_full_read = True
         while True:
             reader = self._reader = self._select_reader()
             try:
--- a/tests/platform/test_command.py
+++ b/tests/platform/test_command.py
@@ -21,16 +21,31 @@
 
 ROOT = Path(__file__).parents[2]
 PIPE = asyncio.subprocess.PIPE
-#: Runs the daemon with a background task that fails at once and each time that it is run again.
-FAILING_TASK = """
+#: Runs the daemon; its background tasks fail at the start of a run, the given number of times each.
+FAILING_TASKS = """
 import sys
+from carawaybank.node import Node
 from carawaybank.platform import command
-from carawaybank.targets.checks import HealthChecks
 
-async def run(self):
-    raise KeyError("no such target")
+failures, name = int(sys.argv.pop(1)), sys.argv.pop(1)
+make = Node._background_functions
 
-HealthChecks.run = run
+def make_failing(run):
+    runs = []
+
+    async def fail():
+        runs.append(run)
+        if len(runs) <= failures:
+            raise KeyError("no such target")
+        await run()
+
+    fail.__qualname__ = run.__qualname__
+    return fail
+
+def functions(self):
+    return [make_failing(run) if name in run.__qualname__ else run for run in make(self)]
+
+Node._background_functions = functions
 sys.exit(command.main())
 """
 
@@ -86,24 +101,51 @@
     asyncio.run(run())
 
 
+async def start_failing(node, path, *, failures, name):
+    """Starts a process whose background tasks with a name fail, the given number of times each."""
+    path.write_text(node.text)
+    arguments = ["-c", FAILING_TASKS, str(failures), name, "--settings", str(path)]
+    return await asyncio.create_subprocess_exec(
+        sys.executable, *arguments, stdout=PIPE, stderr=PIPE
+    )
+
+
 def test_a_task_that_fails_again_and_again_is_logged_as_the_reason_of_the_end(tmp_path):
     """Guards against a VM that goes on without a background task, or ends without saying why."""
 
     async def run():
         async with Node() as node:
-            await node.start(tmp_path)  # Writes the settings.
-            node.process.terminate()
-            await node.process.communicate()
-            command = [sys.executable, "-c", FAILING_TASK, "--settings", str(node.path)]
-            process = await asyncio.create_subprocess_exec(*command, stdout=PIPE, stderr=PIPE)
-            (failure,), errors = await end_of(process, within_s=2 * START_S)
-            assert process.returncode == failure["status"] == 1
+            path = tmp_path / "node.toml"
+            node.process = await start_failing(node, path, failures=100, name="HealthChecks")
+            (failure,), errors = await end_of(node.process, within_s=2 * START_S)
+            assert node.process.returncode == failure["status"] == 1
             assert "no such target" in failure["reason"]
             assert failure["reason"] in errors
 
     asyncio.run(run())
 
 
+def test_a_vm_serves_after_all_its_background_tasks_have_failed_twice(tmp_path):
+    """Guards against a VM that ends because its background tasks met an unexpected error."""
+
+    async def run():
+        async with Node() as node:
+            path = tmp_path / "node.toml"
+            node.process = await start_failing(node, path, failures=2, name="")
+            await wait_until_ready(node.process, node.is_ready, node.output)
+            assert (await node.call("8100", "/x/1", method="POST")).status == 200
+            await node.wait_until(lambda: node.store.value("carawaybank", "vm/regina-1"))
+            node.process.terminate()
+            output, _ = await asyncio.wait_for(node.process.communicate(), START_S)
+            assert node.process.returncode == 0
+            lines = [json.loads(line) for line in output.splitlines()]
+            restarts = [line["reason"] for line in lines if line["event"] == "task restarted"]
+            assert restarts.count("TableWatch.run failed: KeyError('no such target')") == 6
+            assert restarts.count("HeartbeatTask.run failed: KeyError('no such target')") == 2
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("closed", ["<&-", ">&-", "2>&-", "<&- >&- 2>&-"])
 def test_a_vm_serves_without_standard_streams(tmp_path, closed):
     """Guards against a start that fails, or logs into a connection, as descriptors are closed."""
--- a/tests/siblings/test_registration.py
+++ b/tests/siblings/test_registration.py
@@ -164,3 +164,24 @@
         task.cancel()
 
     run_scenario(scenario)
+
+
+def test_a_registration_at_which_an_error_occurred_is_written_again():
+    """Guards against a VM that stays unknown because its first write met an unexpected error."""
+
+    async def scenario(world):
+        _, registrations, task = start(world)
+
+        async def fail(*_):
+            raise RuntimeError("unexpected")
+
+        world.client.put, put = fail, world.client.put
+        with pytest.raises(RuntimeError):
+            await registrations.register()
+        world.client.put = put
+        registering = asyncio.create_task(registrations.register())
+        await wait_until(lambda: world.store.value(TABLE, KEY_PREFIX + "vm-1") is not None)
+        registering.cancel()
+        task.cancel()
+
+    run_scenario(scenario)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -107,3 +107,25 @@
         task.cancel()
 
     run_scenario(scenario)
+
+
+def test_an_update_at_which_the_watch_failed_is_read_again():
+    """Guards against a change that is lost, as its position counts as read when the watch fails."""
+
+    async def scenario(world):
+        await world.store.put("servers", "t1", target_row(1))
+        await wait_until(lambda: world.targets == {"t1"})
+
+        def fail(update):
+            raise RuntimeError("unexpected")
+
+        world.watch._history.add, add = fail, world.watch._history.add
+        await world.store.put("servers", "t2", target_row(2))
+        with pytest.raises(RuntimeError):
+            await world.task
+        assert world.targets == {"t1"}
+        world.watch._history.add = add
+        world.task = asyncio.create_task(world.watch.run())
+        await wait_until(lambda: world.targets == {"t1", "t2"})
+
+    run_scenario(scenario)
