Serve on when the metrics library cannot be loaded

The first request for metrics loads the library.

Class: something that requests do not need ends what serves them. A failure is logged now as `metrics not loaded`, metrics get 503, and the next request for them loads the library again. carawaybankd does the same.

--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -86,7 +86,10 @@
         self.host = Host(settings=settings, incarnation=start, seed=seed)
         self._counters = Counters()
         self._metrics = Exposition(
-            vm=settings.vm, counters=self._counters, otlp_endpoint=settings.otlp_endpoint
+            vm=settings.vm,
+            counters=self._counters,
+            otlp_endpoint=settings.otlp_endpoint,
+            on_failure=lambda error: self._log.error("Metrics are not loaded: {!r}", error),
         )
         self._transport = Transport(
             connect_timeout_s=settings.connect_timeout_s, max_body_bytes=settings.max_body_bytes
--- a/src/carawaybank/exposition.py
+++ b/src/carawaybank/exposition.py
@@ -8,6 +8,7 @@
 import asyncio
 import importlib
 import threading
+from collections.abc import Callable
 
 from carawaybank.counters import Counters
 
@@ -26,17 +27,27 @@
 class Exposition:
     """Metrics of one daemon in the Prometheus text format."""
 
-    def __init__(self, *, vm: str, counters: Counters, otlp_endpoint: str = "") -> None:
+    def __init__(
+        self,
+        *,
+        vm: str,
+        counters: Counters,
+        otlp_endpoint: str = "",
+        on_failure: Callable[[Exception], None] | None = None,
+    ) -> None:
         """Stores the options without loading the library.
 
         Args:
             vm: Name of the entry VM.
             counters: Counters whose values are exported.
             otlp_endpoint: URL to which metrics are pushed by OTLP; empty to push none.
+            on_failure: Called with the error if the library cannot be loaded, which the next
+                request for metrics tries again; None to raise the error.
         """
         self._vm = vm
         self._counters = counters
         self._otlp_endpoint = otlp_endpoint
+        self._on_failure = on_failure
         self._lock = threading.Lock()
         self._is_loaded = False
         self._load_requested = asyncio.Event()
@@ -49,11 +60,18 @@
         No thread is used: an import in a thread could delay the stop of the process and would run
         concurrently with requests.
         """
-        await self._load_requested.wait()
-        for module in _MODULES:
-            importlib.import_module(module)
-            await asyncio.sleep(0)
-        self.load()
+        while not self._is_loaded:
+            await self._load_requested.wait()
+            self._load_requested.clear()
+            try:
+                for module in _MODULES:
+                    importlib.import_module(module)
+                    await asyncio.sleep(0)
+                self.load()
+            except Exception as error:
+                if self._on_failure is None:
+                    raise
+                self._on_failure(error)
 
     def load(self) -> None:
         """Loads the library and registers the metrics; does nothing on a further call."""
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -80,7 +80,9 @@
         self._journal = Journal(vm=deployment.vm)
         self._settings_file = SettingsFile(path=settings_path, journal=self._journal)
         self._counters = Counters()
-        self._metrics = Exposition(vm=deployment.vm, counters=self._counters)
+        self._metrics = Exposition(
+            vm=deployment.vm, counters=self._counters, on_failure=self._log_missing_metrics
+        )
         self._rng = random.Random(f"{deployment.vm}.{time.time_ns()}")
         self._router = Router(
             options=deployment.router_options(), rng=self._rng, started_at=time.monotonic()
@@ -299,6 +301,9 @@
         place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
         self._journal.log("daemon", "task restarted", reason=str(failure), place=place)
 
+    def _log_missing_metrics(self, error: Exception) -> None:
+        self._journal.log("daemon", "metrics not loaded", reason=repr(error))
+
     def _stop_on_failure(self, failure: TaskError) -> None:
         self._journal.log("daemon", "task failed", reason=str(failure))
         self._stopped.set()
--- a/tests/test_exposition.py
+++ b/tests/test_exposition.py
@@ -1,6 +1,8 @@
 """Metrics text for scrapes and the loading of the metrics library on demand."""
 
 import asyncio
+import errno
+import importlib
 import subprocess
 import sys
 
@@ -63,3 +65,27 @@
 """
     run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert run.stdout.strip() == "[]"
+
+
+def test_metrics_that_cannot_be_loaded_are_loaded_with_the_next_scrape(monkeypatch):
+    """Guards against a scrape that ends the daemon while it has no descriptor to read a module."""
+    errors = []
+    import_module = importlib.import_module
+
+    def fail(name):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    async def scenario():
+        exposition = Exposition(vm="vm-f", counters=Counters(), on_failure=errors.append)
+        loading = asyncio.create_task(exposition.load_on_demand())
+        monkeypatch.setattr(importlib, "import_module", fail)
+        assert exposition.render() is None
+        await asyncio.sleep(0.05)
+        assert not loading.done()
+        assert [error.errno for error in errors] == [errno.EMFILE]
+        monkeypatch.setattr(importlib, "import_module", import_module)
+        assert exposition.render() is None
+        await asyncio.wait_for(loading, 5.0)
+        assert b"target_info" in exposition.render()
+
+    asyncio.run(scenario())
