Log on after the clock is set back

A VM whose wall clock is set back by an hour logs nothing for an hour: the rate limit counted the time as negative and went into debt. The logs of a machine on which time jumps would not show why a process ended.

The time since the last line is never below 0 now. tests/test_journal.py: one case, in which 1 of 101 lines was written before and all are now.

--- a/src/carawaybank/journal.py
+++ b/src/carawaybank/journal.py
@@ -66,9 +66,9 @@
             **fields: Further fields: inputs of a decision, their age or version, and the outcome.
         """
         now = self._clock()
-        self._tokens = min(
-            BURST_LINES, self._tokens + (now - self._refilled_at) * self._lines_per_s
-        )
+        # The clock may be set back.
+        elapsed_s = max(0.0, now - self._refilled_at)
+        self._tokens = min(BURST_LINES, self._tokens + elapsed_s * self._lines_per_s)
         self._refilled_at = now
         if self._tokens < 1:
             self._dropped += 1
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -39,3 +39,14 @@
     assert journal.dropped == 1
     journal.log("daemon", "stopping")
     assert json.loads(lines[-1])["dropped_lines"] == 1
+
+
+def test_lines_are_written_after_the_clock_was_set_back():
+    """Guards against a log that is silent for as long as the clock was set back."""
+    lines, now = [], [10_000.0]
+    journal = make_journal(lines.append, lambda: now[0])
+    journal.log("daemon", "started")
+    now[0] = 0.0
+    for _ in range(100):
+        journal.log("request", "answered")
+    assert len(lines) == 101
