Log values that JSON cannot hold as text

Class: an error of the log that ends what is logged. Such values are written in ASCII with escapes; the other fields stay as they are. One case each in tests/test_journal.py and tests/platform/test_command.py, which failed before.

--- a/src/carawaybank/journal.py
+++ b/src/carawaybank/journal.py
@@ -78,13 +78,29 @@
         if self._dropped:
             line["dropped_lines"] = self._dropped
         try:
-            self._write(msgspec.json.encode(line) + b"\n")
+            self._write(_encode(line) + b"\n")
         except OSError:
             self._dropped += 1
         else:
             self._dropped = 0
 
 
+def _encode(line: dict[str, object]) -> bytes:
+    try:
+        return msgspec.json.encode(line)
+    except (TypeError, ValueError, RecursionError):
+        return msgspec.json.encode({name: _printable(value) for name, value in line.items()})
+
+
+def _printable(value: object) -> object:
+    """Returns a value, or a text for one that JSON cannot hold, such as a path in other bytes."""
+    try:
+        msgspec.json.encode(value)
+    except (TypeError, ValueError, RecursionError):
+        return ascii(value)
+    return value
+
+
 def _open_stdout() -> Callable[[bytes], object]:
     descriptor = sys.stdout.fileno()
     os.set_blocking(descriptor, False)
--- a/tests/platform/test_command.py
+++ b/tests/platform/test_command.py
@@ -81,6 +81,20 @@
     asyncio.run(run())
 
 
+def test_a_path_that_is_not_text_is_logged(tmp_path):
+    """Guards against an end whose status and reason are lost as the reason cannot be encoded."""
+
+    async def run():
+        process = await run_process(
+            os.fsdecode(bytes(tmp_path) + b"/\xff"), stdout=PIPE, stderr=PIPE
+        )
+        (failure,), _ = await end_of(process)
+        assert process.returncode == 2
+        assert "cannot be read" in failure["reason"]
+
+    asyncio.run(run())
+
+
 def test_an_address_in_use_is_logged_as_the_reason_of_the_end(tmp_path):
     """Guards against an end with status 1 that the structured log does not show."""
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -50,3 +50,15 @@
     for _ in range(100):
         journal.log("request", "answered")
     assert len(lines) == 101
+
+
+def test_a_line_that_cannot_be_encoded_does_not_end_its_caller():
+    """Guards against an end, or a background task, that fails on the text of another program."""
+    lines = []
+    journal = make_journal(lines.append, lambda: 0.0)
+    journal.log("store", "odd", version=10**30, key="\ud800", sibling=object())
+    journal.log("store", "next")
+    odd, following = (json.loads(line) for line in lines)
+    assert (odd["event"], following["event"]) == ("odd", "next")
+    assert odd["version"] == 10**30
+    assert odd["key"] == ascii("\ud800")
