Read responses that arrived before a late timeout of an attempt

Callers of a VM that got no processor when an attempt was due to time out got 504 although the target had run the request and its whole response lay in the socket.

Cause: the event loop runs expired timers before the task that a response wakes, and, after SIGCONT, before it reads at all. The timeout then cancelled an attempt that was answered. Timeouts of connects allow for this already; those of exchanges did not.

Change: exchanges use the same timeout, which gives a late event loop 0.05 s to read.

Evidence: the test sends the response 0.08 s before the timeout and blocks the event loop for 0.15 and 0.4 s.

--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -35,10 +35,10 @@
 _DEFAULT_MAX_BODY_BYTES = 16_000_000
 #: Bytes of each response that are not counted in a budget; most responses are smaller.
 _UNCOUNTED_BYTES = 65_536
-#: Delay in seconds of the event loop from which the expiry of a connect timeout says nothing about
-#: the peer, because the connection may have been established in the meantime.
+#: Delay in seconds of the event loop from which the expiry of a timeout says nothing about the
+#: peer, because the connection may have been established, or the response received, meanwhile.
 _MAX_TIMER_DELAY_S = 0.02
-#: Seconds in which the event loop then still processes an established connection.
+#: Seconds in which the event loop then still processes the connection or the response.
 _LATE_TIMER_GRACE_S = 0.05
 #: Bytes of a body that are written at a time.
 _WRITE_BYTES = 65_536
@@ -147,7 +147,7 @@
         loop = asyncio.get_running_loop()
         local = (local_ip, 0) if local_ip else None
         try:
-            async with _connect_timeout(timeout_s):
+            async with _timeout(timeout_s):
                 _, connection = await loop.create_connection(cls, host, int(port), local_addr=local)
         except ConnectionRefusedError:
             message = f"{address} refused the connection"
@@ -210,7 +210,7 @@
         self._budget = budget
         assert self._waiter is not None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with _timeout(timeout_s):
                 await self._write(self._transport, head, call.body)
                 return await self._waiter
         except TimeoutError:
@@ -412,11 +412,11 @@
 
 
 @contextlib.asynccontextmanager
-async def _connect_timeout(timeout_s: float) -> AsyncIterator[None]:
+async def _timeout(timeout_s: float) -> AsyncIterator[None]:
     """Cancels the block after some seconds, and a little later if this process was late itself.
 
     After a pause of the process, the event loop runs a timer that has expired before the task whose
-    connection was established during the pause.
+    connection was established, or whose response was received, during the pause.
 
     Raises:
         TimeoutError: If the block did not finish in time.
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -310,6 +310,30 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("pause_s", [0.15, 0.4])
+def test_a_pause_of_the_own_process_does_not_discard_a_response(pause_s):
+    """Guards against responses that arrived in time and are lost because this VM was late."""
+
+    async def run():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            connection = await ClientConnection.open(address, timeout_s=1.0)
+            peer, _ = listener.accept()
+
+            def respond_and_pause():
+                peer.recv(1000)
+                peer.sendall(make_response())
+                time.sleep(pause_s)
+
+            asyncio.get_running_loop().call_later(0.02, respond_and_pause)
+            reply = await connection.exchange(make_call(), timeout_s=0.1)
+            assert reply.body == b"ok"
+            connection.close()
+            peer.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("pause_s", [0.0, 0.3])
 def test_a_connection_that_is_not_accepted_fails_in_time_also_after_a_pause(pause_s):
     """Guards against a pause of this VM after which it waits for a peer that does not respond."""
