Read and write before and after a VM that stops gives up attempts

Callers of a VM that was paused at the end of its stop got no response to requests that had run at their targets and whose responses lay in the VM's sockets.

Cause: after a pause, the event loop runs expired timers before it reads. The stop therefore gave up attempts whose responses were there, and when the same decision was the last one, the process ended without running the tasks that write responses.

Change: a decision that is late reads for 0.02 s first, and what is given up in the last decision is written before the end.

--- a/src/carawaybank/shutdown.py
+++ b/src/carawaybank/shutdown.py
@@ -10,6 +10,11 @@
 
 #: Seconds between two decisions on all connections.
 _INTERVAL_S = 0.1
+#: Delay in seconds of a decision from which the event loop reads first. After a pause of the
+#: process it runs expired timers before it reads what arrived, such as responses of targets.
+_MAX_DELAY_S = 0.02
+#: Seconds in which the event loop then reads, and in which responses are written at the end.
+_READ_S = 0.02
 
 
 class StopResult(NamedTuple):
@@ -68,7 +73,11 @@
     while not plan.is_over(started_at := loop.time()):
         await asyncio.sleep(_INTERVAL_S)
         now = loop.time()
-        late_s = max(late_s, now - started_at - _INTERVAL_S)
+        delay_s = now - started_at - _INTERVAL_S
+        late_s = max(late_s, delay_s)
+        if delay_s > _MAX_DELAY_S:
+            await asyncio.sleep(_READ_S)
+            now = loop.time()
         if not plan.is_listening(now):
             queued += await _stop_listening(listeners.requests)
         open_connections = list(connections())
@@ -84,6 +93,8 @@
             given_up = give_up()
         if not plan.is_listening(now) and not open_connections and is_idle():
             break
+    if given_up:
+        await asyncio.sleep(_READ_S)
     cut = sum(connection.is_response_outstanding for connection in connections())
     if await _stop_listening(listeners.others):
         await asyncio.sleep(_INTERVAL_S)
--- a/tests/platform/test_process_late_stops.py
+++ b/tests/platform/test_process_late_stops.py
@@ -16,6 +16,11 @@
 
 #: Seconds after SIGTERM between which the process gets no processor; the listener closes meanwhile.
 PAUSE = (2.3, 2.9)
+#: The same for the end of the stop, when attempts in progress are given up. Targets answer requests
+#: that are sent at ``SENT_AT`` in this pause.
+END_PAUSE = (4.6, 5.62)
+SENT_AT = 2.2
+WORK_MS = 2700
 
 
 async def ignore(vm, callers):
@@ -123,3 +128,29 @@
 
     monkeypatch.setattr("tests.platform.test_process.run_process", start)
     asyncio.run(run())
+
+
+def test_responses_that_were_not_read_yet_are_delivered_before_the_end(tmp_path):
+    """Guards against responses that are discarded because attempts are given up before a read."""
+
+    async def run():
+        async with StoppingVm() as vm:
+            await vm.start(tmp_path)
+            reading = asyncio.create_task(vm.output())
+            callers = []
+            await open_callers(vm, callers)
+            vm.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(SENT_AT)
+            for caller in callers:
+                caller.send("POST", work_ms=WORK_MS)
+            await asyncio.sleep(END_PAUSE[0] - SENT_AT)
+            vm.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(END_PAUSE[1] - END_PAUSE[0])
+            vm.process.send_signal(signal.SIGCONT)
+            assert await asyncio.wait_for(vm.process.wait(), STOP_S) == 0
+            await asyncio.gather(*(caller.finish() for caller in callers))
+            await reading
+            statuses = [status for caller in callers for status in caller.statuses.values()]
+            assert statuses == [200] * len(callers)
+
+    asyncio.run(run())
