Accept connections that wait for descriptors when a VM stops

Callers whose connections the kernel had established while the process had no descriptors left were reset when the VM stopped, although a stop frees descriptors.

Cause: after EMFILE the stop closed the listening socket with its queue. It also left the timer of an earlier error running, which then used the closed socket.

Change: such a listener stays open, the stop is repeated with each decision, and the VM ends only when its listeners are closed or its time is over.

Evidence: the test makes accept() fail before and during the first stop. Before, the listener was closed; now the second stop accepts the connection and its request gets 200.

--- a/src/carawaybank/callers/listeners.py
+++ b/src/carawaybank/callers/listeners.py
@@ -118,13 +118,17 @@
     async def stop(self) -> int:
         """Accepts the connections that wait, closes the listener and opens these connections.
 
+        Without descriptors for them, the listener stays open, and the call has to be repeated.
+
         Returns:
             The number of these connections.
         """
         if not self._is_open:
             return 0
+        self._cancel_retry()
         count = self._accept()
-        self.close()
+        if self._retry is None:
+            self.close()
         await asyncio.gather(*self._opening)
         return count
 
@@ -132,8 +136,7 @@
         """Closes the listener; connections that wait to be accepted are reset."""
         if not self._is_open:
             return
-        if self._retry is not None:
-            self._retry.cancel()
+        self._cancel_retry()
         self._loop.remove_reader(self._sock)
         self._sock.close()
 
@@ -174,6 +177,11 @@
         self._retry = None
         self._loop.add_reader(self._sock, self._accept)
 
+    def _cancel_retry(self) -> None:
+        if self._retry is not None:
+            self._retry.cancel()
+            self._retry = None
+
     def _report(self, message: str, error: OSError) -> None:
         self._loop.call_exception_handler({"message": message, "exception": error})
 
--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -249,9 +249,12 @@
             if time.monotonic() >= earliest_end and self._forwarder.in_flight == 0:
                 break
             await asyncio.sleep(0.05)
-        for server in servers:
-            await server.stop()
-        while time.monotonic() < drain_deadline and not self._is_idle:
+        while True:
+            for server in servers:
+                await server.stop()
+            is_over = self._is_idle and not any(server.sockets for server in servers)
+            if is_over or time.monotonic() >= drain_deadline:
+                break
             await asyncio.sleep(0.05)
         # Requests that were read during the deregistration would be cut off.
         for connection in list(self._connections):
--- a/src/carawaybank/shutdown.py
+++ b/src/carawaybank/shutdown.py
@@ -91,7 +91,8 @@
         if plan.has_given_up(now) and not has_given_up:
             has_given_up = True
             given_up = give_up()
-        if not plan.is_listening(now) and not open_connections and is_idle():
+        is_listening = any(listener.sockets for listener in listeners.requests)
+        if not is_listening and not open_connections and is_idle():
             break
     if given_up:
         await asyncio.sleep(_READ_S)
--- a/tests/callers/test_listeners.py
+++ b/tests/callers/test_listeners.py
@@ -94,3 +94,26 @@
 
     asyncio.run(run())
     assert [report["message"] for report in reports] == ["cannot accept connections"]
+
+
+def test_connections_that_wait_for_descriptors_are_served_although_the_listener_stops(monkeypatch):
+    """Guards against a reset of connections that could not be accepted for want of descriptors."""
+    monkeypatch.setattr("carawaybank.callers.listeners._ACCEPT_RETRY_S", 0.05)
+    reports = []
+
+    async def run():
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: reports.append(context))
+        listener = await listen("127.0.0.1:0", connection_factory(respond))
+        listener._sock = FullSocket(sock=listener._sock)
+        listener._sock.failures = 2
+        caller = connect(listener)
+        listener._accept()
+        assert await listener.stop() == 0
+        assert listener.sockets
+        assert await listener.stop() == 1
+        assert listener.sockets == ()
+        assert await read_status(caller) == b"200"
+        await asyncio.sleep(0.1)
+
+    asyncio.run(run())
+    assert [report["message"] for report in reports] == ["cannot accept connections"] * 2
