Accept all connections that wait before a listener closes

A listener that stopped accepted one batch of 1024 connections. The kernel's queue holds one more, and connections arrive while the batch is accepted; what was left was reset by the close.

Change: the stop accepts until nothing waits.

Evidence: with batches of 4 and 10 connections that wait, the stop accepted 4 before and 10 now, and all 10 requests get 200.

--- a/src/carawaybank/callers/listeners.py
+++ b/src/carawaybank/callers/listeners.py
@@ -126,7 +126,11 @@
         if not self._is_open:
             return 0
         self._cancel_retry()
-        count = self._accept()
+        count = accepted = self._accept()
+        # The kernel's queue holds one more than the backlog, and new connections come meanwhile.
+        while accepted == _BACKLOG:
+            accepted = self._accept()
+            count += accepted
         if self._retry is None:
             self.close()
         await asyncio.gather(*self._opening)
--- a/tests/callers/test_listeners.py
+++ b/tests/callers/test_listeners.py
@@ -117,3 +117,16 @@
 
     asyncio.run(run())
     assert [report["message"] for report in reports] == ["cannot accept connections"] * 2
+
+
+def test_a_full_queue_is_accepted_before_the_listener_closes(monkeypatch):
+    """Guards against a reset of connections that one batch of the listener leaves in its queue."""
+
+    async def run():
+        listener = await listen("127.0.0.1:0", connection_factory(respond))
+        monkeypatch.setattr("carawaybank.callers.listeners._BACKLOG", 4)
+        callers = [connect(listener) for _ in range(10)]
+        assert await listener.stop() == 10
+        assert [await read_status(caller) for caller in callers] == [b"200"] * 10
+
+    asyncio.run(run())
