Tell callers at once that an idle connection closes

Callers of a busy VM sent requests on idle connections that the VM had already decided to close, and got a reset. None had run, but the caller of a POST cannot know that.

Cause: asyncio closes the socket of a transport in the next round of the event loop. Everything that the rest of the current round does lies between the check for unread bytes and the close.

Change: the end of the stream is sent at the decision. A caller that sends at the same moment may still cross it; HTTP/1.1 has no way to prevent that.

Evidence: the test reads the caller's socket before the event loop goes on. Before, nothing had arrived (BlockingIOError); now the end of the stream has. A second test closes a connection that its caller has reset, which sends no end of stream.

--- a/src/carawaybank/callers/connections.py
+++ b/src/carawaybank/callers/connections.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import contextlib
 import functools
 import itertools
 from collections import deque
@@ -207,8 +208,14 @@
     def close(self) -> None:
         """Closes the connection after the data written so far; later input is ignored."""
         self._is_input_ended = True
-        if self._transport is not None:
-            self._transport.close()
+        if self._transport is None:
+            return
+        # The transport closes its socket only in the next round of the event loop. A caller that
+        # does not know yet would send its next request in between.
+        if not self._transport.get_write_buffer_size():
+            with contextlib.suppress(OSError):  # The caller has reset the connection.
+                self._transport.write_eof()
+        self._transport.close()
 
     def refuse_unfinished(self, detail: str) -> bool:
         """Refuses the request that is being received and closes the connection.
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 
 import pytest
 
@@ -418,6 +419,41 @@
     run(scenario())
 
 
+def test_the_caller_sees_at_once_that_an_idle_connection_closes():
+    """Guards against a request that is sent between the decision to close and the close."""
+
+    async def scenario():
+        async with Caller() as caller:
+            loop = asyncio.get_running_loop()
+            port = caller.server.sockets[0].getsockname()[1]
+            with socket.create_connection(("127.0.0.1", port)) as sock:
+                sock.setblocking(False)
+                await wait_until(lambda: len(caller.connections) == 2)
+                for connection in caller.connections:
+                    connection.check_timeouts(loop.time() + caller.limits.idle_timeout_s + 1)
+                assert sock.recv(1) == b""
+            await wait_until(lambda: not caller.connections)
+
+    run(scenario())
+
+
+def test_an_idle_connection_that_its_caller_has_reset_closes():
+    """Guards against an error at the end of a connection that exists no more."""
+
+    async def scenario():
+        async with Caller() as caller:
+            port = caller.server.sockets[0].getsockname()[1]
+            sock = socket.create_connection(("127.0.0.1", port))
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            await wait_until(lambda: len(caller.connections) == 2)
+            sock.close()
+            for connection in caller.connections:
+                connection.close()
+            await wait_until(lambda: not caller.connections)
+
+    run(scenario())
+
+
 def test_an_upgrade_is_ignored_and_later_requests_are_answered():
     """Guards against requests lost after an Upgrade header, at which the parser stops."""
 
