Send nothing on a pooled connection whose end was not read yet

Callers of a busy VM got 502 for requests that had not run: the VM had sent them on an idle connection that the target had closed, and the end of the stream lay unread in the socket. A POST of unknown outcome is not tried again.

Cause: a pooled connection counted as open until the event loop had read its end.

The race with a close that is still on its way remains.

Evidence: the test closes the peer, with and without a response before, and looks before the event loop reads.

--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -16,6 +16,7 @@
 from carawaybank.buffers import BufferBudget
 from carawaybank.exceptions import CarawaybankError
 from carawaybank.replies import Headers, HttpReply, ReplyReader
+from carawaybank.sockets import has_unread_input
 from carawaybank.verdicts import Reason
 
 #: Time in milliseconds after which the kernel closes a connection with unacknowledged bytes. On
@@ -123,6 +124,12 @@
         transport = self._transport
         return self.is_reusable and transport is not None and not transport.is_closing()
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether the connection is open and its peer has sent nothing since, such as its end."""
+        transport = self._transport
+        return self.is_open and transport is not None and not has_unread_input(transport)
+
     def has_carried(self, request_id: str) -> bool:
         """Returns whether a late response could belong to an earlier attempt with this id."""
         return request_id in self._sent_ids
--- a/src/carawaybank/pool.py
+++ b/src/carawaybank/pool.py
@@ -76,4 +76,4 @@
 
     def _is_fresh(self, connection: ClientConnection, now: float) -> bool:
         limit_s = min(self.MAX_IDLE_S, self.IDLE_LIMIT_FRACTION * connection.idle_limit_s)
-        return connection.is_open and now - connection.idle_since <= limit_s
+        return now - connection.idle_since <= limit_s and connection.is_usable
--- a/src/carawaybank/sockets.py
+++ b/src/carawaybank/sockets.py
@@ -1,7 +1,8 @@
-"""What the kernel holds for sockets: bytes that were not read, or not acknowledged, yet."""
+"""What the kernel holds for sockets: input that was not read, or bytes not acknowledged, yet."""
 
 import asyncio
 import fcntl
+import select
 import struct
 import termios
 from typing import Any
@@ -17,6 +18,16 @@
     return _query_bytes(transport, termios.TIOCOUTQ)
 
 
+def has_unread_input(transport: asyncio.BaseTransport) -> bool:
+    """Returns whether bytes, the end of the stream or an error wait to be read."""
+    sock: Any = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _query_bytes(transport: asyncio.BaseTransport, request: int) -> int:
     sock: Any = transport.get_extra_info("socket")
     if sock is None:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -310,6 +310,27 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("sent", [b"", b"HTTP/1.1 408 Request Timeout\r\n\r\n"])
+def test_a_connection_whose_end_was_not_read_yet_is_not_reused(sent):
+    """Guards against requests of unknown outcome on connections that their peer has closed."""
+
+    async def run():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            connection = await ClientConnection.open(address, timeout_s=1.0)
+            connection.idle_since = asyncio.get_running_loop().time()
+            peer, _ = listener.accept()
+            pool = ClientPool()
+            pool.release("peer", connection)
+            assert pool.has_usable("peer")
+            peer.sendall(sent)
+            peer.close()
+            assert not pool.has_usable("peer")
+            assert pool.acquire("peer") is None
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("pause_s", [0.15, 0.4])
 def test_a_pause_of_the_own_process_does_not_discard_a_response(pause_s):
     """Guards against responses that arrived in time and are lost because this VM was late."""
