--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -16,6 +16,7 @@
 from carawaybank.buffers import BufferBudget
 from carawaybank.exceptions import CarawaybankError
 from carawaybank.replies import Headers, HttpReply, ReplyReader
+from carawaybank.sockets import has_unread_input
 from carawaybank.verdicts import Reason
 
 #: Time in milliseconds after which the kernel closes a connection with unacknowledged bytes. On
@@ -35,10 +36,10 @@
 _DEFAULT_MAX_BODY_BYTES = 16_000_000
 #: Bytes of each response that are not counted in a budget; most responses are smaller.
 _UNCOUNTED_BYTES = 65_536
-#: Delay in seconds of the event loop from which the expiry of a connect timeout says nothing about
-#: the peer, because the connection may have been established in the meantime.
+#: Delay in seconds of the event loop from which the expiry of a timeout says nothing about the
+#: peer, because the connection may have been established, or the response received, meanwhile.
 _MAX_TIMER_DELAY_S = 0.02
-#: Seconds in which the event loop then still processes an established connection.
+#: Seconds in which the event loop then still processes the connection or the response.
 _LATE_TIMER_GRACE_S = 0.05
 #: Bytes of a body that are written at a time.
 _WRITE_BYTES = 65_536
@@ -123,6 +124,12 @@
         transport = self._transport
         return self.is_reusable and transport is not None and not transport.is_closing()
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether the connection is open and its peer has sent nothing since, such as its end."""
+        transport = self._transport
+        return self.is_open and transport is not None and not has_unread_input(transport)
+
     def has_carried(self, request_id: str) -> bool:
         """Returns whether a late response could belong to an earlier attempt with this id."""
         return request_id in self._sent_ids
@@ -147,7 +154,7 @@
         loop = asyncio.get_running_loop()
         local = (local_ip, 0) if local_ip else None
         try:
-            async with _connect_timeout(timeout_s):
+            async with _timeout(timeout_s):
                 _, connection = await loop.create_connection(cls, host, int(port), local_addr=local)
         except ConnectionRefusedError:
             message = f"{address} refused the connection"
@@ -210,7 +217,7 @@
         self._budget = budget
         assert self._waiter is not None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with _timeout(timeout_s):
                 await self._write(self._transport, head, call.body)
                 return await self._waiter
         except TimeoutError:
@@ -412,11 +419,11 @@
 
 
 @contextlib.asynccontextmanager
-async def _connect_timeout(timeout_s: float) -> AsyncIterator[None]:
+async def _timeout(timeout_s: float) -> AsyncIterator[None]:
     """Cancels the block after some seconds, and a little later if this process was late itself.
 
     After a pause of the process, the event loop runs a timer that has expired before the task whose
-    connection was established during the pause.
+    connection was established, or whose response was received, during the pause.
 
     Raises:
         TimeoutError: If the block did not finish in time.
