Log errors of callbacks without waiting for a reader

An unexpected error in a callback of the event loop was written to standard error as text, without time and VM. While nobody reads standard error, the write blocks once the pipe is full, and the VM serves nothing any more.

Class: an error of the log that ends what is logged. Such errors are logged as `callback failed` in the structured log, whose writes do not block and whose rate is limited.

tests/platform/test_command.py: a VM in which 1,000 callbacks fail while nobody reads its standard error; before, a request got no answer within 5 s.

--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -265,6 +265,8 @@
                 have finished.
         """
         loop = asyncio.get_running_loop()
+        # By default, errors go to standard error, which blocks the loop while nobody reads it.
+        loop.set_exception_handler(self._log_callback_failure)
         loop.add_signal_handler(signal.SIGTERM, self._stopped.set)
         loop.add_signal_handler(signal.SIGINT, self._stopped.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
@@ -296,11 +298,18 @@
         ]
 
     def _log_restart(self, failure: TaskError) -> None:
-        cause = failure.__cause__
-        frames = traceback.extract_tb(cause.__traceback__) if cause else []
-        place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+        place = _place(failure.__cause__)
         self._journal.log("daemon", "task restarted", reason=str(failure), place=place)
 
+    def _log_callback_failure(self, _: object, context: dict[str, Any]) -> None:
+        cause = context.get("exception")
+        self._journal.log(
+            "daemon",
+            "callback failed",
+            reason=f"{context['message']}: {cause!r}",
+            place=_place(cause),
+        )
+
     def _log_missing_metrics(self, error: Exception) -> None:
         self._journal.log("daemon", "metrics not loaded", reason=repr(error))
 
@@ -504,3 +513,9 @@
         self._deployment = deployment
         self._router.update_options(deployment.router_options())
         self._allotments.update_bounds(deployment.allotment_bounds())
+
+
+def _place(error: BaseException | None) -> str:
+    """Returns the file and line at which an error was raised; empty if it is not known."""
+    frames = traceback.extract_tb(error.__traceback__) if error else []
+    return f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
--- a/tests/platform/test_command.py
+++ b/tests/platform/test_command.py
@@ -4,6 +4,7 @@
 import fcntl
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -160,6 +161,54 @@
     asyncio.run(run())
 
 
+#: Runs the daemon; after SIGUSR1, callbacks of its event loop fail with much text.
+FAILING_CALLBACKS = """
+import asyncio, signal, sys
+from carawaybank.node import Node
+from carawaybank.platform import command
+
+def fail(loop):
+    for _ in range(1000):
+        loop.call_soon(int, "odd " * 500)
+
+run = Node.run
+
+async def run_failing(self):
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGUSR1, fail, loop)
+    await run(self)
+
+Node.run = run_failing
+sys.exit(command.main())
+"""
+
+
+def test_errors_of_callbacks_do_not_wait_for_a_reader(tmp_path):
+    """Guards against a VM that stops serving as nobody reads the errors that it writes."""
+
+    async def run():
+        async with Node() as node:
+            path = tmp_path / "node.toml"
+            path.write_text(node.text)
+            reading, writing = os.pipe()
+            arguments = ["-c", FAILING_CALLBACKS, "--settings", str(path)]
+            node.process = await asyncio.create_subprocess_exec(
+                sys.executable, *arguments, stdout=PIPE, stderr=writing
+            )
+            await wait_until_ready(node.process, node.is_ready, node.output)
+            node.process.send_signal(signal.SIGUSR1)
+            await asyncio.sleep(0.5)
+            assert (await node.call("8100", "/x/1", method="POST")).status == 200
+            node.process.terminate()
+            output, _ = await asyncio.wait_for(node.process.communicate(), START_S)
+            assert node.process.returncode == 0
+            assert output.count(b'"callback failed"') >= 100
+            os.close(reading)
+            os.close(writing)
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("closed", ["<&-", ">&-", "2>&-", "<&- >&- 2>&-"])
 def test_a_vm_serves_without_standard_streams(tmp_path, closed):
     """Guards against a start that fails, or logs into a connection, as descriptors are closed."""
