End the read of a table whose pages do not end

A store that announces another page with each page kept a VM reading for ever: it never became ready, and with new rows in each page its memory grew until it would be killed.

Class: bytes of a server that never end; the size of one response was limited, that of all pages was not. A page without a new last key, and more than 64 MB of pages, which is what siblings take of a table, count as a failed call now.

tests/platform/test_store.py: three cases (empty pages, a row repeated, a megabyte a page), which timed out after 15 s before.

--- a/src/carawaybank/platform/store.py
+++ b/src/carawaybank/platform/store.py
@@ -25,6 +25,8 @@
 _CALL_TIMEOUT_S = 2.0
 _CONNECT_TIMEOUT_S = 0.6
 _PAGE_ROWS = 500
+#: Largest table in bytes of JSON that is read; siblings take no larger one.
+_MAX_TABLE_BYTES = 64_000_000
 #: Set on all responses: a number that rises when the store is restored from an older backup.
 _ERA_HEADER = "Store-Era"
 _MAX_ERA_DIGITS = 18
@@ -71,15 +73,19 @@
         """Returns all rows of a table, read page by page.
 
         Raises:
-            StoreError: If a call fails, or the store is restored from a backup between two pages.
+            StoreError: If a call fails, the store is restored from a backup between two pages, or
+                its pages do not end.
         """
         rows: list[Row] = []
+        size = 0
         query = {"table": table, "part": "", "limit": str(_PAGE_ROWS)}
         first_position: Position | None = None
         while True:
             reply = await self._call("GET", f"/rows-get?{urlencode(query)}")
             page = _decode_rows(reply)
+            last_key = rows[-1].key if rows else None
             rows.extend(_decode_row(wire_row) for wire_row in page.get("rows", []))
+            size += len(reply.body)
             first_position = first_position or Position(_read_era(reply), page.get("ver", 0))
             if _read_era(reply) != first_position.era:
                 raise StoreError(
@@ -87,6 +93,8 @@
                 )
             if not page.get("hasMore") or not rows:
                 return Rows(rows, first_position.version, era=first_position.era)
+            if rows[-1].key == last_key or size > _MAX_TABLE_BYTES:
+                raise StoreError(message=f"its pages do not end, after {len(rows)} rows")
             query["from"] = rows[-1].key + "\x00"
 
     async def poll_changes(self, table: str, *, after: Position, wait_s: float) -> Rows:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,7 +1,9 @@
 """The client of the platform's store."""
 
 import asyncio
+import itertools
 
+import msgspec
 import pytest
 
 from carawaybank.platform.store import StoreClient
@@ -56,3 +58,35 @@
         server.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("size", [0, 1, 1_000_000])
+def test_pages_without_end_count_as_a_failure_of_the_store(size):
+    """Guards against a read that never ends, or takes all memory, as each page announces another.
+
+    The pages are empty, repeat a row or have a further row of a megabyte.
+    """
+    numbers = itertools.count()
+
+    def answer(connection):
+        while read_request(connection):
+            key = f"k{next(numbers):09}" if size > 1 else "k"
+            rows = [{"key": key, "value": "a" * size, "ver": 1}] if size else []
+            page = {"rows": rows, "hasMore": True, "ver": 1}
+            if size == 0 and next(numbers) == 0:
+                page["rows"] = [{"key": "k", "value": "", "ver": 1}]
+            body = msgspec.json.encode(page)
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+            connection.sendall(head + body)
+
+    async def run():
+        server = ScriptedServer(answer)
+        try:
+            async with asyncio.timeout(15.0):
+                with pytest.raises(StoreError, match="pages"):
+                    await StoreClient(address=server.address).read("op")
+        finally:
+            server.close()
+
+    asyncio.run(run())
+    assert next(numbers) < 100
