--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -11,6 +11,7 @@
 from carawaybank.addresses import is_ip_endpoint
 from carawaybank.routing import callerlists
 from carawaybank.rows import Position
+from carawaybank.siblings.ended import EndedVms
 from carawaybank.siblings.liveness import (
     HEARTBEAT_TIMEOUT_S,
     REPORT_VALIDITY_S,
@@ -21,12 +22,6 @@
 
 #: Number of VMs below which a look-up lists the caller's region instead of its failure domain.
 MIN_LISTED = 2
-#: Maximum number of ended VMs that are remembered, so that an older backup of the store does not
-#: add them again.
-_MAX_ENDED = 4_096
-#: Seconds for which a VM that removed its registration may still pass requests on: the longest stop
-#: that settings allow.
-_STOP_VALIDITY_S = 600.0
 #: Maximum number of VMs that a look-up lists.
 MAX_LISTED = 64
 #: Prefix of the failure domain under which reports list VMs that reach no targets. VMs of an older
@@ -106,10 +101,7 @@
         self.weights = VmWeights(own=own.vm, own_size=own_size)
         self._records: dict[str, VmRecord] = {}
         self._registered_at: dict[str, float] = {}
-        #: Incarnations of ended VMs that removed their registration, by name.
-        self._ended: dict[str, int] = {}
-        #: Ended VMs that may still be serving their callers, each with the time of its removal.
-        self._leaving: dict[str, tuple[float, VmRecord]] = {}
+        self._ended: EndedVms[VmRecord] = EndedVms()
         self._liveness = Liveness(own=own.vm)
         #: Whether the store responded to the last call of this VM.
         self.reaches_store = True
@@ -156,8 +148,7 @@
 
         A VM that stops removes its registration first and then serves on for its stop time.
         """
-        removed_at, record = self._leaving.get(vm, (float("-inf"), None))
-        return self._records.get(vm) or (record if now - removed_at <= _STOP_VALIDITY_S else None)
+        return self._records.get(vm) or self._ended.find_serving(vm, now=now)
 
     def set_cut_off(self, is_cut_off: bool) -> None:
         """Records whether this VM has lost its paths to the targets of all services."""
@@ -291,7 +282,7 @@
             return False
         if known is not None and known.incarnation == record.incarnation and known.stopping:
             record = record._replace(stopping=True)
-        if record.incarnation == self._ended.get(record.vm):
+        if self._ended.has_ended(record):
             record = record._replace(stopping=True)
         if known == record:
             return False
@@ -315,14 +306,7 @@
             self._registered_at.pop(vm, None)
             self._liveness.forget(vm)
             if has_ended:
-                self._record_ended(record, now)
-
-    def _record_ended(self, record: VmRecord, now: float) -> None:
-        self._ended[record.vm] = record.incarnation
-        self._leaving[record.vm] = (now, record)
-        for known in (self._ended, self._leaving):
-            if len(known) > _MAX_ENDED:
-                del known[next(iter(known))]
+                self._ended.record(record, now=now)
 
     def record_heartbeat(self, heartbeat: Heartbeat, *, now: float) -> VmRecord | None:
         """Records a heartbeat and its reports; returns the VM's record if that changed.
