Take the ends of a soak's processes from the kernel on time

Besides, Process.send_signal polls the process, which takes the exit status away from the event loop, and the status is reported as 255.

A thread waits for the end of each process without taking its status, signals go through pidfds, and the runner records when it is late itself (`runner_late`). The checkers are unchanged.

--- a/standins/soak/fleet.py
+++ b/standins/soak/fleet.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -54,6 +55,7 @@
         self._settings.write_text(layout.settings(vm))
         self._ended: asyncio.Task[None] | None = None
         self._starting = asyncio.Lock()
+        self._pidfd = -1
 
     @property
     def is_running(self) -> bool:
@@ -77,6 +79,7 @@
                 sys.executable, "-m", "carawaybank.platform",
                 env=environment, cwd=self._settings.parent, stdout=log, stderr=log,
             )  # fmt: skip
+        self._pidfd = os.pidfd_open(self.process.pid)
         self._ended = asyncio.create_task(self._note_end(self.process))
 
     def send(self, number: signal.Signals, *, event: str = "") -> None:
@@ -88,8 +91,7 @@
         """
         if self.is_running and self.process is not None:
             self._event(event or number.name)
-            with contextlib.suppress(ProcessLookupError):
-                self.process.send_signal(number)
+            self._signal(number)
 
     async def stop(self, *, is_starved: bool = False) -> None:
         """Stops the process as the platform does, which kills it after the grace.
@@ -166,9 +168,19 @@
             self.descriptors = max(self.descriptors, len(list((directory / "fd").iterdir())))
 
     async def _note_end(self, process: asyncio.subprocess.Process) -> None:
+        pidfd, ended_at = self._pidfd, list[float]()
+        # A thread sees the end on time also while the event loop is late.
+        watch = threading.Thread(target=_watch_end, args=(pidfd, ended_at), daemon=True)
+        watch.start()
         status = await process.wait()
-        self._event(
-            "exit",
+        await asyncio.to_thread(watch.join)
+        os.close(pidfd)
+        self._recorder.add(
+            "event",
+            at=ended_at[0],
+            event="exit",
+            vm=self.vm.name,
+            pid=process.pid,
             status=status,
             expected=self.is_expected_to_end,
             peak_mb=round(self.peak_mb, 1),
@@ -181,15 +193,25 @@
         self._event("starved")
         try:
             while process is not None and process.returncode is None:
-                process.send_signal(signal.SIGSTOP)
+                self._signal(signal.SIGSTOP)
                 await asyncio.sleep(_PAUSED_S)
-                process.send_signal(signal.SIGCONT)
+                self._signal(signal.SIGCONT)
                 await asyncio.sleep(_RUNNING_S)
-        except ProcessLookupError:
-            return
         finally:
             self._event("relieved")
 
+    def _signal(self, number: signal.Signals) -> None:
+        # Process.send_signal polls, which takes the exit status away from the event loop.
+        with contextlib.suppress(OSError):  # The process has just ended.
+            signal.pidfd_send_signal(self._pidfd, number)
+
     def _event(self, event: str, **values: object) -> None:
         pid = self.process.pid if self.process is not None else 0
         self._recorder.event(event, vm=self.vm.name, pid=pid, **values)
+
+
+def _watch_end(pidfd: int, ended_at: list[float]) -> None:
+    """Adds the time at which a process ends, and leaves its status to the event loop."""
+    with contextlib.suppress(ChildProcessError):  # The event loop was faster.
+        os.waitid(os.P_PIDFD, pidfd, os.WEXITED | os.WNOWAIT)
+    ended_at.append(time.monotonic())
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -17,6 +17,7 @@
 #: Seconds until a VM that was started has to be ready.
 START_S = 20.0
 _LEAD_S = 2.0
+_LATENESS_S = 0.5
 _LOAD_TAIL_S = 15.0
 _BUSY = """
 import sys, time
@@ -122,6 +123,7 @@
     async def _play(self) -> None:
         started_at = time.monotonic() + 0.5
         self._tasks = [asyncio.create_task(vm.poll()) for vm in self._vms.values()]
+        self._tasks.append(asyncio.create_task(self._watch_lateness()))
         for process in self._helpers:
             assert process.stdin is not None
             process.stdin.write(f"{started_at}\n".encode())
@@ -199,6 +201,15 @@
         await self._store.delete("op", f"evacuate/{place}")
         self._recorder.event("unevacuate", failure_domain=place)
 
+    async def _watch_lateness(self) -> None:
+        """Records when the runner itself got no processor, so that its signals came late."""
+        while True:
+            started_at = time.monotonic()
+            await asyncio.sleep(_LATENESS_S)
+            late_s = time.monotonic() - started_at - _LATENESS_S
+            if late_s > _LATENESS_S:
+                self._recorder.event("runner_late", late_s=round(late_s, 3))
+
     async def _lose_store(self, fault: Fault) -> None:
         self._recorder.event("store_away")
         self._store.set_error_status(503)
