--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -173,7 +173,7 @@
             return
         await vm.start()
         await asyncio.sleep(fault["after_start_s"])
-        await self._hang_up(fault)
+        vm.send(signal.SIGHUP)
         await vm.wait_until_ready(START_S)
 
     async def _kill(self, fault: Fault) -> None:
@@ -188,7 +188,9 @@
         await asyncio.gather(*(self._start_vm(vm) for vm in self._vms.values()))
 
     async def _hang_up(self, fault: Fault) -> None:
-        self._vms[fault["subject"]].send(signal.SIGHUP)
+        vm = self._vms[fault["subject"]]
+        if vm.has_been_ready:
+            vm.send(signal.SIGHUP)
 
     async def _freeze(self, fault: Fault) -> None:
         await self._vms[fault["subject"]].freeze(fault["for_s"])
