--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -75,9 +75,10 @@
     print(checks.summarize(history))
     slack_s = history.bounds.lossSlackMs / 1000
     for request in history.requests:
-        wait_s = request.ended_at - (request.last_byte_at or 0.0)
-        is_cut = request.outcome in {"reset", "closed"} and not history.runs_of(request.id)
-        if is_cut and wait_s <= slack_s:
+        sent_at = request.last_byte_at
+        if not sent_at or request.outcome not in {"reset", "closed"}:
+            continue
+        if request.ended_at - sent_at <= slack_s and not history.runs_of(request.id):
             print(f"unanswered within {slack_s:g} s: {request.vm} {request.describe()}")
     return bool(checks.find_violations(history))
 
