--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -80,9 +80,6 @@
         self._journal = Journal(vm=deployment.vm)
         self._settings_file = SettingsFile(path=settings_path, journal=self._journal)
         self._counters = Counters()
-        self._metrics = Exposition(
-            vm=deployment.vm, counters=self._counters, on_failure=self._log_missing_metrics
-        )
         self._rng = random.Random(f"{deployment.vm}.{time.time_ns()}")
         self._router = Router(
             options=deployment.router_options(), rng=self._rng, started_at=time.monotonic()
@@ -243,6 +240,9 @@
         self._make_control()
 
     def _make_control(self) -> None:
+        self._metrics = Exposition(
+            vm=self._deployment.vm, counters=self._counters, on_failure=self._log_missing_metrics
+        )
         limit = self._router.identification.revocation
         self._proofs = ConfigurationProofs(
             watch=self._watches[0], source=self._source, limit=limit, journal=self._journal
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -221,8 +221,7 @@
         return _STORE_LAG_LIMIT_S if from_store else _READER_LAG_LIMIT_S
 
     async def run(self) -> None:
-        """Follows the table until cancelled."""
-        # An update at which the last run failed may have been applied in part.
+        """Follows the table until cancelled; an earlier run may have applied an update in part."""
         self._needs_full_read = True
         while True:
             reader = self._reader = self._select_reader()
