Accept what waits behind a connection that its caller has aborted

Callers whose connections waited behind one that its caller had aborted were reset when the VM stopped: such an error of accept() ended the batch, and the listener closed. The listener goes on to the next connection now. The test, with an abort before three connections, failed before and passes.

The steps of a stop are applied in a function of their own, without a change of behaviour.

--- a/src/carawaybank/callers/listeners.py
+++ b/src/carawaybank/callers/listeners.py
@@ -149,12 +149,14 @@
         return self._sock.fileno() >= 0
 
     def _accept(self) -> int:
-        """Accepts the connections that wait, and returns their number."""
+        """Accepts the connections that wait, and returns how many it took from the queue."""
         for count in range(_BACKLOG):
             try:
                 connection, _ = self._sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except BlockingIOError:
                 return count
+            except ConnectionAbortedError:  # Its caller has left; others may wait behind it.
+                continue
             except OSError as error:
                 self._pause(error)
                 return count
--- a/src/carawaybank/shutdown.py
+++ b/src/carawaybank/shutdown.py
@@ -1,6 +1,7 @@
 """Performs the planned stop of an entry VM, as :mod:`carawaybank.routing.stopping` decides."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
@@ -81,13 +82,9 @@
         if not plan.is_listening(now):
             queued += await _stop_listening(listeners.requests)
         open_connections = list(connections())
-        for connection in open_connections:
-            step = plan.decide(connection.state, now)
-            if step is Step.CLOSE:
-                connection.close()
-                closed += 1
-            elif step is Step.REFUSE:
-                refused += connection.refuse_unfinished("the entry VM stops")
+        steps = _apply_steps(plan, open_connections, now)
+        closed += steps[Step.CLOSE]
+        refused += steps[Step.REFUSE]
         if plan.has_given_up(now) and not has_given_up:
             has_given_up = True
             given_up = give_up()
@@ -102,6 +99,21 @@
     return StopResult(closed, refused, given_up, cut, queued, late_s)
 
 
+def _apply_steps(
+    plan: StopPlan, connections: Iterable[CallerConnection], now: float
+) -> Counter[Step]:
+    """Closes connections and refuses requests by the plan, and returns how many of each."""
+    steps: Counter[Step] = Counter()
+    for connection in connections:
+        step = plan.decide(connection.state, now)
+        if step is Step.CLOSE:
+            connection.close()
+            steps[step] += 1
+        elif step is Step.REFUSE:
+            steps[step] += connection.refuse_unfinished("the entry VM stops")
+    return steps
+
+
 async def _stop_listening(listeners: Iterable[Listener]) -> int:
     """Stops listeners, and returns the number of connections that waited to be accepted."""
     return sum([await listener.stop() for listener in listeners])
--- a/tests/callers/test_listeners.py
+++ b/tests/callers/test_listeners.py
@@ -64,10 +64,11 @@
 
 
 class FullSocket:
-    """A listening socket that cannot accept for want of descriptors at first."""
+    """A listening socket that cannot accept at first, by default for want of descriptors."""
 
-    def __init__(self, *, sock):
+    def __init__(self, *, sock, error=None):
         self._sock = sock
+        self._error = error or OSError(errno.EMFILE, "too many open files")
         self.failures = 1
 
     def __getattr__(self, name):
@@ -76,7 +77,7 @@
     def accept(self):
         if self.failures:
             self.failures -= 1
-            raise OSError(errno.EMFILE, "too many open files")
+            raise self._error
         return self._sock.accept()
 
 
@@ -130,3 +131,16 @@
         assert [await read_status(caller) for caller in callers] == [b"200"] * 10
 
     asyncio.run(run())
+
+
+def test_a_caller_that_has_left_hides_no_connection_behind_it():
+    """Guards against a reset of connections that wait behind one that its caller has aborted."""
+
+    async def run():
+        listener = await listen("127.0.0.1:0", connection_factory(respond))
+        listener._sock = FullSocket(sock=listener._sock, error=ConnectionAbortedError())
+        callers = [connect(listener) for _ in range(3)]
+        await listener.stop()
+        assert [await read_status(caller) for caller in callers] == [b"200"] * 3
+
+    asyncio.run(run())
