Log the attempts that a stop interrupts, and how late its signal was handled

The logs could not tell an attempt that was passed on too late in a stop from one whose response lay unread: both were 'attempt failed', 'stopping', with a duration. 'given up' now names the request, its target, when it arrived and was sent on after the signal, the time expected for it, and whether a part of a response had arrived. 'stopping' says for how long the process may not have run when it handled the signal, from a timer that runs each 0.1 s.

--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -130,6 +130,12 @@
         transport = self._transport
         return self.is_open and transport is not None and not has_unread_input(transport)
 
+    @property
+    def has_response(self) -> bool:
+        """Whether a part of the response to the current exchange arrived, read or not."""
+        transport = self._transport
+        return self._has_received_bytes or (transport is not None and has_unread_input(transport))
+
     def has_carried(self, request_id: str) -> bool:
         """Returns whether a late response could belong to an earlier attempt with this id."""
         return request_id in self._sent_ids
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -25,6 +25,7 @@
 from carawaybank.exposition import Exposition
 from carawaybank.handler import RequestHandler
 from carawaybank.journal import Journal
+from carawaybank.lateness import LatenessWatch
 from carawaybank.maintenance import Maintenance
 from carawaybank.operators.rows import OperatorRows
 from carawaybank.pacing import PaceReports
@@ -237,6 +238,7 @@
             own_address=self._deployment.control_address,
             journal=self._journal,
         )
+        self._lateness = LatenessWatch(now=time.monotonic())
         self._make_control()
 
     def _make_control(self) -> None:
@@ -295,6 +297,7 @@
             *self._own_weight.background_functions(),
             self._metrics.load_on_demand,
             self._allotments.run,
+            self._lateness.run,
         ]
 
     def _log_restart(self, failure: TaskError) -> None:
@@ -466,8 +469,13 @@
         """
         started_at = asyncio.get_running_loop().time()
         waited_for = len(self._router.requests)
+        late_s = self._lateness.late_s(now=started_at)
         self._journal.log(
-            "daemon", "stopping", connections=len(self._connections), requests=waited_for
+            "daemon",
+            "stopping",
+            connections=len(self._connections),
+            requests=waited_for,
+            late_s=round(late_s, 2),
         )
         plan = StopPlan(started_at=started_at, stop_within_s=self._deployment.stop_within_s)
         self._router.stop_plan = plan
@@ -481,7 +489,7 @@
             listeners=listeners,
             connections=lambda: (*self._connections, *self._relays.connections),
             is_idle=lambda: self._router.is_idle,
-            give_up=lambda: self._sender.give_up() + self._relays.client.give_up(),
+            give_up=lambda: self._give_up(started_at),
         )
         deregistration.cancel()
         self._journal.log(
@@ -498,6 +506,29 @@
             late_s=round(result.late_s, 2),
         )
 
+    def _give_up(self, stopping_since: float) -> int:
+        """Ends the attempts in progress, and returns their number.
+
+        Args:
+            stopping_since: Time of the stop signal in monotonic seconds.
+        """
+        requests = {progress.request.key: progress for progress in self._router.requests}
+        interrupted = self._sender.give_up()
+        for attempt in interrupted:
+            progress = requests.get(attempt.key)
+            if progress is not None:
+                self._journal.log(
+                    "request",
+                    "given up",
+                    id=progress.request.request_id,
+                    target=progress.last_target_id,
+                    arrived_s=round(progress.arrived_at - stopping_since, 3),
+                    sent_s=round(progress.sent_at - stopping_since, 3),
+                    expected_ms=progress.choice and round(progress.choice.expected_s * 1000),
+                    has_response=attempt.has_response,
+                )
+        return len(interrupted) + self._relays.client.give_up()
+
     def _count_told_to_close(self) -> None:
         self._told_to_close_count += 1
 
--- a/src/carawaybank/targets/sender.py
+++ b/src/carawaybank/targets/sender.py
@@ -47,6 +47,18 @@
     limit: LimitStatement | None = None
 
 
+class InterruptedAttempt(NamedTuple):
+    """An attempt that ended because the VM stops.
+
+    Attributes:
+        key: Key of its request in the router.
+        has_response: Whether a part of a response had arrived, read or not.
+    """
+
+    key: int
+    has_response: bool
+
+
 class TargetDialect(Protocol):
     """Encodes requests and decodes responses in the protocol of the targets."""
 
@@ -186,16 +198,16 @@
             connection.fail(Reason.PATH_LOST, "the path to the targets was lost")
         return len(aborted)
 
-    def give_up(self) -> int:
-        """Ends all attempts and sends no further request, because the VM stops.
-
-        Returns:
-            The number of attempts that were ended.
-        """
+    def give_up(self) -> list[InterruptedAttempt]:
+        """Ends all attempts and sends no further request, because the VM stops."""
         self._has_given_up = True
+        interrupted = [
+            InterruptedAttempt(action.key, connection.has_response)
+            for connection, action in self._exchanging.items()
+        ]
         for connection in self._exchanging:
             connection.fail(Reason.STOPPING, STOP_MESSAGE)
-        return len(self._exchanging)
+        return interrupted
 
     def _acquire(self, peer: str, action: Send, *, request_id: str) -> ClientConnection | None:
         """Returns an idle connection on which no late response can belong to the same id."""
