--- a/tests/platform/stops.py
+++ b/tests/platform/stops.py
@@ -63,8 +63,9 @@
         statuses: Status of each complete response, by the id of its request.
     """
 
-    def __init__(self, *, vm, name, ip=None, read_pause_s=0.0):
+    def __init__(self, *, vm, name, ip=None, read_pause_s=0.0, object_key=""):
         self.vm, self.name, self.read_pause_s = vm, name, read_pause_s
+        self.object_key = object_key
         self.ip = ip or process_ip()
         self.sent, self.statuses = [], {}
         self.is_told_to_close = False
@@ -81,8 +82,9 @@
 
     def head(self, method, path, length=0):
         request_id = f"{self.name}-{len(self.sent)}"
+        key = f"X-Carawaybank-Affinity-Key: {self.object_key}\r\n" if self.object_key else ""
         return request_id, (
-            f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
+            f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n{key}"
             f"X-Carawaybank-Request-Id: {request_id}\r\nX-Carawaybank-Deadline-Ms: 5000\r\n"
             f"Content-Length: {length}\r\n\r\n"
         ).encode()
@@ -152,6 +154,17 @@
     ]
 
 
+def find_replaced(vm, callers):
+    """Returns the requests that a target has run and that got another status than the target's."""
+    runs = set(vm.target.runs)
+    return [
+        (request_id, status)
+        for caller in callers
+        for request_id, status in caller.statuses.items()
+        if request_id in runs and status != 200
+    ]
+
+
 async def connect(vm, name, ip=None):
     """Returns a new caller, or None if the VM does not listen any more."""
     caller = Caller(vm=vm, name=name, ip=ip)
--- a/tests/platform/test_process_stops.py
+++ b/tests/platform/test_process_stops.py
@@ -7,7 +7,15 @@
 
 import pytest
 
-from tests.platform.stops import STOP_S, Caller, StoppingVm, find_lost, traffic
+from tests.platform.stops import (
+    STOP_S,
+    Caller,
+    StoppingVm,
+    connect,
+    find_lost,
+    find_replaced,
+    traffic,
+)
 
 pytestmark = pytest.mark.processes
 
@@ -147,3 +155,42 @@
     signals = [(rng.uniform(0, 1), rng.choice(kinds)) for _ in range(rng.randint(0, 5))]
     signals = [(rng.uniform(0.2, 1.5), signal.SIGTERM), *signals]
     run_stop(tmp_path, lambda vm, callers: traffic(vm, callers, seed), signals=signals)
+
+
+#: Work on a warm object, by which the VM estimates, and on a cold one, in milliseconds.
+WARM_MS, COLD_MS = 40, 2500
+#: Seconds after SIGTERM at which connections are opened, and at which their first request is sent.
+OPENED_AT, SENT_AT = 2.2, 3.3
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_cold_work_late_in_a_stop_is_refused_and_not_broken_off(tmp_path, method):
+    """Guards against a request that is passed on because the mean of warm and cold work fits."""
+
+    async def run():
+        async with StoppingVm() as vm:
+            await vm.start(tmp_path)
+            reading = asyncio.create_task(vm.output())
+            callers = [Caller(vm=vm, name=f"c{n}", object_key="warm") for n in range(12)]
+            for caller in callers:
+                await caller.open()
+            for _ in range(8):
+                for caller in callers:
+                    caller.send(method, work_ms=WARM_MS)
+                await asyncio.sleep(0.2)
+            vm.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(OPENED_AT)
+            late = [await connect(vm, f"late{n}") for n in range(6)]
+            await asyncio.sleep(SENT_AT - OPENED_AT)
+            for caller in late:
+                caller.object_key = "warm"
+                caller.send(method, work_ms=COLD_MS)
+            assert await asyncio.wait_for(vm.process.wait(), STOP_S) == 0
+            await asyncio.gather(*(caller.finish() for caller in [*callers, *late]))
+            (stopped,) = vm.events(await reading, "stopped")
+            assert find_lost(vm, [*callers, *late]) == []
+            assert find_replaced(vm, late) == []
+            assert [caller.statuses for caller in late if not caller.statuses] == []
+            assert stopped["given_up"] == 0
+
+    asyncio.run(run())
