--- a/src/carawaybank/routing/feedback.py
+++ b/src/carawaybank/routing/feedback.py
@@ -51,13 +51,8 @@
         router.targets.remove(target.entry.target_id)
     verdict = result.verdict
     reason = None if isinstance(verdict, Answered) else verdict.reason
-    if reason in (None, Reason.TIMEOUT):
-        times = router.response_times.of(progress.route, now=now)
-        times.record(result.latency_s, now=now)
-    if reason in _NO_RESPONSE:
-        router.reachability.record_failure(progress.service, target.entry.target_id, now=now)
-    elif reason is not Reason.PATH_LOST:
-        router.reachability.record_reached(progress.service, now=now)
+    _record_time(router, progress, result, reason, now)
+    _record_path(router, progress, target, reason, now)
     if router.reachability.is_lost(progress.service) and reason is not None:
         return  # The failure is one of the path and says nothing about the target.
     _record_pace(router, progress, target, result, now)
@@ -73,6 +68,29 @@
     _record_failure(router, progress, choice, result, now)
 
 
+def _record_time(
+    router: "Router",
+    progress: Progress,
+    result: AttemptResult,
+    reason: Reason | None,
+    now: float,
+) -> None:
+    """Records how long an attempt took that a target answered or did not answer in time."""
+    if reason in (None, Reason.TIMEOUT):
+        times = router.response_times.of(progress.route, now=now)
+        times.record(result.latency_s, now=now)
+
+
+def _record_path(
+    router: "Router", progress: Progress, target: Target, reason: Reason | None, now: float
+) -> None:
+    """Records whether an attempt shows that the path to the targets holds."""
+    if reason in _NO_RESPONSE:
+        router.reachability.record_failure(progress.service, target.entry.target_id, now=now)
+    elif reason is not Reason.PATH_LOST:
+        router.reachability.record_reached(progress.service, now=now)
+
+
 def _record_load(
     router: "Router", progress: Progress, target: Target, load: LoadReport, now: float
 ) -> None:
