Serve without metrics while their port is in use

Cause: the port of metrics was taken among those that serving needs, and a port that stays in use is an error.

The VM now listens for scrapes in a background task, which waits without a limit, logs `waiting for an address` and, once the port is free, `listening after a wait`.

--- a/src/carawaybank/callers/listeners.py
+++ b/src/carawaybank/callers/listeners.py
@@ -60,7 +60,7 @@
 
         Args:
             wait_s: Seconds after which an address in use is an error.
-            journal: Logs the first failure for each address.
+            journal: Logs the first failure for each address, and the end of the wait.
         """
         self._wait_s = wait_s
         self._journal = journal
@@ -72,17 +72,24 @@
             ListenError: If the address is still in use after the wait.
         """
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + self._wait_s
-        is_logged = False
+        started_at = loop.time()
+        reason = ""
         while True:
             try:
-                return await listen_once()
+                result = await listen_once()
             except ListenError as error:
-                if loop.time() >= deadline:
+                if loop.time() >= started_at + self._wait_s:
                     raise
-                if not is_logged:
-                    is_logged = True
-                    self._journal.log("daemon", "waiting for an address", reason=str(error))
+                if not reason:
+                    reason = str(error)
+                    self._journal.log("daemon", "waiting for an address", reason=reason)
+            else:
+                if reason:
+                    waited_s = round(loop.time() - started_at, 1)
+                    self._journal.log(
+                        "daemon", "listening after a wait", waited_s=waited_s, reason=reason
+                    )
+                return result
             await asyncio.sleep(_LISTEN_INTERVAL_S)
 
 
--- a/src/carawaybank/endpoints.py
+++ b/src/carawaybank/endpoints.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import math
 from collections.abc import Callable
 
 from carawaybank import exposition
@@ -17,6 +18,7 @@
 from carawaybank.counters import Counters
 from carawaybank.deployment import Deployment
 from carawaybank.exposition import Exposition
+from carawaybank.journal import Journal
 from carawaybank.replies import HttpReply
 from carawaybank.routing.callerlists import SharedAddresses
 from carawaybank.routing.router import Router
@@ -71,7 +73,7 @@
     async def listen(
         self, deployment: Deployment, *, ttl_s: Callable[[], float], wait: AddressWait
     ) -> list[Listener]:
-        """Starts to listen for readiness checks, look-ups and scrapes.
+        """Starts to listen for readiness checks and look-ups.
 
         Args:
             deployment: The addresses.
@@ -90,15 +92,23 @@
         factories = {
             deployment.ready_address: sync_connection_factory(self.handle_ready),
             deployment.directory_address: connection_factory(handle_lookup),
-            f"{deployment.ip}:{deployment.metrics_port}": sync_connection_factory(
-                self.handle_metrics
-            ),
         }
         return [
             await wait.run(functools.partial(listen, address, factory))
             for address, factory in factories.items()
         ]
 
+    async def listen_for_scrapes(self, address: str, *, journal: Journal) -> Listener:
+        """Starts to listen for scrapes of metrics, as soon as their address is free.
+
+        Args:
+            address: ``IP:PORT`` to listen on.
+            journal: Logs the wait and its end.
+        """
+        wait = AddressWait(wait_s=math.inf, journal=journal)
+        factory = sync_connection_factory(self.handle_metrics)
+        return await wait.run(functools.partial(listen, address, factory))
+
     async def _wait_until_read(self, starting_until: float) -> None:
         loop = asyncio.get_running_loop()
         end = min(starting_until, loop.time() + MAX_READ_WAIT_S)
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -245,6 +245,16 @@
         self._metrics = Exposition(
             vm=self._deployment.vm, counters=self._counters, on_failure=self._log_missing_metrics
         )
+        self._endpoints = Endpoints(
+            adapter=self._adapter,
+            router=self._router,
+            vms=self._vms,
+            counters=self._counters,
+            metrics=self._metrics,
+            is_ready=lambda: self._handler.is_ready and self._registry.is_loaded,
+            has_read_vms=lambda: self._shared_watch.is_loaded,
+        )
+        self._other_listeners: list[Listener] = []
         limit = self._router.identification.revocation
         self._proofs = ConfigurationProofs(
             watch=self._watches[0], source=self._source, limit=limit, journal=self._journal
@@ -296,6 +306,7 @@
             *self._relays.background_functions(),
             *self._own_weight.background_functions(),
             self._metrics.load_on_demand,
+            self._listen_for_scrapes,
             self._allotments.run,
             self._lateness.run,
         ]
@@ -340,7 +351,7 @@
             raise ListenError(f"cannot listen on UDP {address}: {error}") from error
 
     async def _listen(self) -> Listeners:
-        """Listens on all addresses, on that of callers last."""
+        """Listens on all addresses that a VM needs to serve, on that of callers last."""
         deployment = self._deployment
         wait = AddressWait(
             wait_s=deployment.stop_within_s + _ADDRESS_WAIT_MARGIN_S, journal=self._journal
@@ -354,21 +365,13 @@
             on_told_to_close=self._count_told_to_close,
             bodies=self._bodies,
         )
-        endpoints = Endpoints(
-            adapter=self._adapter,
-            router=self._router,
-            vms=self._vms,
-            counters=self._counters,
-            metrics=self._metrics,
-            is_ready=lambda: self._handler.is_ready and self._registry.is_loaded,
-            has_read_vms=lambda: self._shared_watch.is_loaded,
-        )
         relays = self._relays.serve(self._handler, backlog=self._backlog, bodies=self._bodies)
 
         async def start(address: str, factory: Callable[[], CallerConnection]) -> Listener:
             return await wait.run(functools.partial(listen, address, factory))
 
-        others = await endpoints.listen(
+        others = self._other_listeners
+        others += await self._endpoints.listen(
             deployment, ttl_s=lambda: self._deployment.lookup_ttl_s, wait=wait
         )
         siblings = await start(f"{deployment.ip}:{deployment.sibling_port}", relays)
@@ -381,6 +384,12 @@
         )
         return Listeners(requests=(callers, siblings), others=others)
 
+    async def _listen_for_scrapes(self) -> None:
+        """Listens for scrapes of metrics, which a VM does not need to serve."""
+        address = f"{self._deployment.ip}:{self._deployment.metrics_port}"
+        listener = await self._endpoints.listen_for_scrapes(address, journal=self._journal)
+        self._other_listeners.append(listener)
+
     def _watch(
         self,
         table: str,
--- a/tests/platform/test_process_starts.py
+++ b/tests/platform/test_process_starts.py
@@ -134,6 +134,28 @@
     asyncio.run(run())
 
 
+def test_a_port_for_metrics_that_is_in_use_does_not_keep_a_process_from_serving(tmp_path):
+    """Guards against a start that ends for want of an address that serving does not need."""
+
+    async def run():
+        async with Node() as node:
+            with socket.socket() as holder:
+                holder.bind((process_ip(), node.ports["8106"]))
+                holder.listen()
+                await asyncio.wait_for(node.start(tmp_path), 5.0)
+                assert (await node.call("8100", "/x/1", method="POST")).status == 200
+                line = await asyncio.wait_for(read_event(node.process, "waiting for an address"), 1)
+                assert f":{node.ports['8106']}" in line["reason"]
+            async with asyncio.timeout(5.0):
+                while await node.status("8106", "/metrics") is None:
+                    await asyncio.sleep(0.05)
+            node.process.send_signal(signal.SIGTERM)
+            await node.process.communicate()
+            assert node.process.returncode == 0
+
+    asyncio.run(run())
+
+
 def test_a_process_that_waits_for_an_address_can_be_stopped(tmp_path):
     """Guards against a process that is killed because it waits longer than a stop may take."""
 
