--- a/tests/platform/test_process_starts.py
+++ b/tests/platform/test_process_starts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -58,6 +59,18 @@
     assert run.stdout.splitlines()[0] == "SIG_IGN"
 
 
+#: Runs the daemon's entry point, and sends it SIGTERM when it begins to import.
+STOP_AT_IMPORT = PRINT_ACTION.replace("import runpy, ", "import os, runpy, ").replace(
+    "print(signal.getsignal(signal.SIGHUP).name)", "os.kill(os.getpid(), signal.SIGTERM)"
+)
+
+
+def test_a_process_that_is_stopped_while_it_imports_ends_as_planned():
+    """Guards against a stop that looks like a failure because the process has just started."""
+    run = subprocess.run([sys.executable, "-c", STOP_AT_IMPORT], check=False)
+    assert run.returncode == 0
+
+
 def test_changed_settings_do_not_end_a_process_that_starts(tmp_path):
     """Guards against SIGHUP ending a process between its imports and its first request."""
 
