Log the wait for settings instead of printing it

Cause: the wait was printed on standard error without handling the error of a closed pipe. It is a line `waiting for settings` of the structured log now, which neither fails nor blocks.

test_a_closed_standard_error_does_not_end_a_process_that_waits_for_its_settings guards it, and test_a_process_that_waits_for_its_settings_can_be_stopped the stop meanwhile; the line that both wait for did not exist before.

--- a/src/carawaybank/platform/command.py
+++ b/src/carawaybank/platform/command.py
@@ -116,7 +116,8 @@
                 raise
             if str(error) != reported:
                 reported = str(error)
-                print(f"waiting for settings: {error}", file=sys.stderr, flush=True)
+                # Standard error may be closed or full, which must not end or delay the start.
+                Journal(vm="").log("daemon", "waiting for settings", reason=reported)
         time.sleep(_SETTINGS_INTERVAL_S)
 
 
--- a/tests/platform/test_process_starts.py
+++ b/tests/platform/test_process_starts.py
@@ -14,7 +14,7 @@
 import pytest
 
 from standins.cluster import process_ip
-from tests.platform.sites import START_S
+from tests.platform.sites import START_S, wait_until_ready
 from tests.platform.test_process import Node, run_process
 
 pytestmark = pytest.mark.processes
@@ -74,6 +74,39 @@
     assert run.returncode == 0
 
 
+def test_a_process_that_waits_for_its_settings_can_be_stopped(tmp_path):
+    """Guards against a stop that looks like a failure because the settings are wrong."""
+
+    async def run():
+        process = await run_process(tmp_path / "absent.toml", stdout=asyncio.subprocess.PIPE)
+        line = await asyncio.wait_for(read_event(process, "waiting for settings"), START_S)
+        assert "absent.toml" in line["reason"]
+        os.kill(process.pid, signal.SIGTERM)
+        await asyncio.wait_for(process.communicate(), 2)
+        assert process.returncode == 0
+
+    asyncio.run(run())
+
+
+def test_a_closed_standard_error_does_not_end_a_process_that_waits_for_its_settings(tmp_path):
+    """Guards against an end with status 1 when the reader of standard error has ended."""
+
+    async def run():
+        async with Node() as node:
+            reading, writing = os.pipe()
+            os.close(reading)
+            path = tmp_path / "node.toml"
+            pipe = asyncio.subprocess.PIPE
+            node.process = await run_process(path, stdout=pipe, stderr=writing)
+            os.close(writing)
+            await asyncio.wait_for(read_event(node.process, "waiting for settings"), START_S)
+            await asyncio.sleep(0.5)
+            path.write_text(node.text)
+            await wait_until_ready(node.process, node.is_ready, node.output)
+
+    asyncio.run(run())
+
+
 def test_changed_settings_do_not_end_a_process_that_starts(tmp_path):
     """Guards against SIGHUP ending a process between its imports and its first request."""
 
