Finish a stop although a caller leaves while its request is refused

Cause: an error response closes its direction of the connection by write_eof. If the caller has closed the connection, and the event loop has not read that yet, the response makes the kernel reset the connection, and write_eof raises ENOTCONN. In a stop the decisions on all connections are taken in one loop, so the error ended the loop, the stop and the process. The refusal of a slow request head (408) has the same path; its error ended the periodic task, which runs again, and ends the process at the sixth time within a minute.

The end is now sent in one place, which accepts that the caller has left.

That this is the users' case is not shown: they sent no log of the ends.

--- a/src/carawaybank/callers/connections.py
+++ b/src/carawaybank/callers/connections.py
@@ -213,8 +213,7 @@
         # The transport closes its socket only in the next round of the event loop. A caller that
         # does not know yet would send its next request in between.
         if not self._transport.get_write_buffer_size():
-            with contextlib.suppress(OSError):  # The caller has reset the connection.
-                self._transport.write_eof()
+            self._send_end(self._transport)
         self._transport.close()
 
     def refuse_unfinished(self, detail: str) -> bool:
@@ -389,11 +388,16 @@
             self.close()
             return
         self._close_timer = self._loop.call_later(_CLOSE_WAIT_S, self._close_if_received)
-        self._transport.write_eof()
+        self._send_end(self._transport)
         if self._is_reading_paused:
             self._is_reading_paused = False
             self._transport.resume_reading()
 
+    @staticmethod
+    def _send_end(transport: asyncio.Transport) -> None:
+        with contextlib.suppress(OSError):  # The caller has left, and its end was not read yet.
+            transport.write_eof()
+
     def _close_if_received(self) -> None:
         if self._backlog is not None and self._backlog.unreceived_bytes:
             self._close_timer = self._loop.call_later(_CLOSE_WAIT_S, self._close_if_received)
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -454,6 +454,23 @@
     run(scenario())
 
 
+def test_a_refusal_to_a_caller_that_has_left_raises_nothing():
+    """Guards against a stop that fails at a caller that left in the middle of a body."""
+
+    async def scenario():
+        async with Caller() as caller:
+            port = caller.server.sockets[0].getsockname()[1]
+            sock = socket.create_connection(("127.0.0.1", port))
+            sock.sendall(b"POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nab")
+            await wait_until(lambda: any(c.state.is_receiving for c in caller.connections))
+            (connection,) = (c for c in caller.connections if c.state.is_receiving)
+            sock.close()
+            assert connection.refuse_unfinished("the entry VM stops")
+            await wait_until(lambda: connection not in caller.connections)
+
+    run(scenario())
+
+
 def test_an_upgrade_is_ignored_and_later_requests_are_answered():
     """Guards against requests lost after an Upgrade header, at which the parser stops."""
 
--- a/tests/platform/test_process_uploads.py
+++ b/tests/platform/test_process_uploads.py
@@ -1,6 +1,8 @@
 """Large uploads, each within the operator's limit, beside other callers of an entry VM."""
 
 import asyncio
+import signal
+import socket
 import time
 
 import pytest
@@ -103,3 +105,30 @@
             print(f"peak {peak_mb(vm.process.pid):.0f} MB, statuses {sorted(statuses)}")
 
     asyncio.run(run())
+
+
+def test_callers_that_leave_in_the_middle_of_bodies_do_not_end_a_stop(tmp_path):
+    """Guards against a stop that fails, and cuts all requests, at a caller that leaves."""
+
+    async def run():
+        async with Node() as node:
+            await node.start(tmp_path)
+            head = "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Carawaybank-Request-Id: {}\r\n"
+            callers = []
+            for number in range(400):
+                caller = socket.create_connection((process_ip(), node.ports["8100"]))
+                caller.sendall((head + "Content-Length: 60000\r\n\r\n").format(number).encode())
+                caller.sendall(bytes(1000))
+                callers.append(caller)
+            reading = asyncio.create_task(node.output())
+            node.process.send_signal(signal.SIGTERM)
+            # Unfinished requests are refused at one of the decisions in this time.
+            started_at = time.monotonic()
+            for number, caller in enumerate(callers):
+                due = started_at + 3.55 + 0.25 * number / len(callers)
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
+                caller.close()
+            await reading
+            assert await node.process.wait() == 0
+
+    asyncio.run(run())
