Take a closed socket for one without unread input

has_unread_input returns False for a closed socket, as the other functions of the module return 0.

test_a_connection_that_was_lost_has_no_response failed before with "ValueError: file descriptor cannot be a negative integer (-1)".

--- a/src/carawaybank/sockets.py
+++ b/src/carawaybank/sockets.py
@@ -21,7 +21,7 @@
 def has_unread_input(transport: asyncio.BaseTransport) -> bool:
     """Returns whether bytes, the end of the stream or an error wait to be read."""
     sock: Any = transport.get_extra_info("socket")
-    if sock is None:
+    if sock is None or sock.fileno() < 0:  # The socket was closed meanwhile.
         return False
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLIN)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -115,6 +115,23 @@
     assert not error.has_received_bytes
 
 
+def test_a_connection_that_was_lost_has_no_response():
+    """Guards against a stop that fails at an attempt whose target has just ended."""
+
+    async def run():
+        peer = Peer(b"")
+        server = await asyncio.start_server(peer.serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await ClientConnection.open(f"127.0.0.1:{port}", timeout_s=2.0)
+        with pytest.raises(ExchangeError):
+            await connection.exchange(make_call(), timeout_s=2.0)
+        await asyncio.sleep(0)
+        assert not connection.has_response
+        server.close()
+
+    asyncio.run(run())
+
+
 def test_an_exchange_without_response_times_out():
     error = exchange_failure(None, timeout_s=0.05)
     assert error.reason is Reason.TIMEOUT
