--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -31,6 +31,7 @@
 import carawaybank
 from carawaybank import logs, streams
 from carawaybank.background import BackgroundTasks
+from carawaybank.callers import sweeps
 from carawaybank.callers.app import CallersApp
 from carawaybank.callers.connections import CallerConnection
 from carawaybank.callers.forwarding import Forwarder
@@ -230,8 +231,7 @@
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
             self._counters.configuration_version = self._ticket_number()
             self._transport.close_idle()
-            for connection in list(self._connections):
-                connection.check_timeouts(self._loop.time())
+            sweeps.check_timeouts(self._connections, now=self._loop.time())
             if self.host.membership.is_declared_dead and not self._stopping.is_set():
                 self._log.error("Siblings hold this process for dead. Stopping")
                 self.stop()
@@ -260,8 +260,7 @@
                 break
             await asyncio.sleep(0.05)
         # Requests that were read during the deregistration would be cut off.
-        for connection in list(self._connections):
-            connection.close()
+        sweeps.visit(self._connections, CallerConnection.close)
         self._log.info("Stopped. {} requests cut off", self._forwarder.in_flight)
         self._platform_poller.stop()
         await asyncio.to_thread(self._platform_poller.deregister)
--- a/src/carawaybank/maintenance.py
+++ b/src/carawaybank/maintenance.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Collection, Sequence
 
+from carawaybank.callers import sweeps
 from carawaybank.callers.connections import CallerConnection
 from carawaybank.journal import Journal
 from carawaybank.pacing import PaceReports
@@ -68,8 +69,7 @@
             self._retries.publish()
             self._sender.pool.close_idle()
             self._relays.check_timeouts(loop.time())
-            for connection in list(self._connections):
-                connection.check_timeouts(loop.time())
+            sweeps.check_timeouts(self._connections, now=loop.time())
 
     def _recover_from_suspension(self, suspended_s: float) -> None:
         """Cancels calls and closes idle connections; a suspension may have outdated their state."""
--- a/src/carawaybank/relays.py
+++ b/src/carawaybank/relays.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Collection, Coroutine, Sequence
 from typing import Any
 
+from carawaybank.callers import sweeps
 from carawaybank.callers.backlog import ResponseBacklog
 from carawaybank.callers.bodies import BodyMemory
 from carawaybank.callers.connections import CallerConnection, ConnectionContext
@@ -159,8 +160,7 @@
     def check_timeouts(self, now: float) -> None:
         """Closes idle connections from and to siblings."""
         self.pool.close_idle()
-        for connection in list(self._connections):
-            connection.check_timeouts(now)
+        sweeps.check_timeouts(self._connections, now=now)
 
     def _record_change(self) -> None:
         now = asyncio.get_running_loop().time()
--- a/src/carawaybank/shutdown.py
+++ b/src/carawaybank/shutdown.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
+from carawaybank.callers import sweeps
 from carawaybank.callers.connections import CallerConnection
 from carawaybank.callers.listeners import Listener
 from carawaybank.routing.stopping import Step, StopPlan
@@ -104,13 +105,16 @@
 ) -> Counter[Step]:
     """Closes connections and refuses requests by the plan, and returns how many of each."""
     steps: Counter[Step] = Counter()
-    for connection in connections:
+
+    def apply_step(connection: CallerConnection) -> None:
         step = plan.decide(connection.state, now)
         if step is Step.CLOSE:
             connection.close()
             steps[step] += 1
         elif step is Step.REFUSE:
             steps[step] += connection.refuse_unfinished("the entry VM stops")
+
+    sweeps.visit(connections, apply_step)
     return steps
 
 
