--- a/tests/platform/test_process_starts.py
+++ b/tests/platform/test_process_starts.py
@@ -1,7 +1,9 @@
 """Starts of an entry VM while an operator changes settings, or another process has an address."""
 
 import asyncio
+import contextlib
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -12,7 +14,7 @@
 import pytest
 
 from standins.cluster import process_ip
-from tests.platform.sites import START_S
+from tests.platform.sites import START_S, wait_until_ready
 from tests.platform.test_process import Node, run_process
 
 pytestmark = pytest.mark.processes
@@ -31,7 +33,9 @@
     """Sends SIGHUP every few milliseconds until a condition holds or the process ends."""
     async with asyncio.timeout(START_S):
         while not until() and process.returncode is None:
-            process.send_signal(signal.SIGHUP)
+            # Process.send_signal polls, which takes the exit status away from the event loop.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, signal.SIGHUP)
             await asyncio.sleep(0.005)
 
 
@@ -58,6 +62,51 @@
     assert run.stdout.splitlines()[0] == "SIG_IGN"
 
 
+#: Runs the daemon's entry point, and sends it SIGTERM when it begins to import.
+STOP_AT_IMPORT = PRINT_ACTION.replace("import runpy, ", "import os, runpy, ").replace(
+    "print(signal.getsignal(signal.SIGHUP).name)", "os.kill(os.getpid(), signal.SIGTERM)"
+)
+
+
+def test_a_process_that_is_stopped_while_it_imports_ends_as_planned():
+    """Guards against a stop that looks like a failure because the process has just started."""
+    run = subprocess.run([sys.executable, "-c", STOP_AT_IMPORT], check=False)
+    assert run.returncode == 0
+
+
+def test_a_process_that_waits_for_its_settings_can_be_stopped(tmp_path):
+    """Guards against a stop that looks like a failure because the settings are wrong."""
+
+    async def run():
+        process = await run_process(tmp_path / "absent.toml", stdout=asyncio.subprocess.PIPE)
+        line = await asyncio.wait_for(read_event(process, "waiting for settings"), START_S)
+        assert "absent.toml" in line["reason"]
+        os.kill(process.pid, signal.SIGTERM)
+        await asyncio.wait_for(process.communicate(), 2)
+        assert process.returncode == 0
+
+    asyncio.run(run())
+
+
+def test_a_closed_standard_error_does_not_end_a_process_that_waits_for_its_settings(tmp_path):
+    """Guards against an end with status 1 when the reader of standard error has ended."""
+
+    async def run():
+        async with Node() as node:
+            reading, writing = os.pipe()
+            os.close(reading)
+            path = tmp_path / "node.toml"
+            pipe = asyncio.subprocess.PIPE
+            node.process = await run_process(path, stdout=pipe, stderr=writing)
+            os.close(writing)
+            await asyncio.wait_for(read_event(node.process, "waiting for settings"), START_S)
+            await asyncio.sleep(0.5)
+            path.write_text(node.text)
+            await wait_until_ready(node.process, node.is_ready, node.output)
+
+    asyncio.run(run())
+
+
 def test_changed_settings_do_not_end_a_process_that_starts(tmp_path):
     """Guards against SIGHUP ending a process between its imports and its first request."""
 
@@ -134,6 +183,28 @@
     asyncio.run(run())
 
 
+def test_a_port_for_metrics_that_is_in_use_does_not_keep_a_process_from_serving(tmp_path):
+    """Guards against a start that ends for want of an address that serving does not need."""
+
+    async def run():
+        async with Node() as node:
+            with socket.socket() as holder:
+                holder.bind((process_ip(), node.ports["8106"]))
+                holder.listen()
+                await asyncio.wait_for(node.start(tmp_path), 5.0)
+                assert (await node.call("8100", "/x/1", method="POST")).status == 200
+                line = await asyncio.wait_for(read_event(node.process, "waiting for an address"), 1)
+                assert f":{node.ports['8106']}" in line["reason"]
+            async with asyncio.timeout(5.0):
+                while await node.status("8106", "/metrics") is None:
+                    await asyncio.sleep(0.05)
+            node.process.send_signal(signal.SIGTERM)
+            await node.process.communicate()
+            assert node.process.returncode == 0
+
+    asyncio.run(run())
+
+
 def test_a_process_that_waits_for_an_address_can_be_stopped(tmp_path):
     """Guards against a process that is killed because it waits longer than a stop may take."""
 
