Wait for responses that have begun to arrive when a stop ends the attempts

Callers saw: the VM's own 502 5.28 s after SIGTERM for requests whose target had responded while the process was paused. 60 of 60 responses of 400 KB were replaced so, and 3 of 3 of 11 MB, with has_response in the log line of each; small responses were not.

Cause: after a delay the event loop reads for 0.02 s, a time that does not depend on how many bytes wait in the sockets. Then all attempts in progress were ended, whether a part of their response had arrived or not.

Change: at 5.28 s, attempts of which nothing has arrived are ended; the others when the process ends, 0.3 s later. 'given up' names only attempts that are ended by it; it also named attempts whose deadline had passed in the pause, and which got 504.

--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -130,6 +130,11 @@
         transport = self._transport
         return self.is_open and transport is not None and not has_unread_input(transport)
 
+    @property
+    def is_awaiting_response(self) -> bool:
+        """Whether an exchange is in progress that has neither its whole response nor failed."""
+        return self._waiter is not None and not self._waiter.done()
+
     @property
     def has_response(self) -> bool:
         """Whether a part of the response to the current exchange arrived, read or not."""
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -491,7 +491,7 @@
             listeners=listeners,
             connections=lambda: (*self._connections, *self._relays.connections),
             is_idle=lambda: self._router.is_idle,
-            give_up=lambda: self._give_up(started_at),
+            give_up=functools.partial(self._give_up, started_at),
         )
         deregistration.cancel()
         self._journal.log(
@@ -508,14 +508,15 @@
             late_s=round(result.late_s, 2),
         )
 
-    def _give_up(self, stopping_since: float) -> int:
-        """Ends the attempts in progress, and returns their number.
+    def _give_up(self, stopping_since: float, *, is_final: bool) -> int:
+        """Ends attempts in progress, and returns their number.
 
         Args:
             stopping_since: Time of the stop signal in monotonic seconds.
+            is_final: Whether attempts of which a part of the response has arrived are ended too.
         """
         requests = {progress.request.key: progress for progress in self._router.requests}
-        interrupted = self._sender.give_up()
+        interrupted = self._sender.give_up(is_final=is_final)
         for attempt in interrupted:
             progress = requests.get(attempt.key)
             if progress is not None:
@@ -529,7 +530,7 @@
                     expected_ms=progress.choice and round(progress.choice.expected_s * 1000),
                     has_response=attempt.has_response,
                 )
-        return len(interrupted) + self._relays.client.give_up()
+        return len(interrupted) + self._relays.client.give_up(is_final=is_final)
 
     def _count_told_to_close(self) -> None:
         self._told_to_close_count += 1
--- a/src/carawaybank/routing/stopping.py
+++ b/src/carawaybank/routing/stopping.py
@@ -11,7 +11,8 @@
 2. stops listening and closes idle connections; requests that are being received are read on, and
    connections on which nothing was sent yet are kept, as the first request may be on its way,
 3. refuses the requests that are still not complete, and closes the connections without a request,
-4. gives up: ends the attempts in progress, so that their callers still get a response,
+4. gives up: ends the attempts in progress, so that their callers still get a response; attempts of
+   which a part of the response has arrived are waited for until the end,
 5. ends.
 
 At any time, a request is passed on only if it ends before the fourth step. An expected time does
@@ -127,7 +128,7 @@
         return Step.KEEP if is_kept else Step.CLOSE
 
     def has_given_up(self, now: float) -> bool:
-        """Returns whether attempts in progress are ended."""
+        """Returns whether attempts in progress are ended of which no response has arrived."""
         return now >= self._give_up_at
 
     def is_over(self, now: float) -> bool:
--- a/src/carawaybank/shutdown.py
+++ b/src/carawaybank/shutdown.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from carawaybank.callers.connections import CallerConnection
 from carawaybank.callers.listeners import Listener
@@ -50,13 +50,24 @@
     others: Sequence[Listener]
 
 
+class AttemptEnder(Protocol):
+    """Ends attempts in progress, because the VM stops."""
+
+    def __call__(self, *, is_final: bool) -> int:
+        """Ends attempts and returns their number.
+
+        Args:
+            is_final: Whether attempts of which a part of the response has arrived are ended too.
+        """
+
+
 async def drain(
     plan: StopPlan,
     *,
     listeners: Listeners,
     connections: Callable[[], Iterable[CallerConnection]],
     is_idle: Callable[[], bool],
-    give_up: Callable[[], int],
+    give_up: AttemptEnder,
 ) -> StopResult:
     """Serves requests on open connections until callers have switched, and closes everything.
 
@@ -65,12 +76,11 @@
         listeners: The listeners.
         connections: Returns the open connections of callers and siblings.
         is_idle: Returns whether no request is in progress.
-        give_up: Ends the attempts in progress and returns their number.
+        give_up: Ends attempts in progress.
     """
     loop = asyncio.get_running_loop()
     closed = refused = given_up = queued = 0
     late_s = 0.0
-    has_given_up = False
     while not plan.is_over(started_at := loop.time()):
         await asyncio.sleep(_INTERVAL_S)
         now = loop.time()
@@ -85,12 +95,12 @@
         steps = _apply_steps(plan, open_connections, now)
         closed += steps[Step.CLOSE]
         refused += steps[Step.REFUSE]
-        if plan.has_given_up(now) and not has_given_up:
-            has_given_up = True
-            given_up = give_up()
+        if plan.has_given_up(now):
+            given_up += give_up(is_final=False)
         is_listening = any(listener.sockets for listener in listeners.requests)
         if not is_listening and not open_connections and is_idle():
             break
+    given_up += give_up(is_final=True)
     if given_up:
         await asyncio.sleep(_READ_S)
     cut = sum(connection.is_response_outstanding for connection in connections())
--- a/src/carawaybank/siblings/relays.py
+++ b/src/carawaybank/siblings/relays.py
@@ -152,12 +152,21 @@
             if relay.idempotent and relay.offer.vm == vm:
                 connection.fail(Reason.PATH_LOST, f"{vm} does not answer")
 
-    def give_up(self) -> int:
-        """Ends all attempts at siblings, because this VM stops, and returns their number."""
+    def give_up(self, *, is_final: bool) -> int:
+        """Ends attempts at siblings, because this VM stops, and returns their number.
+
+        Args:
+            is_final: Whether attempts of which a part of the result has arrived are ended too.
+        """
         self._has_given_up = True
-        for connection in self._exchanging:
+        interrupted = [
+            connection
+            for connection in self._exchanging
+            if connection.is_awaiting_response and (is_final or not connection.has_response)
+        ]
+        for connection in interrupted:
             connection.fail(Reason.STOPPING, "the entry VM stops")
-        return len(self._exchanging)
+        return len(interrupted)
 
     async def _exchange(self, relay: Relay, request: Request, call: HttpCall) -> HttpReply:
         loop = asyncio.get_running_loop()
--- a/src/carawaybank/targets/sender.py
+++ b/src/carawaybank/targets/sender.py
@@ -198,15 +198,22 @@
             connection.fail(Reason.PATH_LOST, "the path to the targets was lost")
         return len(aborted)
 
-    def give_up(self) -> list[InterruptedAttempt]:
-        """Ends all attempts and sends no further request, because the VM stops."""
+    def give_up(self, *, is_final: bool) -> list[InterruptedAttempt]:
+        """Ends attempts and sends no further request, because the VM stops.
+
+        Args:
+            is_final: Whether attempts of which a part of the response has arrived are ended too.
+
+        Returns:
+            The attempts that were ended.
+        """
         self._has_given_up = True
-        interrupted = [
-            InterruptedAttempt(action.key, connection.has_response)
-            for connection, action in self._exchanging.items()
-        ]
-        for connection in self._exchanging:
-            connection.fail(Reason.STOPPING, STOP_MESSAGE)
+        interrupted = []
+        for connection, action in self._exchanging.items():
+            has_response = connection.has_response
+            if connection.is_awaiting_response and (is_final or not has_response):
+                connection.fail(Reason.STOPPING, STOP_MESSAGE)
+                interrupted.append(InterruptedAttempt(action.key, has_response))
         return interrupted
 
     def _acquire(self, peer: str, action: Send, *, request_id: str) -> ClientConnection | None:
--- a/tests/platform/test_process_stops.py
+++ b/tests/platform/test_process_stops.py
@@ -196,3 +196,30 @@
             assert stopped["given_up"] == 0
 
     asyncio.run(run())
+
+
+#: Seconds after which SIGTERM is sent, and seconds from then until the VM is paused, and for
+#: how long. The pause ends just after the time at which attempts in progress are ended.
+TERMINATED_AT, PAUSED_AT, PAUSE_S = 3.0, 4.2, 1.15
+
+
+def test_large_responses_that_came_during_a_pause_are_read_and_not_replaced(tmp_path):
+    """Guards against a 502 for a response of which only a part was read when attempts are ended."""
+
+    async def scenario(vm, callers):
+        started_at = asyncio.get_running_loop().time()
+        await open_callers(vm, callers, 70)
+        # From a hundred responses, the VM knows how long requests of the route take.
+        for _ in range(12):
+            for caller in callers[:10]:
+                caller.send(work_ms=5)
+            await asyncio.sleep(0.15)
+        sent_at = started_at + TERMINATED_AT + 0.7
+        await asyncio.sleep(sent_at - asyncio.get_running_loop().time())
+        for caller in callers[10:]:
+            caller.send(work_ms=3800, size="large")
+        await asyncio.gather(*(caller.finish() for caller in callers))
+
+    pause = [(PAUSED_AT, signal.SIGSTOP), (PAUSE_S, signal.SIGCONT)]
+    callers, _ = run_stop(tmp_path, scenario, signals=[(TERMINATED_AT, signal.SIGTERM), *pause])
+    assert [list(caller.statuses.values()) for caller in callers[10:]] == [[200]] * 60
