Return the error of a target if the retry of its request is ended

Callers saw: the VM's own 502 or 504 for a request that one target had answered with 500 and whose retry at another target was then ended by a stop, its deadline or a lost connection.

Cause: end_attempt finished with the verdict of the last attempt where no further retry is allowed; the response that is kept for this case was used only if the last attempt did not run.

Change: this path gives way to the earlier result like the others. The test failed in all 3 cases before (502, 504, 502).

--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -257,7 +257,7 @@
         progress.uncertain = verdict
         if progress.route.idempotent and self.try_acquire_retry(progress, now):
             return self._dispatch(progress, now)
-        return self._finish(progress, verdict)
+        return self.finish(progress, verdict)
 
     def end_relay(self, key: int, result: RelayResult, now: float) -> Action:
         """Records the result of a relay and returns the next action for the request.
--- a/tests/routing/test_stopping.py
+++ b/tests/routing/test_stopping.py
@@ -177,3 +177,15 @@
     finish = router.end_attempt(1, AttemptResult(verdict, 4.3), 5.3)
     assert isinstance(finish, Finish)
     assert finish.status == status
+
+
+@pytest.mark.parametrize("reason", [Reason.STOPPING, Reason.TIMEOUT, Reason.CONNECTION_LOST])
+def test_an_error_of_a_target_is_returned_if_the_retry_is_ended(reason):
+    """Guards against an own 502 or 504 in place of the response that an earlier target gave."""
+    router = make_router(make_target(1), make_target(2))
+    assert isinstance(router.arrive(make_request(1), 1.0), Send)
+    assert isinstance(router.end_attempt(1, AttemptResult(Answered(500), 0.1), 1.1), Send)
+    ended = AttemptResult(MayHaveRun(reason, 1.0, ""), 0.1)
+    finish = router.end_attempt(1, ended, 1.2)
+    assert isinstance(finish, Finish)
+    assert finish.status == 500
