Take the estimate of cold work as a bound while a route has few responses

A VM that stops soon after its start has fewer than 100 responses of a route and then asked for the whole time-out to fit. What is passed on this way may be repeated and comes before the VM stops listening.

--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -352,7 +352,9 @@
             return None
         longest_s = progress.deadline - now
         recent_s = self.response_times.of(progress.route, now=now).bound_s(now=now)
-        usual_s = longest_s if recent_s is None else max(recent_s, _TOLERANCE_FACTOR * expected_s)
+        if recent_s is None:
+            recent_s = _TOLERANCE_FACTOR * self.work_estimate(progress).cold_s
+        usual_s = max(recent_s, _TOLERANCE_FACTOR * expected_s)
         if self.stop_plan.can_finish(
             ResponseBounds(usual_s, longest_s),
             is_idempotent=progress.route.idempotent,
--- a/tests/callers/test_sweeps.py
+++ b/tests/callers/test_sweeps.py
@@ -64,7 +64,7 @@
             listeners=Listeners(requests=(), others=()),
             connections=lambda: connections,
             is_idle=lambda: True,
-            give_up=lambda: 0,
+            give_up=lambda *, is_final: 0,
         )
         assert result.closed == 2
         assert set(reports) == {"broken"}
