Count a response that a stopping VM did not read as lost

The soak's checker counted an own answer only while the run was in progress, or was dropped within lossSlackMs, so that such a request was not reported.

Read strictly, the first sentence of LOST covers it: the request was read whole and passed on, and the target's complete answer did not reach the caller. An own answer around SIGTERM now also counts if a run of the request had ended with a success by then. The exceptions stay as they are, one by one: a disturbance from stableMs before the request, the server broke off, the time budget or the route's timeout, and a run that ended in the last sixth of graceS for a request sent no later than 3 s after SIGTERM. Failures of a target, rejected runs and responses that the target broke off do not count, nor do own answers apart from SIGTERM.

--- a/standins/soak/losses.py
+++ b/standins/soak/losses.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from standins.soak.history import BROKEN_OFF, DROPPED, Event, History, Request, Violation
+from standins.soak.history import BROKEN_OFF, DROPPED, Event, History, Request, Run, Violation
 
 #: Losses of a kept connection apart from planned work that the rule tolerates in a run.
 MAX_LOSSES_ANYTIME = 3
@@ -70,13 +70,28 @@
     return ""
 
 
+def is_own_answer(request: Request) -> bool:
+    """Returns whether a VM answered with a failure that no target made."""
+    return request.outcome == "answered" and not request.seal and request.status >= 400
+
+
+def replaces_a_run(history: History, request: Request) -> bool:
+    """Returns whether a VM answered by itself in place of what a target ran.
+
+    The target was at work, or had ended its work with a success that the VM did not pass back.
+    """
+    return is_own_answer(request) and any(
+        _is_in_place_of(history, run, request.ended_at) for run in history.runs_of(request.id)
+    )
+
+
 def find_losses(history: History) -> list[Violation]:
     """Finds requests that planned work, or a VM in touch, left without a whole response."""
     violations = []
     beside_config: dict[str, list[Violation]] = defaultdict(list)
     anytime = []
     for request in history.requests:
-        own_answer = _replaces_a_run(history, request)
+        own_answer = replaces_a_run(history, request)
         if not own_answer and not was_cut(history, request):
             continue
         work = find_planned_work(history, request)
@@ -103,7 +118,7 @@
     lost = {violation.detail for violation in find_losses(history)}
     excused = []
     for request in history.requests:
-        own_answer = _replaces_a_run(history, request)
+        own_answer = replaces_a_run(history, request)
         if not (own_answer or _is_incomplete(request)):
             continue
         work = find_planned_work(history, request)
@@ -158,20 +173,15 @@
     return start <= request.ended_at <= config.at + history.bounds.configMs / 1000 + 1
 
 
-def _replaces_a_run(history: History, request: Request) -> bool:
-    """Returns whether a VM answered by itself while a target was at work on the request."""
-    if request.outcome != "answered" or request.seal or request.status < 400:
+def _is_in_place_of(history: History, run: Run, answered_at: float) -> bool:
+    """Returns whether a run was in progress, or had ended with a success, at an own answer."""
+    if run.started_at > answered_at:
         return False
-    slack_s = history.bounds.lossSlackMs / 1000
-    return any(
-        run.started_at <= request.ended_at
-        and (
-            run.ended_at is None
-            or run.ended_at > request.ended_at
-            or (run.outcome == DROPPED and run.ended_at > request.ended_at - slack_s)
-        )
-        for run in history.runs_of(request.id)
-    )
+    if run.ended_at is None or run.ended_at > answered_at:
+        return True
+    if run.outcome == DROPPED:
+        return run.ended_at > answered_at - history.bounds.lossSlackMs / 1000
+    return 200 <= run.status < 300 and run.outcome not in BROKEN_OFF
 
 
 def _is_lost_anytime(history: History, request: Request) -> bool:
