Soak: pauses beside stops, pairs of stops, and busy hosts of targets

late_stops pauses each VM that stops once, for 0.3 to 3 s, at a moment drawn from before SIGTERM to the end of the grace; half of the pauses are short enough to excuse nothing. stop_pairs stops two VMs at a time. busy_hosts pauses a process of targets eight times; by "a server's silence is no reason to end an answer sooner" it excuses nothing, and belongs to "all". The first two are other ways of "stops", as "starved" is, and stay out of "all". The faults that "all" drew before keep their times, as busy_hosts is drawn last. Pauses are recorded as "pause" until "resume", those of hosts as "host_pause" until "host_resume". The cases in test_soak_losses.py show, for each, a loss beside it that counts, and for long pauses one that does not.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -7,8 +7,9 @@
   --seed N            Seed of faults and load [default: 1].
   --seconds S         Duration of the load in seconds [default: 24].
   --load-share SHARE  Share of the deployment's rate [default: 0.2].
-  --faults MIX        Faults, separated by commas: none, stops, starved, kills, signals, configs,
-                      starts, freezes, leaves, evacuations, store, herd, all [default: stops].
+  --faults MIX        Faults, separated by commas: none, stops, starved, late_stops, stop_pairs,
+                      kills, signals, configs, starts, freezes, leaves, evacuations, store, herd,
+                      busy_hosts, all [default: stops].
   --busy N            Processes that keep cores busy during the load [default: 0].
   --loaders N         Processes that send load [default: 2].
   --hosts N           Processes that host targets [default: 2].
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -2,19 +2,28 @@
 
 import random
 
+from standins.soak.history import MAX_BUSY_PAUSE_S
 from standins.soak.layout import Layout
 from standins.soak.records import Fault
 
 _ALL = (
     "stops", "kills", "signals", "starts", "freezes", "configs", "leaves", "evacuations", "store",
-    "herd",
+    "herd", "busy_hosts",
 )  # fmt: skip
+#: Other ways to stop VMs, which take the place of "stops" and do not belong to "all".
+_OTHER_STOPS = ("starved", "late_stops", "stop_pairs")
 #: Names that a mix may contain.
-MIXES = ("none", "starved", "all", *_ALL)
+MIXES = ("none", "all", *_OTHER_STOPS, *_ALL)
 _FIRST_S = 4.0
 _STOP_GAP_S = 1.3
 #: Seconds at the end of a run without new faults, in which disturbed processes come back.
 _LAST_S = 4.0
+#: Ranges of a pause beside a stop: one that excuses nothing, and one that is a disturbance. The
+#: runner may resume a process late, so that the first ends below the limit.
+_BUSY_PAUSES_S = (0.3, MAX_BUSY_PAUSE_S - 0.05)
+_LONG_PAUSES_S = (MAX_BUSY_PAUSE_S + 0.05, 3.0)
+_HOST_PAUSES = 8
+_MAX_HOST_PAUSE_S = 0.4
 
 
 def draw_faults(mix: str, *, layout: Layout, seed: int, seconds: float) -> list[Fault]:
@@ -52,6 +61,8 @@
             "none": list[Fault],
             "stops": lambda: self._stops("stop"),
             "starved": lambda: self._stops("starved_stop"),
+            "late_stops": self._late_stops,
+            "stop_pairs": self._stop_pairs,
             "kills": lambda: self._series("kill", self._vms, 3, 1.0),
             "freezes": lambda: self._series("freeze", self._vms, 2, self._rng.uniform(1.0, 6.0)),
             "starts": self._starts,
@@ -61,6 +72,7 @@
             "evacuations": lambda: self._series("evacuate", places, 1, 9.0),
             "store": lambda: self._series("store_away", [""], 2, 3.0),
             "herd": self._herd,
+            "busy_hosts": self._busy_hosts,
         }
         return draws[name]()
 
@@ -75,6 +87,38 @@
             for number, vm in enumerate(chosen)
         ]
 
+    def _late_stops(self) -> list[Fault]:
+        """Draws stops with a pause each, half of them short, from before SIGTERM to the grace."""
+        grace_s = self._layout.deployment["bounds"]["graceS"]
+        faults = []
+        for fault in self._stops("late_stop"):
+            pause_s = self._rng.uniform(*self._rng.choice((_BUSY_PAUSES_S, _LONG_PAUSES_S)))
+            after_s = self._rng.uniform(-pause_s, grace_s)
+            faults.append(Fault(**fault, pause_s=pause_s, pause_after_s=after_s))
+        return faults
+
+    def _stop_pairs(self) -> list[Fault]:
+        """Draws stops of which each second one begins at the same time as the one before."""
+        faults = self._stops("stop")
+        for first, second in zip(faults[::2], faults[1::2], strict=False):
+            second["at"] = first["at"]
+        return faults
+
+    def _busy_hosts(self) -> list[Fault]:
+        """Draws pauses of the processes that host targets; none begins during another."""
+        names = [target.name for target in self._layout.targets]
+        step_s = max(1.0, self._seconds - _LAST_S - _FIRST_S) / _HOST_PAUSES
+        longest_s = min(_MAX_HOST_PAUSE_S, step_s / 2)
+        return [
+            Fault(
+                at=_FIRST_S + (number + self._rng.uniform(0.0, 0.5)) * step_s,
+                kind="host_pause",
+                subject=self._rng.choice(names),
+                for_s=self._rng.uniform(longest_s / 4, longest_s),
+            )
+            for number in range(_HOST_PAUSES)
+        ]
+
     def _series(self, kind: str, subjects: list[str], count: int, for_s: float) -> list[Fault]:
         return [
             Fault(at=self._time(), kind=kind, subject=self._rng.choice(subjects), for_s=for_s)
--- a/standins/soak/fleet.py
+++ b/standins/soak/fleet.py
@@ -8,6 +8,7 @@
 import threading
 import time
 from pathlib import Path
+from typing import NamedTuple
 
 from carawaybank.client import ClientConnection, HttpCall
 from standins.soak.layout import Layout, Vm
@@ -20,6 +21,18 @@
 _RUNNING_S = 0.10
 
 
+class StopPause(NamedTuple):
+    """A pause of a process that stops.
+
+    Attributes:
+        after_s: Seconds from SIGTERM to the pause; negative if it begins before.
+        for_s: Seconds until the process runs on.
+    """
+
+    after_s: float
+    for_s: float
+
+
 class VmProcess:
     """The process of an entry VM, started again after planned ends.
 
@@ -94,21 +107,27 @@
             self._event(event or number.name)
             self._signal(number)
 
-    async def stop(self, *, is_starved: bool = False) -> None:
+    async def stop(self, *, is_starved: bool = False, pause: StopPause | None = None) -> None:
         """Stops the process as the platform does, which kills it after the grace.
 
         Args:
             is_starved: Whether the process is paused for most of the time until it ends.
+            pause: A single pause beside the stop.
         """
         if not self.is_running or self._ended is None:
             return
         ended = self._ended
         self.is_expected_to_end = True
+        pausing = []
+        if pause is not None:
+            pausing.append(asyncio.create_task(self._pause_once(pause)))
+            await asyncio.sleep(max(0.0, -pause.after_s))
         self.send(signal.SIGTERM)
-        pausing = asyncio.create_task(self._pause()) if is_starved else None
+        if is_starved:
+            pausing.append(asyncio.create_task(self._pause()))
         await asyncio.wait([ended], timeout=self._grace_s)
-        if pausing is not None:
-            pausing.cancel()
+        for task in pausing:
+            task.cancel()
         if not ended.done():
             await self.kill()
 
@@ -202,6 +221,19 @@
         finally:
             self._event("relieved")
 
+    async def _pause_once(self, pause: StopPause) -> None:
+        """Pauses the process once, unless it ends or the task is cancelled before."""
+        await asyncio.sleep(max(0.0, pause.after_s))
+        process = self.process
+        if not self.is_running:
+            return
+        self.send(signal.SIGSTOP, event="pause")
+        try:
+            await asyncio.sleep(pause.for_s)
+        finally:
+            if self.process is process:
+                self.send(signal.SIGCONT, event="resume")
+
     def _signal(self, number: signal.Signals) -> None:
         # Process.send_signal polls, which takes the exit status away from the event loop.
         with contextlib.suppress(OSError):  # The process has just ended.
--- a/standins/soak/records.py
+++ b/standins/soak/records.py
@@ -17,6 +17,8 @@
         subject: VM or target concerned; empty for the store, the operator or all VMs.
         for_s: Seconds until a process is started again or a disturbance ends.
         after_start_s: Seconds from that start to a signal.
+        pause_s: Seconds for which a VM that stops is paused.
+        pause_after_s: Seconds from SIGTERM to that pause; negative if the pause begins before.
     """
 
     at: float
@@ -24,6 +26,8 @@
     subject: str
     for_s: float
     after_start_s: NotRequired[float]
+    pause_s: NotRequired[float]
+    pause_after_s: NotRequired[float]
 
 
 class Plan(NamedTuple):
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import subprocess
 import sys
@@ -11,7 +12,7 @@
 from typing import NamedTuple
 
 from standins.rowstore import RowStore
-from standins.soak.fleet import VmProcess
+from standins.soak.fleet import StopPause, VmProcess
 from standins.soak.records import Fault, Plan, Recorder
 
 #: Seconds until a VM that was started has to be ready.
@@ -147,6 +148,8 @@
         handlers: dict[str, Callable[[Fault], Awaitable[None]]] = {
             "stop": self._stop,
             "starved_stop": self._stop,
+            "late_stop": self._stop,
+            "host_pause": self._pause_host,
             "kill": self._kill,
             "hup": self._hang_up,
             "config": self._change_configuration,
@@ -166,7 +169,8 @@
 
     async def _stop(self, fault: Fault) -> None:
         vm = self._vms[fault["subject"]]
-        await vm.stop(is_starved=fault["kind"] == "starved_stop")
+        pause = StopPause(fault["pause_after_s"], fault["pause_s"]) if "pause_s" in fault else None
+        await vm.stop(is_starved=fault["kind"] == "starved_stop", pause=pause)
         await asyncio.sleep(fault["for_s"])
         if fault["kind"] != "stop_and_hup":
             await self._start_vm(vm)
@@ -195,6 +199,23 @@
     async def _freeze(self, fault: Fault) -> None:
         await self._vms[fault["subject"]].freeze(fault["for_s"])
 
+    async def _pause_host(self, fault: Fault) -> None:
+        """Pauses the process that hosts a target, and with it all targets of that process."""
+        names = [target.name for target in self._plan.layout.targets]
+        number = names.index(fault["subject"]) % self._plan.hosts
+        process = self._hosts[number]
+        if process.returncode is not None:
+            return
+        pidfd = os.pidfd_open(process.pid)
+        self._recorder.event("host_pause", host=f"targets-{number}")
+        try:
+            signal.pidfd_send_signal(pidfd, signal.SIGSTOP)
+            await asyncio.sleep(fault["for_s"])
+        finally:
+            signal.pidfd_send_signal(pidfd, signal.SIGCONT)
+            os.close(pidfd)
+            self._recorder.event("host_resume", host=f"targets-{number}")
+
     async def _evacuate(self, fault: Fault) -> None:
         place = fault["subject"]
         await self._store.put("op", f"evacuate/{place}", {})
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -3,12 +3,14 @@
 import os
 import subprocess
 import sys
+from collections import Counter
 from pathlib import Path
 
 import pytest
 
 from carawaybank import deployment
 from standins.soak.faults import MIXES, draw_faults
+from standins.soak.history import MAX_BUSY_PAUSE_S
 from standins.soak.layout import DEPLOYMENTS, Layout, load_deployment
 
 NAMES = sorted(path.stem for path in DEPLOYMENTS.glob("*.toml"))
@@ -69,12 +71,48 @@
     assert bool(faults) == (mix != "none")
     assert all(0 < fault["at"] < 20 for fault in faults)
     places = {place["name"] for place in layout.deployment["places"]}
-    subjects = {"evacuate": places, "leave": {target.name for target in layout.targets}}
+    targets = {target.name for target in layout.targets}
+    subjects = {"evacuate": places, "leave": targets, "host_pause": targets}
     subjects |= {kind: {""} for kind in ("config", "store_away", "kill_all")}
     vms = {vm.name for vm in layout.vms}
     assert all(fault["subject"] in subjects.get(fault["kind"], vms) for fault in faults)
 
 
+@pytest.mark.parametrize("name", NAMES)
+def test_late_stops_pause_each_vm_once_beside_its_stop(name):
+    """Guards against pauses that lie apart from the stop, or all of which excuse a loss."""
+    layout = make_layout(name)
+    faults = [
+        fault
+        for seed in range(20)
+        for fault in draw_faults("late_stops", layout=layout, seed=seed, seconds=20.0)
+    ]
+    grace_s = layout.deployment["bounds"]["graceS"]
+    assert all(0.3 <= fault["pause_s"] <= 3.0 for fault in faults)
+    assert all(-fault["pause_s"] <= fault["pause_after_s"] <= grace_s for fault in faults)
+    assert {fault["pause_s"] < MAX_BUSY_PAUSE_S for fault in faults} == {True, False}
+    assert {fault["pause_after_s"] < 0 for fault in faults} == {True, False}
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_stop_pairs_stop_two_vms_at_a_time(name):
+    """Guards against a mix whose stops never overlap from their first moment."""
+    layout = make_layout(name)
+    faults = draw_faults("stop_pairs", layout=layout, seed=3, seconds=20.0)
+    assert len({fault["subject"] for fault in faults}) == len(faults)
+    assert set(Counter(fault["at"] for fault in faults).values()) == {2}
+
+
+@pytest.mark.parametrize("seconds", [7.0, 24.0])
+def test_pauses_of_target_hosts_do_not_overlap(seconds):
+    """Guards against a host that the end of one pause resumes during another."""
+    layout = make_layout("small")
+    faults = draw_faults("busy_hosts", layout=layout, seed=3, seconds=seconds)
+    ends = [fault["at"] + fault["for_s"] for fault in faults]
+    assert all(end <= fault["at"] for end, fault in zip(ends, faults[1:], strict=False))
+    assert all(0 < fault["for_s"] <= MAX_BUSY_PAUSE_S for fault in faults)
+
+
 def test_unknown_faults_are_rejected():
     """Guards against a misspelt mix of faults that runs without any."""
     with pytest.raises(ValueError, match="stosp"):
--- a/tests/standins/test_soak_losses.py
+++ b/tests/standins/test_soak_losses.py
@@ -244,6 +244,50 @@
         records = [stop(), make_cut(), make_dropped_run(), make_event(120.0, "exit", status=0)]
         assert ("LOST" in rules_of(*records, *events)) == lost
 
+    @pytest.mark.parametrize(
+        ("paused_at", "resumed_at", "lost"),
+        [
+            pytest.param(98.8, 99.2, True, id="short, over SIGTERM"),
+            pytest.param(98.6, 99.2, False, id="long, over SIGTERM"),
+            pytest.param(100.1, 100.55, True, id="short, over the end of the request"),
+            pytest.param(100.1, 103.1, False, id="long, over the end of the request"),
+            pytest.param(100.51, 103.5, True, id="after the request"),
+            pytest.param(93.0, 95.9, True, id="over stableMs before the request"),
+        ],
+    )
+    @pytest.mark.parametrize(
+        "records",
+        [
+            pytest.param([make_cut(), make_dropped_run()], id="cut"),
+            pytest.param(
+                [make_request(status=502, seal=None, reply_id=None), make_run()], id="unread"
+            ),
+        ],
+    )
+    def test_pause_beside_a_stop(self, paused_at, resumed_at, lost, records):
+        """Guards against excusing what a busy machine delays, and counting what a pause breaks."""
+        pause = [make_event(paused_at, "pause"), make_event(resumed_at, "resume")]
+        ended = make_event(104.0, "exit", status=0)
+        assert ("LOST" in rules_of(stop(), *records, *pause, ended)) == lost
+
+    def test_pause_of_a_host_of_targets_excuses_nothing(self):
+        """Guards against taking a server's silence for a reason to end an answer sooner."""
+        pause = [make_event(100.2, "host_pause", vm=""), make_event(100.6, "host_resume", vm="")]
+        assert rules_of(stop(), make_cut(), make_dropped_run(), *pause) == ["LOST"]
+
+    def test_stops_at_the_same_time_count_for_each_vm(self):
+        """Guards against taking the stop of another VM for a disturbance."""
+        records = [
+            record
+            for vm in ("vm1", "vm2")
+            for record in (
+                stop(vm=vm),
+                make_cut(id=f"r-{vm}", vm=vm, connection=vm),
+                make_dropped_run(id=f"r-{vm}"),
+            )
+        ]
+        assert rules_of(*records) == ["LOST", "LOST"]
+
     @pytest.mark.parametrize("again_at", [99.0, 102.0])
     def test_the_kill_at_the_end_of_the_grace_period_excuses_nothing(self, again_at):
         """Guards against excusing what a VM holds until the platform kills it.
