--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -10,7 +10,7 @@
 
 from carawaybank import deployment
 from standins.soak.faults import MIXES, draw_faults
-from standins.soak.history import MAX_BUSY_PAUSE_S
+from standins.soak.history import MAX_BUSY_PAUSE_S, load_history
 from standins.soak.layout import DEPLOYMENTS, Layout, load_deployment
 
 NAMES = sorted(path.stem for path in DEPLOYMENTS.glob("*.toml"))
@@ -127,6 +127,19 @@
     assert finished.returncode == 0, finished.stdout + finished.stderr
 
 
+@pytest.mark.processes
+def test_pauses_beside_stops_and_of_target_hosts_break_no_promise(tmp_path):
+    """Guards against pauses that are not injected, and against VMs that do not bear them."""
+    options = "--seed", "1", "--seconds", "10", "--faults", "late_stops,busy_hosts"
+    finished = run_soak(tmp_path, *options)
+    assert finished.returncode == 0, finished.stdout + finished.stderr
+    history = load_history(tmp_path / "run")
+    for name, end in (("pause", "resume"), ("host_pause", "host_resume")):
+        begun, ended = history.find_events(name), history.find_events(end)
+        assert begun
+        assert len(begun) == len(ended)
+
+
 @pytest.mark.processes
 def test_a_vm_that_stops_abruptly_is_found(tmp_path):
     """Guards against a soak that holds although VMs lose requests and end with an error."""
