Soak: record no pause of a VM that has already ended

The pause had no "resume", so that it counted as a disturbance of 0.7 s until the next start, which can excuse what it must not. The runner now asks the kernel whether the process has ended, without taking its status, before it pauses it.

--- a/standins/soak/fleet.py
+++ b/standins/soak/fleet.py
@@ -225,7 +225,8 @@
         """Pauses the process once, unless it ends or the task is cancelled before."""
         await asyncio.sleep(max(0.0, pause.after_s))
         process = self.process
-        if not self.is_running:
+        # The event loop may be late to note the end.
+        if not self.is_running or has_ended(self._pidfd):
             return
         self.send(signal.SIGSTOP, event="pause")
         try:
@@ -244,6 +245,14 @@
         self._recorder.event(event, vm=self.vm.name, pid=pid, **values)
 
 
+def has_ended(pidfd: int) -> bool:
+    """Returns whether a child process has ended, and leaves its status to others."""
+    try:
+        return os.waitid(os.P_PIDFD, pidfd, os.WEXITED | os.WNOWAIT | os.WNOHANG) is not None
+    except OSError:  # Its status was taken.
+        return True
+
+
 def _watch_end(pidfd: int, ended_at: list[float]) -> None:
     """Adds the time at which a process ends, and leaves its status to the event loop."""
     with contextlib.suppress(ChildProcessError):  # The event loop was faster.
