--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -128,6 +128,8 @@
         await asyncio.sleep(0)
         assert not connection.has_response
         server.close()
+        for writer in peer.writers:
+            writer.close()
 
     asyncio.run(run())
 
