Let work at the soak's targets depend on warm objects, and some responses come in chunks

The soak could not show it.

Cause: work at its targets was one normal distribution, routes were not sticky, and a target that had just started was as fast as any.

Change: a target keeps the objects that it handled last (warm_keeps of its service); work on them saves warm_gain. Work is log-normal with the spread and the maximum of its class, and takes cold_x times as long for cold_s after a start, which rows and liveness checks report. Three in ten responses come in chunks. Runs record whether their object was warm. Routes with a gain are sticky. Rows move into a module of their own.

--- a/standins/soak/layout.py
+++ b/standins/soak/layout.py
@@ -22,12 +22,14 @@
         region: Its region.
         vms: Number of its VMs.
         share: Its share of the load, relative to that of the others.
+        phase: Phase of the wave of its load, in periods; 0 by default.
     """
 
     name: str
     region: str
     vms: int
     share: float
+    phase: NotRequired[float]
 
 
 class Service(TypedDict):
@@ -38,12 +40,20 @@
         targets: Number of targets by failure domain.
         slots: Requests that a target runs at once.
         queue: Requests that wait at a target; further ones are rejected.
+        warm_keeps: Objects on which a target works faster, those handled last; none by default.
+        cold_s: Seconds for which a target is slow after its start; 3 by default.
+        cold_x: Factor of the work in that time; 2 by default.
+        cold_per_s: Requests per second that a target bears in that time; 14 by default.
     """
 
     name: str
     targets: dict[str, int]
     slots: int
     queue: int
+    warm_keeps: NotRequired[int]
+    cold_s: NotRequired[float]
+    cold_x: NotRequired[float]
+    cold_per_s: NotRequired[float]
 
 
 class RequestClass(TypedDict):
@@ -65,6 +75,15 @@
         request_bytes: Mean size of a request's body.
         response_bytes: Mean size of a response's body.
         slow_share: Share of requests whose bodies are sent over a slow link.
+        things: Objects of the callers of a failure domain; by default 200 that all callers share.
+        skew: Exponent by which an object's popularity falls with its rank; 0 by default.
+        warm_gain: Share of the work that a warm object saves; by default 0, and the route is then
+            not sticky.
+        work_spread: Deviation of the duration of a run in multiples of the mean; 0.15 by default.
+        work_max_ms: Longest run on a cold object; three times the mean by default.
+        ahead_share: Share of new connections that are opened some time before their first
+            request; by default 0.5 for pools and 0 for others.
+        chunked_share: Share of request bodies that are sent in chunks; 0.5 by default.
     """
 
     name: str
@@ -82,6 +101,13 @@
     request_bytes: int
     response_bytes: int
     slow_share: NotRequired[float]
+    things: NotRequired[int]
+    skew: NotRequired[float]
+    warm_gain: NotRequired[float]
+    work_spread: NotRequired[float]
+    work_max_ms: NotRequired[float]
+    ahead_share: NotRequired[float]
+    chunked_share: NotRequired[float]
 
 
 class Deployment(TypedDict):
@@ -96,6 +122,8 @@
         services: Services.
         classes: Classes of requests.
         bounds: Bounds by the names of the platform.
+        swing: Amplitude of the wave of the load relative to its mean; 0 by default.
+        period_s: Period of that wave in seconds; 36 by default.
     """
 
     name: str
@@ -106,6 +134,8 @@
     services: list[Service]
     classes: list[RequestClass]
     bounds: dict[str, float]
+    swing: NotRequired[float]
+    period_s: NotRequired[float]
 
 
 class Vm(NamedTuple):
@@ -242,7 +272,12 @@
             _route(each, services[f"/{each['name']}/"]) for each in self.deployment["classes"]
         ]
         for service in self.deployment["services"]:
-            spec = {"healthPath": "/healthz", "maxConns": 390, "coldS": 3.0, "coldPerS": 14.0}
+            spec = {
+                "healthPath": "/healthz",
+                "maxConns": 390,
+                "coldS": service.get("cold_s", 3.0),
+                "coldPerS": service.get("cold_per_s", 14.0),
+            }
             metadata = {"name": service["name"]}
             resources.append({"resKind": "services", "metadata": metadata, "spec": spec})
         limits = {
@@ -282,7 +317,7 @@
         "priority": each["priority"],
         "service": service,
         "attempts": 2,
-        "sticky": False,
+        "sticky": each.get("warm_gain", 0.0) > 0.0,
         "homeRegions": [],
     }
     return {"resKind": "routes", "metadata": {"name": each["name"]}, "spec": spec}
--- a/standins/soak/targets.py
+++ b/standins/soak/targets.py
@@ -7,8 +7,6 @@
 """
 
 import asyncio
-import base64
-import json
 import random
 import sys
 import time
@@ -20,14 +18,17 @@
 
 import httptools
 
-from carawaybank.client import ClientConnection, HttpCall
-from standins.soak.layout import RequestClass, Target
+from standins.soak.chunks import encode_chunks
+from standins.soak.layout import RequestClass, Service, Target
 from standins.soak.records import Fault, Plan, Recorder
+from standins.soak.rows import write_rows
+from standins.soak.warmth import Warmth
 
 _BEAT_S = 1.5
 _IDLE_S = 10
 _ID = "x-carawaybank-request-id"
 _NOT_RUN = {"X-Carawaybank-Not-Run": "1"}
+_CHUNKED_SHARE = 0.3
 
 
 class TargetServer:
@@ -40,15 +41,23 @@
         born: Unix time of its start in milliseconds.
         running: Number of running requests.
         waiting: Number of queued requests.
+        warmth: Objects on which it works faster, and its cold time.
     """
 
     def __init__(
-        self, *, target: Target, classes: Mapping[str, RequestClass], recorder: Recorder, seed: int
+        self,
+        *,
+        target: Target,
+        service: Service,
+        classes: Mapping[str, RequestClass],
+        recorder: Recorder,
+        seed: int,
     ) -> None:
         """Creates a target that does not listen yet.
 
         Args:
             target: Name, service and sizes.
+            service: The service, with the warm objects and the cold time of its targets.
             classes: Classes of requests by name.
             recorder: Takes a line for each run.
             seed: Seed of the durations.
@@ -59,6 +68,7 @@
         self.seq = 0
         self.born = int(time.time() * 1000)
         self.running = self.waiting = 0
+        self.warmth = Warmth(service=service, started_at=time.monotonic())
         self._slots = asyncio.Semaphore(target.slots)
         self._server: asyncio.Server | None = None
 
@@ -83,11 +93,14 @@
             "version": "v1",
             "slots": self.target.slots,
             "state": self.state,
-            "coldLeftMs": 0,
+            "coldLeftMs": self._cold_left_ms(),
             "seq": self.seq,
             "born": self.born,
         }
 
+    def _cold_left_ms(self) -> int:
+        return int(self.warmth.cold_left_s(time.monotonic()) * 1000)
+
     async def respond(self, request: "_Request") -> bytes:
         """Returns the bytes of the response to a request."""
         expected = request.headers.get("x-carawaybank-expect-instance", self.target.name)
@@ -115,25 +128,30 @@
     async def _run(self, request: "_Request") -> bytes:
         if request.path == "/healthz":
             await asyncio.sleep(0.006)
-            return self._encode(request, 200 if self.state == "ready" else 503, {})
+            headers = {"X-Carawaybank-Cold-Ms": str(self._cold_left_ms())}
+            return self._encode(request, 200 if self.state == "ready" else 503, headers)
         left_s = request.deadline_s - (time.monotonic() - request.arrived_at)
         if left_s <= 0:
             return self._reject(request, 503)
         kind = self.classes[request.path.split("/")[1]]
-        work_s = kind["work_ms"] / 1000 * min(3.0, max(0.2, self.rng.gauss(1.0, 0.15)))
         started_at = time.monotonic()
+        is_warm = self.warmth.is_warm(request.path)
+        work_s = self.warmth.draw_work_s(kind, request.path, rng=self.rng, now=started_at)
         status, outcome = (200, "done") if work_s <= left_s else (504, "late")
         try:
             await asyncio.sleep(min(work_s, left_s))
+            self.warmth.add(request.path)
         except asyncio.CancelledError:
             status, outcome = 0, "dropped"
             raise
         finally:
-            self._record(request, started_at, status, outcome)
+            self._record(request, started_at, status, outcome, is_warm=is_warm)
         size = int(kind["response_bytes"] * self.rng.uniform(0.5, 1.5)) if status == 200 else 0
         return self._encode(request, status, {}, make_body(request.headers.get(_ID, ""), size))
 
-    def _record(self, request: "_Request", started_at: float, status: int, outcome: str) -> None:
+    def _record(
+        self, request: "_Request", started_at: float, status: int, outcome: str, **more: bool
+    ) -> None:
         self.recorder.add(
             "run",
             id=request.headers.get(_ID, ""),
@@ -148,12 +166,19 @@
             ended_at=time.monotonic(),
             status=status,
             outcome=outcome,
+            **more,
         )
 
     def _encode(
         self, request: "_Request", status: int, headers: Mapping[str, str], body: bytes = b""
     ) -> bytes:
-        lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+        content = body
+        lines = [f"HTTP/1.1 {status} X"]
+        if body and self.rng.random() < _CHUNKED_SHARE:
+            lines.append("Transfer-Encoding: chunked")
+            content = encode_chunks(body, self.rng)
+        else:
+            lines.append(f"Content-Length: {len(body)}")
         lines += [f"{name}: {value}" for name, value in headers.items()]
         lines.append(f"X-Carawaybank-Instance-Id: {self.target.name}")
         lines.append(
@@ -165,7 +190,7 @@
         if "X-Carawaybank-Not-Run" not in headers and request.path != "/healthz":
             seal = f"{self.target.name}.{status}.{len(body)}.{zlib.crc32(body):08x}"
             lines.append(f"X-Carawaybank-Server-Seal: {seal}")
-        return "\r\n".join([*lines, "", ""]).encode() + body
+        return "\r\n".join([*lines, "", ""]).encode() + content
 
 
 class _Request:
@@ -252,33 +277,6 @@
     return (pattern * (size // len(pattern) + 1))[:size]
 
 
-async def write_rows(store: str, rows: Mapping[str, object], removed: tuple[str, ...] = ()) -> None:
-    """Writes rows of targets to the store.
-
-    Raises:
-        OSError: If the store is away.
-    """
-    encoded = {
-        key: base64.b64encode(json.dumps(row).encode()).decode() for key, row in rows.items()
-    }
-    body = {
-        "expect": [],
-        "puts": [
-            {"table": "servers", "part": "", "key": k, "value": v} for k, v in encoded.items()
-        ],
-        "remove": [{"table": "servers", "part": "", "key": key} for key in removed],
-    }
-    connection = await ClientConnection.open(store, timeout_s=1.0)
-    try:
-        headers = [("Host", store), ("Content-Type", "application/json")]
-        call = HttpCall("POST", "/rows-tx", headers, json.dumps(body).encode())
-        reply = await connection.exchange(call, timeout_s=1.0)
-    finally:
-        connection.close()
-    if reply.status != 200:
-        raise OSError(f"the store responded with {reply.status}")
-
-
 async def _report(servers: list[TargetServer], store: str) -> None:
     """Writes the rows of a group of targets until cancelled."""
     while True:
@@ -313,8 +311,15 @@
     layout = plan.layout
     recorder = Recorder(path=directory / f"targets-{number}.jsonl")
     classes = {each["name"]: each for each in plan.deployment["classes"]}
+    services = {each["name"]: each for each in plan.deployment["services"]}
     servers = [
-        TargetServer(target=target, classes=classes, recorder=recorder, seed=plan.seed)
+        TargetServer(
+            target=target,
+            service=services[target.service],
+            classes=classes,
+            recorder=recorder,
+            seed=plan.seed,
+        )
         for target in layout.targets[number :: plan.hosts]
     ]
     for server in servers:
