Let the soak's callers open connections ahead, send bodies in chunks and follow a wave

They asked for 200 objects that all failure domains shared, at a steady rate, with lengths on all bodies.

Change: half of the new connections of pools are opened up to 1.5 s before their first request, and half of the bodies come in chunks; both shares are keys of a class. Each failure domain has objects of its own (things, skew) and a wave of its rate. An affinity key names its class too, so that classes don't share homes.

--- a/standins/soak/load.py
+++ b/standins/soak/load.py
@@ -18,7 +18,9 @@
 from urllib.parse import urlencode
 
 from carawaybank.client import ClientConnection, HttpCall
+from standins.soak.chunks import encode_chunks
 from standins.soak.connections import CallerConnection, Exchange
+from standins.soak.demand import draw_path, is_sent, peak_factor
 from standins.soak.layout import HOST, Place, RequestClass
 from standins.soak.records import Plan, Recorder
 
@@ -30,6 +32,10 @@
 #: Statuses after which no request is sent again.
 _FINAL = (400, 401, 404, 413, 431)
 _TAIL_S = 10.0
+#: Longest time from the opening of a connection ahead of demand to its first request.
+_AHEAD_S = 1.5
+_AHEAD_SHARES = {"pool": 0.5}
+_CHUNKED_SHARE = 0.5
 
 
 class LoadContext(NamedTuple):
@@ -48,6 +54,7 @@
     Attributes:
         sent: Number of requests of all clients of the process so far.
         opened: Number of connections of all clients of the process so far.
+        place: Failure domain of the client.
     """
 
     sent = 0
@@ -60,7 +67,7 @@
             context: What the clients of the process share.
             place: Failure domain of the client.
         """
-        self._context, self._place = context, place
+        self._context, self.place = context, place
         self._addresses: list[str] = []
         self._kept_until = 0.0
         self._failed: set[str] = set()
@@ -69,12 +76,14 @@
 
     async def request(self, kind: RequestClass) -> None:
         """Sends a request, and once more where the protocol allows it."""
+        ahead = await self._open_ahead(kind)
         deadline = time.monotonic() + kind["deadline_s"]
         for _ in range(2):
             left_s = deadline - time.monotonic()
             if left_s < 0.1:
                 return
-            record = await self._attempt(kind, left_s)
+            record = await self._attempt(kind, left_s, ahead)
+            ahead = None
             if not self._may_repeat(kind, record):
                 return
             retry_after_s = float(str(record["retry_after_s"]))
@@ -89,25 +98,33 @@
             return False
         return status == 0 or (isinstance(status, int) and status >= 500)
 
-    async def _attempt(self, kind: RequestClass, left_s: float) -> dict[str, object]:
-        context = self._context
+    async def _attempt(
+        self, kind: RequestClass, left_s: float, ahead: CallerConnection | None
+    ) -> dict[str, object]:
+        context, rng = self._context, self._context.rng
         Client.sent += 1
-        rng = context.rng
-        size = int(kind["request_bytes"] * rng.uniform(0.5, 1.5))
+        body = rng.randbytes(int(kind["request_bytes"] * rng.uniform(0.5, 1.5)))
         request_id = f"{context.plan.seed}-{context.number}-{Client.sent}"
-        body = rng.randbytes(size)
-        path = f"/{kind['name']}/{rng.randrange(200)}"
+        path = draw_path(kind, self.place, rng)
         exchange = Exchange(record=_make_record(request_id, path, kind, body, left_s))
-        fresh = kind["habit"] != "pipeline" and (kind["habit"] == "fresh" or None)
-        connection = await self._connect(kind["name"], fresh is True, exchange)
+        if ahead is not None and ahead.is_usable:
+            connection: CallerConnection | None = ahead
+            self._note(exchange, ahead)
+        else:
+            connection = await self._connect(kind, exchange)
         if connection is not None:
+            is_chunked = body and rng.random() < kind.get("chunked_share", _CHUNKED_SHARE)
+            size = None if is_chunked else len(body)
             lines = _format_head(kind["method"], path, request_id, left_s, size)
-            is_slow = size > 0 and rng.random() < kind.get("slow_share", 0.0)
-            head_bytes = len(lines) if is_slow else 0
+            is_slow = body and rng.random() < kind.get("slow_share", 0.0)
+            content = encode_chunks(body, rng) if is_chunked else body
             if kind["habit"] == "pipeline":
                 self._idle[kind["name"]].append(connection)
             await connection.exchange(
-                exchange, lines + body, timeout_s=left_s, head_bytes=head_bytes
+                exchange,
+                lines + content,
+                timeout_s=left_s,
+                head_bytes=len(lines) if is_slow else 0,
             )
             self._release(kind, connection)
         retry_after = exchange.headers.get("retry-after", "0")
@@ -121,28 +138,59 @@
         elif connection not in self._idle[kind["name"]]:
             self._idle[kind["name"]].append(connection)
 
-    async def _connect(self, name: str, fresh: bool, exchange: Exchange) -> CallerConnection | None:
+    async def _open_ahead(self, kind: RequestClass) -> CallerConnection | None:
+        """Opens a connection some time before its first request, for a share of new connections.
+
+        Returns:
+            The connection, or nothing if the request is to take a kept or a new one.
+        """
+        rng = self._context.rng
+        if rng.random() >= kind.get("ahead_share", _AHEAD_SHARES.get(kind["habit"], 0.0)):
+            return None
+        await self._look_up()
+        if (kept := self._take_idle(kind["name"])) is not None:
+            self._idle[kind["name"]].append(kept)
+            return None
+        if (address := self._choose_address()) is None:
+            return None
+        connection = await self._open(address)
+        if connection is not None:
+            await asyncio.sleep(rng.uniform(0.0, _AHEAD_S))
+        return connection
+
+    async def _connect(self, kind: RequestClass, exchange: Exchange) -> CallerConnection | None:
         await self._look_up()
-        if not fresh and (kept := self._take_idle(name)) is not None:
+        if kind["habit"] != "fresh" and (kept := self._take_idle(kind["name"])) is not None:
             self._note(exchange, kept)
             return kept
+        exchange.record["sent_at"] = time.monotonic()
+        address = self._choose_address()
+        connection = None
+        if address is not None:
+            connection = await self._open(address, exchange)
+        if connection is None:
+            exchange.end("refused")
+        return connection
+
+    def _choose_address(self) -> str | None:
         choices = [each for each in self._addresses if each not in self._failed]
         if not choices:
             self._failed.clear()
             choices = self._addresses
-        exchange.record["sent_at"] = time.monotonic()
-        if not choices:
-            exchange.end("refused")
-            return None
-        address = self._context.rng.choice(choices)
+        return self._context.rng.choice(choices) if choices else None
+
+    async def _open(
+        self, address: str, exchange: Exchange | None = None
+    ) -> CallerConnection | None:
+        """Opens a connection, and notes it in the record of the request that waits for it."""
         Client.opened += 1
         connection = CallerConnection(address=address, number=Client.opened)
-        self._note(exchange, connection)
+        if exchange is not None:
+            self._note(exchange, connection)
         try:
             await connection.open()
         except (OSError, TimeoutError):
             self._failed.add(address)
-            exchange.end("refused")
             return None
         return connection
 
@@ -152,6 +200,7 @@
         exchange.record |= {"vm": vm, "address": connection.address, "connection": number}
 
     def _take_idle(self, name: str) -> CallerConnection | None:
+        """Returns a kept connection with room for a request, which is no longer kept."""
         kept = self._idle[name]
         for connection in list(kept):
             is_old = time.monotonic() - connection.idle_since > _REUSE_S
@@ -169,7 +218,7 @@
         async with self._looking:
             if time.monotonic() < self._kept_until:
                 return
-            query = {"name": HOST, "region": self._place["region"], "zone": self._place["name"]}
+            query = {"name": HOST, "region": self.place["region"], "zone": self.place["name"]}
             for address in self._nearest():
                 try:
                     found = await fetch(address, f"/resolve?{urlencode(query)}")
@@ -187,7 +236,7 @@
         rng = self._context.rng
         vms = self._context.plan.layout.vms
         rng.shuffle(vms)
-        here = self._place
+        here = self.place
         vms.sort(key=lambda vm: (vm.region != here["region"], vm.failure_domain != here["name"]))
         return [vm.directory_address for vm in vms[:3]]
 
@@ -233,15 +282,18 @@
     }
 
 
-def _format_head(method: str, path: str, request_id: str, left_s: float, size: int) -> bytes:
+def _format_head(method: str, path: str, request_id: str, left_s: float, size: int | None) -> bytes:
+    """Returns the head of a request; without a size its body is in chunks."""
     lines = [
         f"{method} {path} HTTP/1.1",
         f"Host: {HOST}",
         f"X-Carawaybank-Request-Id: {request_id}",
-        f"X-Carawaybank-Affinity-Key: {path.rpartition('/')[2]}",
+        f"X-Carawaybank-Affinity-Key: {path.strip('/').replace('/', '-')}",
         f"X-Carawaybank-Deadline-Ms: {int(left_s * 1000)}",
     ]
-    if method == "POST":
+    if size is None:
+        lines.append("Transfer-Encoding: chunked")
+    elif method == "POST":
         lines.append(f"Content-Length: {size}")
     return "\r\n".join([*lines, "", ""]).encode()
 
@@ -268,10 +320,13 @@
     loop = asyncio.get_running_loop()
     at = started_at = float(await loop.run_in_executor(None, sys.stdin.readline))
     tasks: set[asyncio.Task[None]] = set()
-    while (at := at + rng.expovariate(plan.rate / plan.loaders)) < started_at + plan.seconds:
+    peak_rate = plan.rate / plan.loaders * peak_factor(plan.deployment)
+    while (at := at + rng.expovariate(peak_rate)) < started_at + plan.seconds:
+        client = rng.choice(clients)
+        if not is_sent(plan.deployment, client.place, at - started_at, rng):
+            continue
         await asyncio.sleep(max(0.0, at - time.monotonic()))
-        request = rng.choice(clients).request(rng.choices(classes, shares)[0])
-        task = asyncio.create_task(request)
+        task = asyncio.create_task(client.request(rng.choices(classes, shares)[0]))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
     if tasks:
