Leave attempts at lost paths to their deadline once a VM that stops does not listen

Callers would see: the VM's own 502 for a request that may be repeated, whose target is at work, when the paths to its service or a helping sibling count as lost late in a stop. Found by review in the code and at the router; not seen in real processes.

Cause: these attempts are ended early so that another can follow. From 2.5 s after SIGTERM on, one follows only if the request's deadline comes before attempts are given up, so most end with 502.

Change: they are ended early only while the VM does not stop or still listens. The case of the test 3 s after SIGTERM failed before.

--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -135,6 +135,17 @@
         """Whether all requests are finished."""
         return not self._requests
 
+    def starts_retries(self, now: float) -> bool:
+        """Returns whether another attempt can follow one that is ended early.
+
+        A VM that stops starts few attempts once it does not listen any more. What is in progress is
+        then left to its deadline, because its response may still come.
+
+        Args:
+            now: Current time in monotonic seconds.
+        """
+        return self.stop_plan is None or self.stop_plan.is_listening(now)
+
     def update_options(self, options: RouterOptions) -> None:
         """Replaces the limits; the locality must stay the same."""
         self._options = options
--- a/src/carawaybank/siblings/offers.py
+++ b/src/carawaybank/siblings/offers.py
@@ -114,8 +114,10 @@
         services = relaying.services_in_need(router, now)
         if not services and not router.helpers.has_requests:
             return
-        for vm in router.helpers.pop_expired(now=now):
-            self._on_helper_lost(vm)
+        lost_helpers = router.helpers.pop_expired(now=now)
+        if router.starts_retries(now):
+            for vm in lost_helpers:
+                self._on_helper_lost(vm)
         has_offers = all(router.helpers.has_offer(service, now=now) for service in services)
         turn = 0 if has_offers else int(now / ROTATION_S)
         message = HelpMessage(vm=self._vms.own.vm, limits=[], ask=services)
--- a/src/carawaybank/targets/paths.py
+++ b/src/carawaybank/targets/paths.py
@@ -89,7 +89,9 @@
             service, sibling=sibling, age_s=age_s, target_count=len(targets), now=now
         ):
             relaying.lose_paths(router, service, now)
-            aborted = self._abort_attempts(frozenset(t.entry.target_id for t in targets))
+            aborted = 0
+            if router.starts_retries(now):
+                aborted = self._abort_attempts(frozenset(t.entry.target_id for t in targets))
             self._log_changes(aborted=aborted)
             for other in router.targets.services:
                 if other != service and not router.reachability.is_lost(other):
--- a/tests/targets/test_checks.py
+++ b/tests/targets/test_checks.py
@@ -3,11 +3,14 @@
 import asyncio
 import random
 
+import pytest
+
 from carawaybank.callers.listeners import listen, sync_connection_factory
 from carawaybank.journal import Journal
 from carawaybank.platform.dialect import PlatformDialect
 from carawaybank.replies import HttpReply
 from carawaybank.routing.messages import AttemptResult, Send
+from carawaybank.routing.stopping import StopPlan
 from carawaybank.routing.targetlimits import LimitStatement
 from carawaybank.targets.checks import HealthChecks
 from carawaybank.targets.paths import PathChecks
@@ -153,3 +156,30 @@
         await wait_until(lambda: not target.is_down)
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("stopping_for_s", "is_aborted"), [(None, True), (1.0, True), (3.0, False)]
+)
+def test_a_lost_path_ends_attempts_only_while_others_may_follow(stopping_for_s, is_aborted):
+    """Guards against an own 502 in place of a run, for which a VM that stops starts no other."""
+
+    async def run():
+        now = asyncio.get_running_loop().time()
+        router = make_router(make_target(1), now=now - 10.0)
+        if stopping_for_s is not None:
+            router.stop_plan = StopPlan(started_at=now - stopping_for_s, stop_within_s=6.0)
+        aborted = []
+        paths = PathChecks(
+            router=router,
+            journal=Journal(vm="vm-1", write=lambda _: None),
+            rng=random.Random(1),
+            on_change=lambda: None,
+            abort_attempts=lambda targets: aborted.append(targets) or 1,
+        )
+        router.reachability.record_failure("ledger", "t1", now=now - 5.0)
+        paths.apply_evidence("ledger", "vm-2", 0.0)
+        assert router.reachability.is_lost("ledger")
+        assert bool(aborted) is is_aborted
+
+    asyncio.run(run())
