Let the caller of a DRAIN case leave, so that the case plants no LOST

The cases plant an arrival at a target that left, and gave the request an own 502 beside a run that had ended. The stricter check of unread responses rightly reports that beside a SIGTERM. The cases judge the same DRAIN rules as before.

--- a/tests/standins/test_soak_steering.py
+++ b/tests/standins/test_soak_steering.py
@@ -39,7 +39,7 @@
     def test_arrival_at_a_target_that_left(self, events, run, rules):
         """Guards against requests at a target later than drainMs after it announced its end."""
         leave = make_event(97.5, "leave", vm="", target="t1")
-        request = make_request(kind="idempotent", status=502, seal=None)
+        request = make_request(kind="idempotent", outcome="left", status=0, seal=None)
         assert rules_of(leave, request, make_run(**run), *events) == rules
 
     def test_arrival_that_no_caller_sent_is_unasked_only(self):
