--- a/src/carawaybank/lateness.py
+++ b/src/carawaybank/loopdelay.py
@@ -8,18 +8,18 @@
 _MAX_GAP_S = 0.2
 
 
-class LatenessWatch:
+class EventLoopDelay:
     """Remembers the last span in which the event loop did not run.
 
     A signal is handled only when the loop runs again. The time at which it was sent lies in the
     span before.
 
-    >>> watch = LatenessWatch(now=0.0)
-    >>> watch.record_run(now=0.1)
-    >>> watch.late_s(now=0.15)
+    >>> loop_delay = EventLoopDelay(now=0.0)
+    >>> loop_delay.record_run(now=0.1)
+    >>> loop_delay.delay_s(now=0.15)
     0.0
-    >>> watch.record_run(now=0.9)
-    >>> round(watch.late_s(now=0.95), 2), watch.late_s(now=1.05)
+    >>> loop_delay.record_run(now=0.9)
+    >>> round(loop_delay.delay_s(now=0.95), 2), loop_delay.delay_s(now=1.05)
     (0.85, 0.0)
     """
 
@@ -30,7 +30,7 @@
             now: Current time in monotonic seconds.
         """
         self._last_run_at = now
-        self._late_since = self._late_until = now - _MAX_GAP_S
+        self._silent_since = self._silent_until = now - _MAX_GAP_S
 
     async def run(self) -> None:
         """Records that the event loop runs, until cancelled."""
@@ -42,17 +42,17 @@
     def record_run(self, *, now: float) -> None:
         """Records that the event loop runs."""
         if now - self._last_run_at > _MAX_GAP_S:
-            self._late_since, self._late_until = self._last_run_at, now
+            self._silent_since, self._silent_until = self._last_run_at, now
         self._last_run_at = now
 
-    def late_s(self, *, now: float) -> float:
-        """Returns the seconds by which what is handled now may be late; 0 if the loop ran on time.
+    def delay_s(self, *, now: float) -> float:
+        """Returns the seconds by which an event handled now may be late; 0 if the loop ran.
 
         Args:
             now: Current time in monotonic seconds.
         """
         if now - self._last_run_at > _MAX_GAP_S:
             return now - self._last_run_at
-        if now - self._late_until <= _INTERVAL_S:
-            return now - self._late_since
+        if now - self._silent_until <= _INTERVAL_S:
+            return now - self._silent_since
         return 0.0
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -25,7 +25,7 @@
 from carawaybank.exposition import Exposition
 from carawaybank.handler import RequestHandler
 from carawaybank.journal import Journal
-from carawaybank.lateness import LatenessWatch
+from carawaybank.loopdelay import EventLoopDelay
 from carawaybank.maintenance import Maintenance
 from carawaybank.operators.rows import OperatorRows
 from carawaybank.pacing import PaceReports
@@ -238,7 +238,7 @@
             own_address=self._deployment.control_address,
             journal=self._journal,
         )
-        self._lateness = LatenessWatch(now=time.monotonic())
+        self._loop_delay = EventLoopDelay(now=time.monotonic())
         self._make_control()
 
     def _make_control(self) -> None:
@@ -308,7 +308,7 @@
             self._metrics.load_on_demand,
             self._listen_for_scrapes,
             self._allotments.run,
-            self._lateness.run,
+            self._loop_delay.run,
         ]
 
     def _log_restart(self, failure: TaskError) -> None:
@@ -478,16 +478,18 @@
         """
         started_at = asyncio.get_running_loop().time()
         waited_for = len(self._router.requests)
-        late_s = self._lateness.late_s(now=started_at)
+        signal_delay_s = self._loop_delay.delay_s(now=started_at)
         self._journal.log(
             "daemon",
             "stopping",
             connections=len(self._connections),
             requests=waited_for,
-            late_s=round(late_s, 2),
+            signal_delay_s=round(signal_delay_s, 2),
         )
         plan = StopPlan(
-            started_at=started_at, stop_within_s=self._deployment.stop_within_s, late_s=late_s
+            started_at=started_at,
+            stop_within_s=self._deployment.stop_within_s,
+            max_signal_delay_s=signal_delay_s,
         )
         self._router.stop_plan = plan
         self._handler.is_stopping = True
--- a/src/carawaybank/routing/responsetimes.py
+++ b/src/carawaybank/routing/responsetimes.py
@@ -12,7 +12,7 @@
 from carawaybank.routing.configuration import Route
 
 #: Share of the responses that came within the bound, in percent. A request that is broken off costs
-#: its caller seconds, one that is refused a round trip to another VM, about a hundredth of that.
+#: its caller seconds, one that is refused a round trip to another VM.
 BOUND_PERCENTILE = 99.0
 #: Responses without which a bound says too little.
 MIN_RESPONSES = 100
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -362,10 +362,10 @@
         if self.stop_plan is None:
             return None
         longest_s = progress.deadline - now
-        recent_s = self.response_times.of(progress.route, now=now).bound_s(now=now)
-        if recent_s is None:
-            recent_s = _TOLERANCE_FACTOR * self.work_estimate(progress).cold_s
-        usual_s = max(recent_s, _TOLERANCE_FACTOR * expected_s)
+        percentile_s = self.response_times.of(progress.route, now=now).bound_s(now=now)
+        if percentile_s is None:
+            percentile_s = _TOLERANCE_FACTOR * self.work_estimate(progress).cold_s
+        usual_s = max(percentile_s, _TOLERANCE_FACTOR * expected_s)
         if self.stop_plan.can_finish(
             ResponseBounds(usual_s, longest_s),
             is_idempotent=progress.route.idempotent,
--- a/src/carawaybank/routing/stopping.py
+++ b/src/carawaybank/routing/stopping.py
@@ -15,9 +15,10 @@
    which a part of the response has arrived are waited for until the end,
 5. ends.
 
-At any time, a request is passed on only if it ends before the fourth step. An expected time does
-not say so: a cold object takes several times as long as a warm one. Requests that must not run
-twice, and all requests from the second step on, are passed on only if their deadline comes before.
+An expected time does not say when an attempt ends: a cold object takes several times as long as a
+warm one. A request that must not run twice is passed on only if its deadline comes before the
+fourth step. One that may be repeated needs, while the VM listens, only that nearly all recent
+responses of its route would come before; afterwards, its deadline counts too.
 """
 
 from enum import Enum
@@ -84,17 +85,19 @@
     False
     """
 
-    def __init__(self, *, started_at: float, stop_within_s: float, late_s: float = 0.0) -> None:
+    def __init__(
+        self, *, started_at: float, stop_within_s: float, max_signal_delay_s: float = 0.0
+    ) -> None:
         """Computes the times of the steps.
 
         Args:
             started_at: Time at which the stop signal was handled, in monotonic seconds.
             stop_within_s: Seconds from the signal until the process is killed.
-            late_s: Seconds by which the signal may have come earlier. Nothing is passed on, and no
-                connection kept, longer than if it did.
+            max_signal_delay_s: Seconds by which the signal may have been sent earlier. Nothing is
+                passed on, and no connection kept, longer than if it was.
         """
         self.refused_count = 0
-        signalled_at = started_at - late_s
+        signalled_at = started_at - max_signal_delay_s
         self._listen_until = signalled_at + min(_LISTEN_S, _LISTEN_FRACTION * stop_within_s)
         self._read_until = signalled_at + _READ_FRACTION * stop_within_s
         self._finish_by = signalled_at + _GIVE_UP_FRACTION * stop_within_s
--- a/tests/callers/test_sweeps.py
+++ b/tests/callers/test_sweeps.py
@@ -58,7 +58,7 @@
         reports, connections = record_reports(), []
         for fails in (True, False, False):
             Connection(connections=connections, fails=fails)
-        plan = StopPlan(started_at=asyncio.get_running_loop().time(), stop_within_s=0.5, late_s=0.0)
+        plan = StopPlan(started_at=asyncio.get_running_loop().time(), stop_within_s=0.5)
         result = await drain(
             plan,
             listeners=Listeners(requests=(), others=()),
--- a/tests/routing/test_stopping.py
+++ b/tests/routing/test_stopping.py
@@ -58,7 +58,7 @@
     stop_within_s, usual_s, longest_s, is_idempotent, late_s, arrivals
 ):
     """Guards against requests that are passed on late in the grace and cut at its end."""
-    plan = StopPlan(started_at=0.0, stop_within_s=stop_within_s, late_s=late_s)
+    plan = StopPlan(started_at=0.0, stop_within_s=stop_within_s, max_signal_delay_s=late_s)
     bounds = ResponseBounds(usual_s, longest_s)
     for arrival in arrivals:
         now = arrival * stop_within_s
@@ -108,7 +108,7 @@
             answered = AttemptResult(Answered(200), warm_s)
             router.end_attempt(number, answered, now + warm_s)
     handled_at = SIGNALLED_AT + late_s
-    plan = StopPlan(started_at=handled_at, stop_within_s=STOP_S, late_s=late_s)
+    plan = StopPlan(started_at=handled_at, stop_within_s=STOP_S, max_signal_delay_s=late_s)
     router.stop_plan = plan
     arrived_at = handled_at + arrived_s
     request = make_request(1000, path=path, budget_s=budget_s)
