Start VMs of the soak as users do, and again after they ended by themselves

What callers saw: nothing; the soak hid what follows an end by itself. A VM that ended by itself stayed away for the rest of the play, while the platform starts it again after a short delay.

Cause: the runner started a VM only after its own stops and kills. Beside that, its next start would have excused what the VM lost, although an end by itself counts as running all the while; and VMs were started with the interpreter's site module and by module name, which the users' file is not.

Change: a supervisor starts such a VM again after 0.5 s; each further end is a FAULT of its own. An end by itself is a disturbance only within a second of another one. Whether an end was planned is decided by the times of the signal and of the end, not by the order in which the event loop saw them. The launcher runs the script of the source, with -S -P, or the module for older builds; the planted fault of test_soak.py moves from sitecustomize, which -S leaves out, to that script.

--- a/standins/soak/fleet.py
+++ b/standins/soak/fleet.py
@@ -4,13 +4,13 @@
 import contextlib
 import os
 import signal
-import sys
 import threading
 import time
 from pathlib import Path
 from typing import NamedTuple
 
 from carawaybank.client import ClientConnection, HttpCall
+from standins.soak.launcher import Launcher
 from standins.soak.layout import Layout, Vm
 from standins.soak.records import Recorder
 
@@ -40,13 +40,12 @@
         vm: Name and addresses.
         process: The current or last process.
         has_been_ready: Whether the current process has become ready.
-        is_expected_to_end: Whether the next end of the process is the runner's doing.
         peak_mb: Largest memory of the current process so far, in megabytes.
         descriptors: Largest number of open descriptors seen so far.
     """
 
     def __init__(
-        self, *, vm: Vm, layout: Layout, directory: Path, source: Path, recorder: Recorder
+        self, *, vm: Vm, layout: Layout, directory: Path, launcher: Launcher, recorder: Recorder
     ) -> None:
         """Writes the settings of a VM that is not started yet.
 
@@ -54,17 +53,19 @@
             vm: Name and addresses.
             layout: The deployment.
             directory: Directory of settings, logs and records.
-            source: Directory that contains the package to run.
+            launcher: Starts the process.
             recorder: Takes a line for each event.
         """
         self.vm = vm
         self.process: asyncio.subprocess.Process | None = None
-        self.has_been_ready = self.is_expected_to_end = False
+        self.has_been_ready = False
         self.peak_mb = 0.0
         self.descriptors = 0
+        self._planned_end_at = float("inf")
+        self._ended_by_itself = asyncio.Event()
         self._layout = layout
         self._grace_s = layout.deployment["bounds"]["graceS"]
-        self._recorder, self._source = recorder, source
+        self._recorder, self._launcher = recorder, launcher
         self._settings = directory / f"{vm.name}.toml"
         self._log = directory / f"{vm.name}.log"
         self._settings.write_text(layout.settings(vm))
@@ -81,19 +82,18 @@
         """Starts the process, unless it runs."""
         async with self._starting:
             if not self.is_running:
+                if self._ended is not None:
+                    await self._ended
                 await self._start()
 
     async def _start(self) -> None:
-        environment = {**os.environ, "CARAWAYBANK_SETTINGS": str(self._settings)}
-        environment["PYTHONPATH"] = str(self._source)
-        self.has_been_ready = self.is_expected_to_end = False
+        self.has_been_ready = False
+        self._planned_end_at = float("inf")
+        self._ended_by_itself.clear()
         self.peak_mb, self.descriptors = 0.0, 0
         self._event("start")
         with self._log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "carawaybank.platform",
-                env=environment, cwd=self._settings.parent, stdout=log, stderr=log,
-            )  # fmt: skip
+            self.process = await self._launcher.start(settings=self._settings, log=log)
         self._pidfd = os.pidfd_open(self.process.pid)
         self._ended = asyncio.create_task(self._note_end(self.process))
 
@@ -104,8 +104,9 @@
             number: The signal.
             event: Event to record; the name of the signal if empty.
         """
-        if self.is_running and self.process is not None:
-            self._event(event or number.name)
+        # The event loop may be late to note the end.
+        if self.is_running and not has_ended(self._pidfd):
+            self._event(event or number.name, sent=number.name)
             self._signal(number)
 
     def change_settings(self, *, tightened: float) -> None:
@@ -117,22 +118,33 @@
         self._settings.write_text(self._layout.settings(self.vm, tightened=tightened))
         self._event("settings", tightened=tightened)
 
-    async def stop(self, *, is_starved: bool = False, pause: StopPause | None = None) -> None:
+    async def wait_for_own_end(self) -> None:
+        """Returns once the process has ended by itself and was not started again."""
+        await self._ended_by_itself.wait()
+
+    async def stop(
+        self,
+        *,
+        is_starved: bool = False,
+        pause: StopPause | None = None,
+        number: signal.Signals = signal.SIGTERM,
+    ) -> None:
         """Stops the process as the platform does, which kills it after the grace.
 
         Args:
             is_starved: Whether the process is paused for most of the time until it ends.
             pause: A single pause beside the stop.
+            number: Signal that stops it; recorded and judged as a SIGTERM.
         """
         if not self.is_running or self._ended is None:
             return
         ended = self._ended
-        self.is_expected_to_end = True
         pausing = []
         if pause is not None:
             pausing.append(asyncio.create_task(self._pause_once(pause)))
             await asyncio.sleep(max(0.0, -pause.after_s))
-        self.send(signal.SIGTERM)
+        self._planned_end_at = min(self._planned_end_at, time.monotonic())
+        self.send(number, event=signal.SIGTERM.name)
         if is_starved:
             pausing.append(asyncio.create_task(self._pause()))
         await asyncio.wait([ended], timeout=self._grace_s)
@@ -144,7 +156,7 @@
     async def kill(self) -> None:
         """Kills the process if it runs, and waits for its end."""
         if self.is_running and self._ended is not None:
-            self.is_expected_to_end = True
+            self._planned_end_at = min(self._planned_end_at, time.monotonic())
             self.send(signal.SIGKILL)
             await self._ended
 
@@ -157,7 +169,7 @@
     async def wait_until_ready(self, timeout_s: float) -> bool:
         """Returns whether the process becomes ready in time, and records when."""
         deadline = time.monotonic() + timeout_s
-        while time.monotonic() < deadline and self.is_running:
+        while time.monotonic() < deadline:
             if await self.readiness() == 200:
                 self.has_been_ready = True
                 self._event("ready")
@@ -207,6 +219,7 @@
         # The thread may be later than the event loop on a busy machine; the end precedes both.
         at = min([*ended_at, time.monotonic()])
         os.close(pidfd)
+        is_planned = self._planned_end_at <= at
         self._recorder.add(
             "event",
             at=at,
@@ -214,10 +227,12 @@
             vm=self.vm.name,
             pid=process.pid,
             status=status,
-            expected=self.is_expected_to_end,
+            expected=is_planned,
             peak_mb=round(self.peak_mb, 1),
             descriptors=self.descriptors,
         )
+        if not is_planned:
+            self._ended_by_itself.set()
 
     async def _pause(self) -> None:
         """Pauses the process in each cycle until cancelled."""
--- a/standins/soak/history.py
+++ b/standins/soak/history.py
@@ -19,6 +19,9 @@
 #: Shorter pauses stand for a busy processor, which excuses nothing.
 MAX_BUSY_PAUSE_S = 0.5
 
+#: Time after a disturbance in which a process that ends by itself does not count as running.
+_OWN_END_SLACK_S = 1.0
+
 _LINK_FAULTS = frozenset({"cut", "delay", "reset", "silence"})
 _STORE_FAULTS = frozenset({"store_away", "store_restart", "store_slow", "store_lost"})
 
@@ -216,6 +219,7 @@
         self.bounds = bounds or Bounds()
         self.meta = dict(meta or {})
         self._spans: dict[str, list[Span]] = {}
+        self._planned: dict[str, list[Event]] = {}
 
     @cached_property
     def ended_at(self) -> float:
@@ -290,10 +294,25 @@
         later = (event for event in self.find_events(*names, vm=after.vm) if event.at > after.at)
         return next(later, None)
 
+    def own_ends(self, vm: str) -> list[Event]:
+        """Returns the ends of a VM's processes that no stop or kill caused."""
+        own, last = [], "start"
+        for event in self.find_events("start", "SIGTERM", "SIGKILL", "exit", vm=vm):
+            if event.event != "exit":
+                last = event.event
+            elif not event.expected and last == "start":
+                own.append(event)
+        return own
+
     def is_disturbed(self, vm: str, start: float, end: float) -> bool:
         """Returns whether a VM was killed, frozen or cut off at any moment of a time span."""
         if vm not in self._spans:
-            self._spans[vm] = list(self._find_disturbances(vm))
+            spans = list(self._find_disturbances(vm))
+            # An end by itself counts as running all the while, unless a disturbance is near.
+            for own in self.own_ends(vm):
+                if any(span.overlaps(own.at - _OWN_END_SLACK_S, own.at) for span in spans):
+                    spans.append(Span(own.at, self._end_of(own, "start")))
+            self._spans[vm] = spans
         return any(span.overlaps(start, end) for span in self._spans[vm])
 
     def is_store_disturbed(self, start: float, end: float) -> bool:
@@ -306,9 +325,17 @@
         return not (
             self.is_disturbed(vm, start, at)
             or self.is_store_disturbed(start, at)
-            or any(start <= event.at <= at for event in self.find_events("start", "SIGTERM", vm=vm))
+            or any(start <= event.at <= at for event in self._starts_and_stops(vm))
         )
 
+    def _starts_and_stops(self, vm: str) -> list[Event]:
+        """Returns the planned stops and the starts other than those after an end by itself."""
+        if vm not in self._planned:
+            restarts = [self.next_event(end, "start") for end in self.own_ends(vm)]
+            events = self.find_events("start", "SIGTERM", vm=vm)
+            self._planned[vm] = [event for event in events if event not in restarts]
+        return self._planned[vm]
+
     def _find_disturbances(self, vm: str) -> Iterable[Span]:
         for event in self._events_by_vm.get(vm, []):
             if event.event == "SIGKILL" and not self._ends_a_stop(event):
--- a/standins/soak/lifecycles.py
+++ b/standins/soak/lifecycles.py
@@ -66,9 +66,7 @@
 
 def _check_exit(history: History, end: Event) -> Iterable[Violation]:
     bounds = history.bounds
-    signals = history.find_events("start", "SIGTERM", "SIGKILL", vm=end.vm)
-    last = next((event for event in reversed(signals) if event.at <= end.at), None)
-    if not end.expected and (last is None or last.event == "start"):
+    if end in history.own_ends(end.vm):
         yield _fault(end, f"ended by itself with status {end.status}")
     if end.peak_mb is not None and end.peak_mb > bounds.memoryMb:
         yield _fault(end, f"peak memory {end.peak_mb:.1f} MB of {bounds.memoryMb:g} MB")
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -15,10 +15,10 @@
 from standins.rowstore import RowStore
 from standins.soak.configurations import Operator
 from standins.soak.fleet import StopPause, VmProcess
+from standins.soak.launcher import Launcher
 from standins.soak.records import Fault, Plan, Recorder
+from standins.soak.supervisor import START_S, supervise
 
-#: Seconds until a VM that was started has to be ready.
-START_S = 20.0
 _LEAD_S = 2.0
 _LATENESS_S = 0.5
 _LOAD_TAIL_S = 15.0
@@ -80,12 +80,14 @@
         self._operator = Operator(layout=plan.layout)
         self._helpers: list[asyncio.subprocess.Process] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._supervisors: list[asyncio.Task[None]] = []
+        launcher = Launcher(source=options.source)
         self._vms = {
             vm.name: VmProcess(
                 vm=vm,
                 layout=plan.layout,
                 directory=options.directory,
-                source=options.source,
+                launcher=launcher,
                 recorder=self._recorder,
             )
             for vm in plan.layout.vms
@@ -104,6 +106,7 @@
         try:
             await self._start()
             await self._play()
+            self._stop_supervising()
             await asyncio.gather(*(vm.stop() for vm in self._vms.values()))
         finally:
             await self._end()
@@ -116,6 +119,7 @@
         loaders = [await self._help("load", number) for number in range(self._plan.loaders)]
         self._hosts, self._loaders = hosts, loaders
         await asyncio.sleep(1.0)
+        self._supervisors = [asyncio.create_task(supervise(vm)) for vm in self._vms.values()]
         ready = await asyncio.gather(*(self._start_vm(vm) for vm in self._vms.values()))
         if not all(ready):
             raise StartError(f"a VM was not ready within {START_S} s")
@@ -322,8 +326,13 @@
             pass_on_s=plan.layout.pass_on_s if plan.has_links else 0.0,
         )
 
+    def _stop_supervising(self) -> None:
+        for task in self._supervisors:
+            task.cancel()
+
     async def _end(self) -> None:
         """Ends all processes that the run started."""
+        self._stop_supervising()
         for task in self._tasks:
             task.cancel()
         for vm in self._vms.values():
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -1,6 +1,7 @@
 """The soak: its plan, the settings of its VMs, and short runs of real processes."""
 
 import os
+import shutil
 import subprocess
 import sys
 from collections import Counter
@@ -28,6 +29,16 @@
 """
 
 
+def plant(directory, code):
+    """Returns a copy of the source whose VMs run some code before they set signals."""
+    source = directory / "source"
+    shutil.copytree(SOURCE / "carawaybank", source / "carawaybank")
+    script = source / "carawaybank" / "platform" / "start.py"
+    docstring, rest = script.read_text().split('"""\n', 1)
+    script.write_text(f'{docstring}"""\n{code}{rest}')
+    return source
+
+
 def run_soak(directory, *options, source=SOURCE):
     command = [
         sys.executable, "-m", "standins.soak", "--deployment", "small", "--load-share", "1",
@@ -146,10 +157,7 @@
 @pytest.mark.processes
 def test_a_vm_that_stops_abruptly_is_found(tmp_path):
     """Guards against a soak that holds although VMs lose requests and end with an error."""
-    source = tmp_path / "source"
-    source.mkdir()
-    (source / "carawaybank").symlink_to(SOURCE / "carawaybank")
-    (source / "sitecustomize.py").write_text(ABRUPT_STOP)
+    source = plant(tmp_path, ABRUPT_STOP)
     options = "--seed", "3", "--seconds", "7", "--faults", "stops"
     finished = run_soak(tmp_path, *options, source=source)
     assert finished.returncode == 1, finished.stdout + finished.stderr
--- a/tests/standins/test_soak_fleet.py
+++ b/tests/standins/test_soak_fleet.py
@@ -9,6 +9,7 @@
 
 from standins.soak import fleet
 from standins.soak.fleet import VmProcess, has_ended
+from standins.soak.launcher import Launcher
 from standins.soak.layout import Layout, load_deployment
 from standins.soak.records import Recorder
 
@@ -66,7 +67,7 @@
         vm=layout.vms[0],
         layout=layout,
         directory=tmp_path,
-        source=tmp_path,
+        launcher=Launcher(source=tmp_path),
         recorder=Recorder(path=path),
     )
 
--- a/tests/standins/test_soak_lifecycles.py
+++ b/tests/standins/test_soak_lifecycles.py
@@ -49,6 +49,18 @@
                 ["FAULT"],
                 id="ended by itself and was stopped after its next start",
             ),
+            pytest.param(
+                [
+                    (10, "start", {}),
+                    (50, "exit", {"status": 1, "expected": False}),
+                    (50.5, "start", {}),
+                    (51, "exit", {"status": 1, "expected": False}),
+                    (51.5, "start", {}),
+                    (52, "ready", {}),
+                ],
+                ["FAULT", "FAULT"],
+                id="ended by itself twice",
+            ),
             pytest.param(
                 [
                     (10, "start", {}),
