Let the soak play starts of all VMs at once, odd stops and blocked signals

A signal in a start, another signal than one SIGTERM, and a parent that blocks signals were not played.

Change: `boot` announces settings by SIGHUP 0 to 0.5 s after the start of all VMs, also in the first one, and of a failure domain. `odd_stops` stops by SIGINT, SIGTERM twice, SIGHUP within 1 ms of SIGTERM, SIGTERM with a short pause, and SIGTERM in a start. `--blocked-signals` starts VMs with SIGTERM, SIGHUP and SIGINT blocked.

The test of faults' times asks that the announcement of the first start has time 0, and of all others what it asked before.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -8,13 +8,15 @@
   --seconds S         Duration of the load in seconds [default: 24].
   --load-share SHARE  Share of the deployment's rate [default: 0.2].
   --faults MIX        Faults, separated by commas: none, stops, starved, late_stops, stop_pairs,
-                      kills, signals, configs, starts, freezes, leaves, evacuations, store, herd,
-                      busy_hosts, odd_configs, settings, give_up, retry_abuse, burst, shift, garble,
-                      crashes, slow_targets, release, slow_store, lost_answers, links, all
+                      odd_stops, boot, kills, signals, configs, starts, freezes, leaves,
+                      evacuations, store, herd, busy_hosts, odd_configs, settings, give_up,
+                      retry_abuse, burst, shift, garble, crashes, slow_targets, release,
+                      slow_store, lost_answers, links, all
                       [default: stops].
   --links             Delay what passes over links, as the deployment's file says.
   --store-limits      Give the store the times and rates of the deployment's file.
   --busy N            Processes that keep cores busy during the load [default: 0].
+  --blocked-signals   Start VMs with SIGTERM, SIGHUP and SIGINT blocked.
   --loaders N         Processes that send load [default: 2].
   --hosts N           Processes that host targets [default: 2].
   --source DIR        Directory that contains the package for the VMs to run [default: src].
@@ -69,7 +71,13 @@
     shutil.rmtree(directory, ignore_errors=True)
     directory.mkdir(parents=True)
     source = Path(arguments["--source"]).resolve()
-    options = Options(directory, source, int(arguments["--busy"]), min(_BUSY_S, seconds + 6.0))
+    options = Options(
+        directory,
+        source,
+        int(arguments["--busy"]),
+        min(_BUSY_S, seconds + 6.0),
+        arguments["--blocked-signals"],
+    )
     print(f"run again: python -m standins.soak {shlex.join(sys.argv[1:])}", flush=True)
     try:
         asyncio.run(Runner(plan=plan, options=options).run())
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -3,9 +3,11 @@
 import math
 import random
 
+from standins.soak.boots import draw_boots
 from standins.soak.configurations import CHANGES, INVALID
 from standins.soak.history import MAX_BUSY_PAUSE_S
 from standins.soak.layout import TROUBLES, Layout, Trouble
+from standins.soak.odd_stops import draw_odd_stops
 from standins.soak.records import Fault
 
 _ALL = (
@@ -14,9 +16,11 @@
     "garble", "crashes", "slow_targets", "release", "slow_store", "lost_answers", "links",
 )  # fmt: skip
 #: Other ways to stop VMs, which take the place of "stops" and do not belong to "all".
-_OTHER_STOPS = ("starved", "late_stops", "stop_pairs")
+_OTHER_STOPS = ("starved", "late_stops", "stop_pairs", "odd_stops")
+#: Starts of many VMs at once, which do not belong to "all" either.
+_OTHER_STARTS = ("boot",)
 #: Names that a mix may contain.
-MIXES = ("none", "all", *_OTHER_STOPS, *_ALL)
+MIXES = ("none", "all", *_OTHER_STOPS, *_OTHER_STARTS, *_ALL)
 _FIRST_S = 4.0
 _STOP_GAP_S = 1.3
 #: Seconds at the end of a run without new faults, in which disturbed processes come back.
@@ -79,6 +83,10 @@
             "starved": lambda: self._stops("starved_stop"),
             "late_stops": self._late_stops,
             "stop_pairs": self._stop_pairs,
+            "odd_stops": lambda: draw_odd_stops(self._stops("odd_stop"), rng=self._rng),
+            "boot": lambda: draw_boots(
+                self._layout, rng=self._rng, until_s=self._seconds - _LAST_S
+            ),
             "kills": lambda: self._series("kill", self._vms, 3, 1.0),
             "freezes": lambda: self._series("freeze", self._vms, 2, self._rng.uniform(1.0, 6.0)),
             "starts": self._starts,
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -13,9 +13,11 @@
 from typing import NamedTuple
 
 from standins.rowstore import RowStore
+from standins.soak.boots import FIRST_START, announce_settings, boot
 from standins.soak.configurations import Operator
 from standins.soak.fleet import StopPause, VmProcess
 from standins.soak.launcher import Launcher
+from standins.soak.odd_stops import stop_oddly
 from standins.soak.records import Fault, Plan, Recorder
 from standins.soak.supervisor import START_S, supervise
 
@@ -46,12 +48,14 @@
         source: Directory that contains the package that VMs run.
         busy: Number of processes that keep cores busy during the load.
         busy_s: Seconds after which they end by themselves.
+        blocks_signals: Whether VMs start with the signals of stops and of settings blocked.
     """
 
     directory: Path
     source: Path
     busy: int
     busy_s: float
+    blocks_signals: bool = False
 
 
 def describe_commit(source: Path) -> str:
@@ -81,7 +85,7 @@
         self._helpers: list[asyncio.subprocess.Process] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._supervisors: list[asyncio.Task[None]] = []
-        launcher = Launcher(source=options.source)
+        launcher = Launcher(source=options.source, blocks_signals=options.blocks_signals)
         self._vms = {
             vm.name: VmProcess(
                 vm=vm,
@@ -120,7 +124,14 @@
         self._hosts, self._loaders = hosts, loaders
         await asyncio.sleep(1.0)
         self._supervisors = [asyncio.create_task(supervise(vm)) for vm in self._vms.values()]
-        ready = await asyncio.gather(*(self._start_vm(vm) for vm in self._vms.values()))
+        announced = [
+            announce_settings(self._vms[fault["subject"]], fault)
+            for fault in self._plan.faults
+            if fault["kind"] == FIRST_START
+        ]
+        started = asyncio.gather(*(self._start_vm(vm) for vm in self._vms.values()))
+        await asyncio.gather(*announced)
+        ready = await started
         if not all(ready):
             raise StartError(f"a VM was not ready within {START_S} s")
         await asyncio.sleep(_LEAD_S)
@@ -181,6 +192,8 @@
             "freeze": self._freeze,
             "evacuate": self._evacuate,
             "stop_and_hup": self._stop,
+            "boot": lambda fault: boot(self._vms[fault["subject"]], fault),
+            "odd_stop": lambda fault: stop_oddly(self._vms[fault["subject"]], fault),
             **dict.fromkeys(_OF_CALLERS, self._note_callers),
         }
         if (handler := handlers.get(fault["kind"])) is not None:
@@ -323,6 +336,7 @@
             bounds=plan.deployment["bounds"],
             commit=describe_commit(self._options.source),
             faults=plan.faults,
+            blocks_signals=self._options.blocks_signals,
             pass_on_s=plan.layout.pass_on_s if plan.has_links else 0.0,
         )
 
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -10,6 +10,7 @@
 import pytest
 
 from carawaybank import deployment
+from standins.soak.boots import FIRST_START
 from standins.soak.faults import MIXES, draw_faults
 from standins.soak.history import MAX_BUSY_PAUSE_S, load_history
 from standins.soak.layout import DEPLOYMENTS, WORLDS, Layout, load_deployment
@@ -80,7 +81,9 @@
     faults = draw_faults(mix, layout=layout, seed=3, seconds=20.0)
     assert faults == draw_faults(mix, layout=layout, seed=3, seconds=20.0)
     assert bool(faults) == (mix != "none")
-    assert all(0 < fault["at"] < 20 for fault in faults)
+    before_the_load = [fault for fault in faults if fault["kind"] == FIRST_START]
+    assert all(fault["at"] == 0 for fault in before_the_load)
+    assert all(0 < fault["at"] < 20 for fault in faults if fault not in before_the_load)
     places = {place["name"] for place in layout.deployment["places"]}
     targets = {target.name for target in layout.targets}
     subjects = {"evacuate": places, "leave": targets, "host_pause": targets}
