--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -131,6 +131,9 @@
     lines.append("violations by rule")
     rules = Counter(violation.rule for violation in violations)
     lines += [f"  {count:7} {rule}" for rule, count in sorted(rules.items())]
+    lines.append("FAULT by reading of a stop that outlasts the grace")
+    lines.append(f"  {rules['FAULT']:7} if it is no FAULT")
+    lines.append(f"  {rules['FAULT'] + rules['KILL']:7} if it is one")
     lines += [
         f"{violation.rule} {violation.at:.3f} {violation.vm or '-'}: {violation.detail}"
         for violation in violations
--- a/tests/standins/test_soak_lifecycles.py
+++ b/tests/standins/test_soak_lifecycles.py
@@ -134,6 +134,8 @@
         text = summarize(make_history(*killed, *odd, make_event(100.0, "note")))
         assert "1 KILL" in text
         assert "1 FAULT" in text
+        assert "1 if it is no FAULT" in text
+        assert "2 if it is one" in text
         assert "KILL 50.000 vm1: killed: still running 6 s after SIGTERM" in text
 
     @pytest.mark.parametrize(
