--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -13,12 +13,14 @@
 from typing import NamedTuple
 
 from standins.rowstore import RowStore
+from standins.soak.boots import FIRST_START, announce_settings, boot
 from standins.soak.configurations import Operator
 from standins.soak.fleet import StopPause, VmProcess
+from standins.soak.launcher import Launcher
+from standins.soak.odd_stops import stop_oddly
 from standins.soak.records import Fault, Plan, Recorder
+from standins.soak.supervisor import START_S, supervise
 
-#: Seconds until a VM that was started has to be ready.
-START_S = 20.0
 _LEAD_S = 2.0
 _LATENESS_S = 0.5
 _LOAD_TAIL_S = 15.0
@@ -46,12 +48,14 @@
         source: Directory that contains the package that VMs run.
         busy: Number of processes that keep cores busy during the load.
         busy_s: Seconds after which they end by themselves.
+        blocks_signals: Whether VMs start with the signals of stops and of settings blocked.
     """
 
     directory: Path
     source: Path
     busy: int
     busy_s: float
+    blocks_signals: bool = False
 
 
 def describe_commit(source: Path) -> str:
@@ -80,12 +84,14 @@
         self._operator = Operator(layout=plan.layout)
         self._helpers: list[asyncio.subprocess.Process] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._supervisors: list[asyncio.Task[None]] = []
+        launcher = Launcher(source=options.source, blocks_signals=options.blocks_signals)
         self._vms = {
             vm.name: VmProcess(
                 vm=vm,
                 layout=plan.layout,
                 directory=options.directory,
-                source=options.source,
+                launcher=launcher,
                 recorder=self._recorder,
             )
             for vm in plan.layout.vms
@@ -104,6 +110,7 @@
         try:
             await self._start()
             await self._play()
+            self._stop_supervising()
             await asyncio.gather(*(vm.stop() for vm in self._vms.values()))
         finally:
             await self._end()
@@ -116,7 +123,15 @@
         loaders = [await self._help("load", number) for number in range(self._plan.loaders)]
         self._hosts, self._loaders = hosts, loaders
         await asyncio.sleep(1.0)
-        ready = await asyncio.gather(*(self._start_vm(vm) for vm in self._vms.values()))
+        self._supervisors = [asyncio.create_task(supervise(vm)) for vm in self._vms.values()]
+        announced = [
+            announce_settings(self._vms[fault["subject"]], fault)
+            for fault in self._plan.faults
+            if fault["kind"] == FIRST_START
+        ]
+        started = asyncio.gather(*(self._start_vm(vm) for vm in self._vms.values()))
+        await asyncio.gather(*announced)
+        ready = await started
         if not all(ready):
             raise StartError(f"a VM was not ready within {START_S} s")
         await asyncio.sleep(_LEAD_S)
@@ -177,6 +192,8 @@
             "freeze": self._freeze,
             "evacuate": self._evacuate,
             "stop_and_hup": self._stop,
+            "boot": lambda fault: boot(self._vms[fault["subject"]], fault),
+            "odd_stop": lambda fault: stop_oddly(self._vms[fault["subject"]], fault),
             **dict.fromkeys(_OF_CALLERS, self._note_callers),
         }
         if (handler := handlers.get(fault["kind"])) is not None:
@@ -319,11 +336,17 @@
             bounds=plan.deployment["bounds"],
             commit=describe_commit(self._options.source),
             faults=plan.faults,
+            blocks_signals=self._options.blocks_signals,
             pass_on_s=plan.layout.pass_on_s if plan.has_links else 0.0,
         )
 
+    def _stop_supervising(self) -> None:
+        for task in self._supervisors:
+            task.cancel()
+
     async def _end(self) -> None:
         """Ends all processes that the run started."""
+        self._stop_supervising()
         for task in self._tasks:
             task.cancel()
         for vm in self._vms.values():
