Move the start script out of the adapter, so that carawaybankd handles blocked signals too

`--check` of the platform's command reported success (0, no output) when it was interrupted, since it inherited the actions of a daemon that starts.

Change: start.py is a module of the product, used by both daemons; a check restores the default actions. The imports of carawaybankd still come first, as its command is a console script.

The tests of the script now run the real command: the modules imported before the package are those of an empty script, and links and -P leave the module path right. test_the_run_command_... reads the package from src, as the build copies it to target/deps.

--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -46,6 +46,7 @@
 from carawaybank.siblings.app import SiblingsApp
 from carawaybank.siblings.client import SiblingClient
 from carawaybank.siblings.tasks import SiblingTask
+from carawaybank.start import handle_signals, reset_signals
 from carawaybank.storage import HttpObjectStore, HttpTable, HttpVmList, Platform
 from carawaybank.storage.clients import PlatformClient
 from carawaybank.storage.poller import PlatformPoller
@@ -272,10 +273,11 @@
 
 def main() -> None:
     """Parses the command line, then checks the settings or runs the daemon."""
-    # Settings are read at the start only, and an operator's SIGHUP must not end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    handle_signals()
     streams.open_missing()
     arguments = docopt(__doc__, version=carawaybank.__version__)
+    if arguments["--check"]:
+        reset_signals()
     try:
         settings = load(Path(arguments["--settings"]))
     except DocumentError as error:
--- a/src/carawaybank/platform/__main__.py
+++ b/src/carawaybank/platform/__main__.py
@@ -1,11 +1,12 @@
 """Entry point of the daemon of an entry VM; see :mod:`carawaybank.platform.command`.
 
-Signals are handled before the imports; :mod:`carawaybank.platform.start` does so even earlier.
+Used by ``-m`` and by the console script. ``deploy/system.toml`` runs :mod:`carawaybank.start` by
+its path instead, which handles signals even before the interpreter's imports for ``-m``.
 """
 
 import sys
 
-from carawaybank.platform.start import handle_signals
+from carawaybank.start import handle_signals
 
 handle_signals()
 
--- a/src/carawaybank/platform/command.py
+++ b/src/carawaybank/platform/command.py
@@ -41,6 +41,7 @@
 from carawaybank.platform import decoding
 from carawaybank.platform.adapter import PlatformAdapter
 from carawaybank.routing.tenants import find_faults
+from carawaybank.start import reset_signals
 
 _SETTINGS_VARIABLE = "CARAWAYBANK_SETTINGS"
 _FAILED = 1
@@ -88,6 +89,7 @@
 
 def _check(path: Path, configuration: str | None) -> int:
     """Checks the settings, and a configuration if one is named; returns the exit code."""
+    reset_signals()
     try:
         settings = deployment.load(path)
     except DocumentError as error:
--- a/src/carawaybank/platform/start.py
+++ b/src/carawaybank/start.py
@@ -1,7 +1,8 @@
-"""Starts the daemon of an entry VM; run by path, as ``deploy/system.toml`` does.
+"""Starts an entry VM on a platform; run by path, as ``deploy/system.toml`` does.
 
 Until a process has set the actions of signals, each signal ends it, and imports take seconds on a
-machine under load. This file therefore imports only what the interpreter has loaded at its start.
+machine under load. This file therefore imports only what the interpreter has loaded at its start:
+``_signal`` in place of ``signal``, whose constants need ``enum``.
 """
 
 import _signal
@@ -25,10 +26,16 @@
     _signal.pthread_sigmask(_signal.SIG_UNBLOCK, (_signal.SIGHUP, *_STOP_SIGNALS))
 
 
+def reset_signals() -> None:
+    """Restores the default actions, for a command whose interruption is no success."""
+    for number in (_signal.SIGHUP, *_STOP_SIGNALS):
+        _signal.signal(number, _signal.SIG_DFL)
+
+
 if __name__ == "__main__":
     handle_signals()
     if not sys.flags.safe_path:
-        # The directory of this file, whose modules belong to the package.
+        # The interpreter puts the directory of a script first; its modules belong to the package.
         del sys.path[0]
 
     from carawaybank.platform.command import main
--- a/standins/soak/launcher.py
+++ b/standins/soak/launcher.py
@@ -29,7 +29,7 @@
     @property
     def command(self) -> list[str]:
         """Command of a VM; a build that has no script for the start is run as a module."""
-        script = self._source / _PACKAGE.replace(".", os.sep) / "start.py"
+        script = self._source / "carawaybank" / "start.py"
         if script.exists():
             return [sys.executable, "-S", "-P", str(script)]
         return [sys.executable, "-S", "-m", _PACKAGE]
--- a/tests/platform/test_command.py
+++ b/tests/platform/test_command.py
@@ -270,7 +270,9 @@
             path = tmp_path / "node.toml"
             path.write_text(node.text)
             system = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-            _, *arguments = system["roles"]["entry"]["run"].split()
+            # The build copies the package from ``src`` to ``target/deps``.
+            run = system["roles"]["entry"]["run"].replace("target/deps/", f"{ROOT / 'src'}/")
+            _, *arguments = run.split()
             folders = [
                 str(ROOT / "src"),
                 sysconfig.get_path("platlib"),
--- a/tests/standins/soak_vms.py
+++ b/tests/standins/soak_vms.py
@@ -16,7 +16,7 @@
 @contextlib.asynccontextmanager
 async def run_vm(directory, code, *, blocks_signals=False):
     """Starts a VM whose script is some code, and kills it at the end."""
-    package = directory / "carawaybank" / "platform"
+    package = directory / "carawaybank"
     package.mkdir(parents=True)
     (package / "start.py").write_text(code)
     layout = Layout(load_deployment("small"), "127.210.0")
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -34,7 +34,7 @@
     """Returns a copy of the source whose VMs run some code before they set signals."""
     source = directory / "source"
     shutil.copytree(SOURCE / "carawaybank", source / "carawaybank")
-    script = source / "carawaybank" / "platform" / "start.py"
+    script = source / "carawaybank" / "start.py"
     docstring, rest = script.read_text().split('"""\n', 1)
     script.write_text(f'{docstring}"""\n{code}{rest}')
     return source
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import subprocess
 import sys
+from pathlib import Path
 
 import pytest
 
@@ -47,3 +48,28 @@
     """Guards against a daemon that fails on its log if its supervisor closed standard error."""
     command = f'exec "{sys.executable}" -m carawaybank.daemon --settings "{tmp_path}/none" 2>&-'
     assert subprocess.run(["sh", "-c", command], check=False).returncode == 2
+
+
+#: Runs the daemon with signals blocked by its parent, and stops it before its event loop runs.
+STOP_BEFORE_LOOP = """
+import os, signal, sys, time
+signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGHUP))
+from carawaybank import daemon
+
+def stop(coroutine):
+    coroutine.close()
+    os.kill(os.getpid(), signal.SIGHUP)
+    os.kill(os.getpid(), signal.SIGTERM)
+    time.sleep(0.1)
+    sys.exit(3)
+
+daemon.asyncio.run = stop
+daemon.main()
+"""
+
+
+def test_a_stop_signal_that_the_parent_blocks_stops_a_daemon():
+    """Guards against a stop that is never noticed, or fails before the event loop runs."""
+    settings = Path(__file__).resolve().parents[1] / "docs" / "entry-vm.toml"
+    command = [sys.executable, "-c", STOP_BEFORE_LOOP, "--settings", str(settings)]
+    assert subprocess.run(command, check=False).returncode == 0
--- a/tests/platform/test_start.py
+++ b/tests/test_start.py
@@ -5,7 +5,10 @@
 import json
 import os
 import random
+import re
+import shutil
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -14,43 +17,37 @@
 
 import pytest
 
-from carawaybank.platform import start
+from carawaybank import start
+from standins.cluster import process_ip
 from tests.platform.sites import START_S
 from tests.platform.test_process import Node
 
 pytestmark = pytest.mark.processes
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 SCRIPT = Path(start.__file__)
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 #: Seconds from SIGTERM to the kill, as in the settings of the tests.
 STOP_S = 6.0
 
-#: Prints the modules that the script loads before its last call to set signals, which is the one
-#: that unblocks them.
-PRINT_MODULES = f"""
-import sys, _signal
-before = set(sys.modules)
+IMPORTED = re.compile(r"import time:[ \d]+\|[ \d]+\| *(\S+)")
 
-def unblock(*_):
-    print(sorted(set(sys.modules) - before))
-    sys.exit()
 
-_signal.pthread_sigmask = unblock
-with open({str(SCRIPT)!r}, "rb") as file:
-    exec(compile(file.read(), {str(SCRIPT)!r}, "exec"), {{"__name__": "__main__"}})
-"""
+def list_imports(script, *arguments):
+    """Returns the modules that the interpreter imports to run a script, in their order."""
+    command = [sys.executable, "-S", "-P", "-X", "importtime", str(script), *arguments]
+    run = subprocess.run(command, env={}, capture_output=True, text=True, check=False)
+    return IMPORTED.findall(run.stderr)
 
 
-def test_nothing_is_imported_before_signals_are_handled():
+def test_nothing_is_imported_before_signals_are_handled(tmp_path):
     """Guards against a longer time after the start in which a signal ends a process."""
-    run = subprocess.run(
-        [sys.executable, "-S", "-E", "-c", PRINT_MODULES],
-        capture_output=True,
-        text=True,
-        check=True,
-    )
-    assert run.stdout == "[]\n"
+    empty = tmp_path / "empty.py"
+    empty.write_text("")
+    # The package is not on the module path, so that its import, the first one, ends the process.
+    *imports, _, _, command = list_imports(SCRIPT, "--version")
+    assert command == "carawaybank.platform.command"
+    assert imports == list_imports(empty)
 
 
 def test_the_deployment_starts_the_script_by_its_path():
@@ -58,22 +55,46 @@
     with (ROOT / "deploy" / "system.toml").open("rb") as file:
         words = tomllib.load(file)["roles"]["entry"]["run"].split()
     assert words[0] == "python3"
-    assert words[-1] == "target/deps/carawaybank/platform/start.py"
+    assert words[-1] == "target/deps/carawaybank/start.py"
     assert set(words[1:-1]) == {"-S", "-P"}
 
 
-def test_modules_beside_the_script_hide_no_others(tmp_path):
+#: Command of a package that prints the module path.
+PRINT_PATH = "import sys\ndef main():\n    print(sys.path[0])\n    return 0\n"
+
+
+@pytest.mark.parametrize("options", [[], ["-P"]])
+@pytest.mark.parametrize("is_linked", [False, True])
+def test_modules_beside_the_script_hide_no_others(tmp_path, options, is_linked):
     """Guards against a folder of the package on the module path of a script that is run by path."""
-    code = (
-        "import sys; import carawaybank.platform.command as c;"
-        "c.main = lambda: print([p for p in sys.path if p.endswith('platform')]) or 0;"
-        f"sys.argv = [{str(SCRIPT)!r}]; sys.path.insert(0, {str(SCRIPT.parent)!r});"
-        f"import runpy; runpy.run_path({str(SCRIPT)!r}, run_name='__main__')"
-    )
+    package = tmp_path / "built" / "carawaybank"
+    (package / "platform").mkdir(parents=True)
+    shutil.copy(SCRIPT, package)
+    (package / "__init__.py").touch()
+    (package / "platform" / "__init__.py").touch()
+    (package / "platform" / "command.py").write_text(PRINT_PATH)
+    (tmp_path / "linked").symlink_to(tmp_path / "built")
+    folder = tmp_path / ("linked" if is_linked else "built")
     run = subprocess.run(
-        [sys.executable, "-c", code], capture_output=True, text=True, check=True, cwd=tmp_path
+        [sys.executable, *options, str(folder / "carawaybank" / "start.py")],
+        env={"PYTHONPATH": str(folder)},
+        capture_output=True,
+        text=True,
+        check=True,
     )
-    assert run.stdout == "[]\n"
+    assert run.stdout == f"{folder}\n"
+
+
+@pytest.mark.parametrize("number", SIGNALS)
+def test_an_interrupted_check_does_not_report_success(tmp_path, number):
+    """Guards against a deployment script that goes on with settings that were not checked."""
+    settings = tmp_path / "node.toml"
+    os.mkfifo(settings)
+    command = [sys.executable, str(SCRIPT), "--check", "--settings", str(settings)]
+    process = subprocess.Popen(command)
+    with settings.open("wb"):  # Returns once the process reads its settings.
+        process.send_signal(number)
+        assert process.wait(START_S) == -number
 
 
 class Vm(Node):
@@ -204,6 +225,32 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("blocked", [(), SIGNALS])
+def test_a_process_that_waits_for_settings_or_addresses_stops_as_planned(tmp_path, blocked):
+    """Guards against a stop of a process that does not serve yet which looks like a failure."""
+
+    async def run():
+        async with Vm(blocked=blocked) as vm:
+            path = tmp_path / "node.toml"
+            path.write_text("incomplete = ")
+            await vm.launch(path)
+            await vm.wait_for_event("waiting for settings")
+            vm.send(signal.SIGHUP)
+            vm.send(signal.SIGTERM)
+            assert await vm.end(within_s=STOP_S) == 0
+            with socket.socket() as holder:
+                holder.bind((process_ip(), vm.ports["8100"]))
+                holder.listen()
+                path.write_text(vm.text)
+                await vm.launch(path)
+                await vm.wait_for_event("waiting for an address")
+                vm.send(signal.SIGHUP)
+                vm.send(signal.SIGTERM)
+                assert await vm.end(within_s=STOP_S) == 0
+
+    asyncio.run(run())
+
+
 SERIES = {
     "twice": (signal.SIGTERM, signal.SIGTERM),
     "then-settings": (signal.SIGTERM, signal.SIGHUP),
