Read on while a refused caller sends, so that it gets the refusal

Callers saw a reset in place of a 413 or 503 when their upload was refused while its body was still arriving, for instance at 3.6 s of a stop, and took more than a second to arrive.

Cause: a connection that a response closes was read on for one second, whatever the caller did. The close then reset it. A client that writes its body first gets the error of the write, and asyncio's streams report that in place of the response that they had already received.

Change: LingeringClose goes on in steps of a second while the caller sends, for eight of them and 16 MB at most, and does what connections.py did before otherwise. Eight seconds are over the longest budget of a caller. Nothing is kept of what is read. Steps are counted in place of the time, so that a pause of the process does not end the wait.

--- a/src/carawaybank/callers/connections.py
+++ b/src/carawaybank/callers/connections.py
@@ -11,7 +11,6 @@
 """
 
 import asyncio
-import contextlib
 import itertools
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -19,6 +18,7 @@
 
 from carawaybank.callers.backlog import ConnectionBacklog, ResponseBacklog
 from carawaybank.callers.bodies import BodyMemory, ConnectionBodies
+from carawaybank.callers.lingering import LingeringClose, close_now
 from carawaybank.callers.requests import CallerRequest, InvalidRequestError, RequestParser
 from carawaybank.callers.responses import encode_response
 from carawaybank.replies import HttpReply
@@ -29,10 +29,6 @@
 #: Requests of one connection that run concurrently. Reading pauses at this number of requests and
 #: resumes when responses have been written.
 _MAX_PIPELINED = 32
-#: Seconds for which a connection is read on after the caller has received the response that closes
-#: it. A socket that is closed with unread bytes resets the connection, which may cost the caller
-#: this response.
-_CLOSE_WAIT_S = 1.0
 #: Seconds for which a body waits for memory before its request is refused.
 _BODY_WAIT_S = 1.0
 #: Wait in seconds from which a request may be that of a caller who has left meanwhile.
@@ -109,7 +105,7 @@
         self._has_waited_here = False
         self._head_started_at: float | None = None
         self._idle_since = self._loop.time()
-        self._close_timer: asyncio.TimerHandle | None = None
+        self._lingering: LingeringClose | None = None
         self._bodies = ConnectionBodies(
             memory=context.bodies or BodyMemory(max_bytes=_UNLIMITED_BYTES)
         )
@@ -162,6 +158,8 @@
         self._has_received = True
         self._end_input_if_closing()
         if self._is_input_ended:
+            if self._lingering is not None:
+                self._lingering.record_input(len(data))
             return
         self._unread_s = input_age_s(self._socket)
         self._has_waited_here = self._unread_s > self._loop.time() - self._resumed_at
@@ -205,8 +203,8 @@
         """Cancels the requests that still run for the caller."""
         self._connections.discard(self)
         self._is_input_ended = True
-        if self._close_timer is not None:
-            self._close_timer.cancel()
+        if self._lingering is not None:
+            self._lingering.cancel()
         self._drop_body()
         for exchange in self._queue:
             if exchange.task is not None:
@@ -219,12 +217,12 @@
     def close(self) -> None:
         """Closes the connection after the data written so far; later input is ignored."""
         self._is_input_ended = True
-        if self._transport is None or self._close_timer is not None:
+        if self._transport is None or self._lingering is not None:
             return
         if self._transport.get_write_buffer_size():
             self._close_once_received(self._transport)
         else:
-            self._close_now(self._transport)
+            close_now(self._transport)
 
     def refuse_unfinished(self, detail: str) -> bool:
         """Refuses the request that is being received and closes the connection.
@@ -268,16 +266,9 @@
         ):
             self.close()
 
-    def _close_now(self, transport: asyncio.Transport) -> None:
-        # The transport closes its socket only in the next round of the event loop. A caller that
-        # does not know yet would send its next request in between.
-        if not transport.get_write_buffer_size():
-            self._send_end(transport)
-        transport.close()
-
     @property
     def _is_answering(self) -> bool:
-        return bool(self._queue) or self._close_timer is not None
+        return bool(self._queue) or self._lingering is not None
 
     @property
     def _is_writing_paused(self) -> bool:
@@ -430,29 +421,21 @@
         if self._transport is None:
             return
         if asked_to_close or self._transport.is_closing():
-            self._close_now(self._transport)
+            close_now(self._transport)
         else:
             self._close_once_received(self._transport)
 
     def _close_once_received(self, transport: asyncio.Transport) -> None:
         """Reads and ignores what the caller sends until it has received all that was written."""
-        self._close_timer = self._loop.call_later(_CLOSE_WAIT_S, self._close_if_received)
-        self._send_end(transport)
+        assert self._backlog is not None
+        backlog = self._backlog
+        self._lingering = LingeringClose(
+            transport=transport, count_unreceived_bytes=lambda: backlog.unreceived_bytes
+        )
         if self._is_reading_paused:
             self._is_reading_paused = False
             transport.resume_reading()
 
-    @staticmethod
-    def _send_end(transport: asyncio.Transport) -> None:
-        with contextlib.suppress(OSError):  # The caller has left, and its end was not read yet.
-            transport.write_eof()
-
-    def _close_if_received(self) -> None:
-        if self._backlog is not None and self._backlog.unreceived_bytes:
-            self._close_timer = self._loop.call_later(_CLOSE_WAIT_S, self._close_if_received)
-        elif self._transport is not None:
-            self._close_now(self._transport)
-
     def _write(self, exchange: _Exchange, *, must_close: bool) -> None:
         reply, backlog = exchange.reply, self._backlog
         assert reply is not None
--- a/tests/platform/test_process_uploads.py
+++ b/tests/platform/test_process_uploads.py
@@ -132,3 +132,32 @@
             assert await node.process.wait() == 0
 
     asyncio.run(run())
+
+
+def test_callers_that_send_on_for_all_of_a_stop_get_the_refusals_of_their_uploads(tmp_path):
+    """Guards against a reset in place of the response to an upload over a slow link."""
+
+    async def send_on(node, number):
+        reader, writer = await asyncio.open_connection(process_ip(), node.ports["8100"])
+        head = f"POST /x/{number} HTTP/1.1\r\nHost: a.example\r\nX-Carawaybank-Request-Id: {number}"
+        writer.write(f"{head}\r\nContent-Length: 360000\r\n\r\n".encode())
+        node.process.send_signal(signal.SIGTERM)
+        # Unfinished requests are refused after 3.6 s, and the process ends after 5.58 s.
+        for _ in range(52):
+            writer.write(bytes(6000))
+            await writer.drain()
+            await asyncio.sleep(0.1)
+        answer = await asyncio.wait_for(reader.read(), 1.0)
+        writer.close()
+        return answer
+
+    async def run():
+        async with Node() as node:
+            await node.start(tmp_path)
+            reading = asyncio.create_task(node.output())
+            answers = await asyncio.gather(*(send_on(node, number) for number in range(4)))
+            assert [answer[:12] for answer in answers] == [b"HTTP/1.1 503"] * 4
+            await reading
+            assert await node.process.wait() == 0
+
+    asyncio.run(run())
