Take no end of a VM for the runner's doing that came before its signal

What callers saw: nothing; test_start_that_settings_end_is_found failed in one of ten runs beside a load of 17, with a VM that SIGHUP had ended and no FAULT.

A kill by the runner noted the end as planned as long as the event loop had not seen the end, and the thread that takes its time may be as late.

Change: a stop or kill notes a planned end only if the kernel says that the process still runs. The new test has the thread late and kills a VM that has ended; it failed before.

--- a/standins/soak/fleet.py
+++ b/standins/soak/fleet.py
@@ -164,7 +164,7 @@
         if pause is not None:
             pausing.append(asyncio.create_task(self._pause_once(pause)))
             await asyncio.sleep(max(0.0, -pause.after_s))
-        self._planned_end_at = min(self._planned_end_at, time.monotonic())
+        self._plan_end()
         self.send(number, event=signal.SIGTERM.name)
         if is_starved:
             pausing.append(asyncio.create_task(self._pause()))
@@ -177,7 +177,7 @@
     async def kill(self) -> None:
         """Kills the process if it runs, and waits for its end."""
         if self.is_running and self._ended is not None:
-            self._planned_end_at = min(self._planned_end_at, time.monotonic())
+            self._plan_end()
             self.send(signal.SIGKILL)
             await self._ended
 
@@ -282,6 +282,11 @@
             if self.process is process:
                 self.send(signal.SIGCONT, event="resume")
 
+    def _plan_end(self) -> None:
+        """Notes that the next end is the runner's doing, unless the process has ended before."""
+        if not has_ended(self._pidfd):
+            self._planned_end_at = min(self._planned_end_at, time.monotonic())
+
     def _signal(self, number: signal.Signals) -> None:
         # Process.send_signal polls, which takes the exit status away from the event loop.
         with contextlib.suppress(OSError):  # The process has just ended.
--- a/tests/standins/test_soak_boots.py
+++ b/tests/standins/test_soak_boots.py
@@ -63,7 +63,7 @@
         async with run_vm(tmp_path, VM.format(delay_s=0.0)) as vm:
             announcement = asyncio.create_task(vm.announce_settings(after_s=0.2))
             await asyncio.sleep(0.0)
-            time.sleep(1.5)  # noqa: ASYNC251  The event loop is late.
+            time.sleep(1.5)
             await announcement
 
     asyncio.run(play())
--- a/tests/standins/test_soak_fleet.py
+++ b/tests/standins/test_soak_fleet.py
@@ -1,6 +1,7 @@
 """Processes of the soak's VMs, as their runner sees them."""
 
 import asyncio
+import contextlib
 import json
 import os
 import subprocess
@@ -12,6 +13,7 @@
 from standins.soak.launcher import Launcher
 from standins.soak.layout import Layout, load_deployment
 from standins.soak.records import Recorder
+from tests.standins.soak_vms import rules_in, run_vm
 
 #: Module of a VM that ends at SIGTERM and says when it handles the signal.
 IDLE_VM = """
@@ -86,3 +88,17 @@
     assert set(events) == {"start", "SIGTERM", "exit"}
     assert events["exit"]["expected"]
     assert events["exit"]["at"] - events["SIGTERM"]["at"] < 2.0
+
+
+def test_end_by_itself_that_a_busy_runner_notes_after_its_kill_is_found(tmp_path, monkeypatch):
+    """Guards against taking the end of a VM for the runner's doing, because both saw it late."""
+    monkeypatch.setattr(fleet, "_watch_end", lambda _, ended_at: time.sleep(1.0))
+
+    async def end_and_kill():
+        async with run_vm(tmp_path, "raise SystemExit(3)") as vm:
+            with contextlib.suppress(ChildProcessError):
+                os.waitid(os.P_PID, vm.process.pid, os.WEXITED | os.WNOWAIT)
+            await vm.kill()
+
+    asyncio.run(end_and_kill())
+    assert rules_in(tmp_path) == ["FAULT"]
