Start the VMs of a soak with the default actions of signals, also under nohup

Cause: a process inherits which signals are ignored. Under nohup that is SIGHUP, and in the background of a shell SIGINT: a VM that starts is then immune to them until it sets its actions.

Change: the runner replaces ignored signals by actions that do nothing, which its processes do not inherit. The test prints the actions in a VM; without the change they are all SIG_IGN.

--- a/standins/soak/launcher.py
+++ b/standins/soak/launcher.py
@@ -28,6 +28,17 @@
         # Of many starts at once, each is known as soon as its process runs.
         self._starting = asyncio.Lock()
 
+    @staticmethod
+    def restore_signals() -> None:
+        """Gives processes that start later the default actions of signals that are ignored.
+
+        A process inherits them: under nohup, or in the background of a shell, no SIGHUP or SIGINT
+        would end a VM in its start.
+        """
+        for number in _STOP_AND_RELOAD:
+            if signal.getsignal(number) == signal.SIG_IGN:
+                signal.signal(number, _ignore)
+
     @property
     def command(self) -> list[str]:
         """Command of a VM; a build that has no script for the start is run as a module."""
@@ -63,3 +74,7 @@
 
     def _block_signals(self) -> None:
         signal.pthread_sigmask(signal.SIG_BLOCK, self._blocked)
+
+
+def _ignore(*_: object) -> None:
+    """Ignores a signal; unlike SIG_IGN, processes that are started do not inherit it."""
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -105,6 +105,7 @@
         """
         task = asyncio.current_task()
         assert task is not None
+        Launcher.restore_signals()
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         self._write_meta()
         try:
--- a/tests/standins/test_soak_fleet.py
+++ b/tests/standins/test_soak_fleet.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import signal
 import subprocess
 import sys
 import time
@@ -13,7 +14,7 @@
 from standins.soak.launcher import Launcher
 from standins.soak.layout import Layout, load_deployment
 from standins.soak.records import Recorder
-from tests.standins.soak_vms import rules_in, run_vm
+from tests.standins.soak_vms import rules_in, run_vm, wait_for_lines
 
 #: Module of a VM that ends at SIGTERM and says when it handles the signal.
 IDLE_VM = """
@@ -102,3 +103,23 @@
 
     asyncio.run(end_and_kill())
     assert rules_in(tmp_path) == ["FAULT"]
+
+
+def test_vm_of_a_runner_that_ignores_signals_starts_with_their_default_actions(tmp_path):
+    """Guards against a play under nohup, in whose starts no SIGHUP can end a VM."""
+    code = "import _signal; print([_signal.getsignal(n) == _signal.SIG_IGN for n in (1, 2, 15)])"
+
+    async def start():
+        async with run_vm(tmp_path, code):
+            await wait_for_lines(tmp_path, 1)
+
+    numbers = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+    before = [signal.signal(number, signal.SIG_IGN) for number in numbers]
+    try:
+        Launcher.restore_signals()
+        asyncio.run(start())
+    finally:
+        for number, action in zip(numbers, before, strict=True):
+            signal.signal(number, action)
+    (log,) = tmp_path.glob("*.log")
+    assert log.read_text() == "[False, False, False]\n"
