--- a/standins/soak/options.py
+++ b/standins/soak/options.py
@@ -18,11 +18,7 @@
 
 
 class OptionError(Exception):
-    """An option of the command that is not usable."""
-
-    def __init__(self, option: str, fault: object) -> None:
-        """Names the option and the fault."""
-        super().__init__(f"{option}: {fault}")
+    """An option of the command that is not usable; its text names the option."""
 
 
 class Command(NamedTuple):
@@ -55,7 +51,7 @@
             arguments["--faults"], layout=Layout(deployment, network), seed=seed, seconds=seconds
         )
     except ValueError as error:
-        raise OptionError("--faults", error) from error
+        raise OptionError(f"--faults: {error}") from error
     plan = Plan(
         deployment=deployment,
         network=network,
@@ -82,21 +78,21 @@
     name = arguments["--deployment"]
     known = sorted(path.stem for path in DEPLOYMENTS.glob("*.toml") if path != WORLDS)
     if name not in known:
-        raise OptionError("--deployment", f"{name!r} is none of {', '.join(known)}")
+        raise OptionError(f"--deployment: {name!r} is none of {', '.join(known)}")
     try:
         deployment = load_deployment(name)
     except (msgspec.ValidationError, tomllib.TOMLDecodeError) as error:
-        raise OptionError("--deployment", f"{name}: {error}") from error
+        raise OptionError(f"--deployment: {name}: {error}") from error
     for option, field in (("--links", "links"), ("--store-limits", "store")):
         if arguments[option] and field not in deployment:
-            raise OptionError(option, f"the file of {name} has no [{field}]")
+            raise OptionError(f"{option}: the file of {name} has no [{field}]")
     return deployment
 
 
 def _read_whole(arguments: Mapping[str, Any], option: str, *, at_least: int) -> int:
     text = arguments[option]
     if not text.isdecimal() or int(text) < at_least:
-        raise OptionError(option, f"{text!r} is no whole number of at least {at_least}")
+        raise OptionError(f"{option}: {text!r} is no whole number of at least {at_least}")
     return int(text)
 
 
@@ -107,21 +103,21 @@
     except ValueError:
         value = math.nan
     if not 0 < value < math.inf:
-        raise OptionError(option, f"{text!r} is no number above 0")
+        raise OptionError(f"{option}: {text!r} is no number above 0")
     return value
 
 
 def _read_directory(arguments: Mapping[str, Any]) -> Path:
     directory = Path(arguments["--out"]).resolve()
     if directory.exists() and not directory.is_dir():
-        raise OptionError("--out", f"{directory} is no directory")
+        raise OptionError(f"--out: {directory} is no directory")
     if directory.exists() and not (directory / "plan.json").exists() and any(directory.iterdir()):
-        raise OptionError("--out", f"{directory} holds other files")
+        raise OptionError(f"--out: {directory} holds other files")
     return directory
 
 
 def _read_source(arguments: Mapping[str, Any]) -> Path:
     source = Path(arguments["--source"]).resolve()
     if not (source / "carawaybank").is_dir():
-        raise OptionError("--source", f"{source} has no package carawaybank")
+        raise OptionError(f"--source: {source} has no package carawaybank")
     return source
