Move the log of unexpected failures out of node.py

The module builds, runs and stops the process and has over 500 lines. No change of behaviour: tests/test_background.py, tests/test_node.py and the failing tasks and callbacks of tests/platform/test_command.py pass as before.

--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -6,7 +6,6 @@
 import signal
 import socket
 import time
-import traceback
 from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
 from typing import Any
@@ -25,6 +24,7 @@
 from carawaybank.endpoints import Endpoints
 from carawaybank.exceptions import ListenError, TaskError
 from carawaybank.exposition import Exposition
+from carawaybank.failures import FailureLog
 from carawaybank.handler import RequestHandler
 from carawaybank.journal import Journal
 from carawaybank.loopdelay import EventLoopDelay
@@ -82,6 +82,7 @@
         self._deployment = deployment
         self._adapter = adapter
         self._journal = Journal(vm=deployment.vm)
+        self._failures = FailureLog(journal=self._journal)
         self._settings_file = SettingsFile(path=settings_path, journal=self._journal)
         self._counters = Counters()
         self._rng = random.Random(f"{deployment.vm}.{time.time_ns()}")
@@ -253,7 +254,9 @@
 
     def _make_control(self) -> None:
         self._metrics = Exposition(
-            vm=self._deployment.vm, counters=self._counters, on_failure=self._log_missing_metrics
+            vm=self._deployment.vm,
+            counters=self._counters,
+            on_failure=self._failures.record_missing_metrics,
         )
         self._endpoints = Endpoints(
             adapter=self._adapter,
@@ -288,7 +291,7 @@
         """
         loop = asyncio.get_running_loop()
         # By default, errors go to standard error, which blocks the loop while nobody reads it.
-        loop.set_exception_handler(self._log_callback_failure)
+        loop.set_exception_handler(self._failures.record_callback)
         self._stopped.install()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._journal.log("daemon", "started", **self._deployment._asdict())
@@ -297,7 +300,7 @@
             return
         tasks = BackgroundTasks(on_failure=self._stop_on_failure)
         for run in self._background_functions():
-            tasks.start_restarting(run, on_restart=self._log_restart)
+            tasks.start_restarting(run, on_restart=self._failures.record_restart)
         await self._stopped.wait()
         await self._stop(listeners)
         tasks.cancel()
@@ -320,22 +323,6 @@
             self._loop_delay.run,
         ]
 
-    def _log_restart(self, failure: TaskError) -> None:
-        place = _place(failure.__cause__)
-        self._journal.log("daemon", "task restarted", reason=str(failure), place=place)
-
-    def _log_callback_failure(self, _: object, context: dict[str, Any]) -> None:
-        cause = context.get("exception")
-        self._journal.log(
-            "daemon",
-            "callback failed",
-            reason=f"{context['message']}: {cause!r}",
-            place=_place(cause),
-        )
-
-    def _log_missing_metrics(self, error: Exception) -> None:
-        self._journal.log("daemon", "metrics not loaded", reason=repr(error))
-
     def _stop_on_failure(self, failure: TaskError) -> None:
         self._journal.log("daemon", "task failed", reason=str(failure))
         self._stopped.set()
@@ -578,9 +565,3 @@
         self._deployment = deployment
         self._router.update_options(deployment.router_options())
         self._allotments.update_bounds(deployment.allotment_bounds())
-
-
-def _place(error: BaseException | None) -> str:
-    """Returns the file and line at which an error was raised; empty if it is not known."""
-    frames = traceback.extract_tb(error.__traceback__) if error else []
-    return f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
