Run a background task that fails again for as long as the process runs

A background task that failed six times within a minute ended the process by design. A row, a datagram or an error in a build reaches all VMs: all of them end, lose what is in progress, start, and end again.

Change: a task that fails is run again after 0.5 to 2 s, with jitter, without an end. The VM serves with what it knows. Each failure is logged with its place, count and pause, counted in carawaybank_task_failures_total, and listed in the dump (failing_tasks) until the task was sound for a minute. A cancelled call that a task awaits ended the task unseen; that is a failure now. carawaybankd, which ended at the first failure, follows the same rule.

--- a/src/carawaybank/control.py
+++ b/src/carawaybank/control.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from carawaybank import documents
+from carawaybank.background import BackgroundTasks
 from carawaybank.callers.requests import CallerRequest
 from carawaybank.dump import make_dump
 from carawaybank.exceptions import DocumentError
@@ -35,6 +36,7 @@
         bootstrap: Bootstrap,
         connections: Collection[object],
         proofs: ConfigurationProofs,
+        tasks: BackgroundTasks,
     ) -> None:
         """Initializes the handler with the components whose state it serves.
 
@@ -45,12 +47,14 @@
             bootstrap: Serves the departures to siblings that start.
             connections: Open connections of callers.
             proofs: Knows how recently the configuration in force was proven to be current.
+            tasks: Background tasks of the process.
         """
         self._router = router
         self._vms = vms
         self._watches = watches
         self._bootstrap = bootstrap
         self._connections = connections
+        self._tasks = tasks
         self._tables = TableServer(watches=watches, proof_age_s=proofs.age_s)
 
     async def handle(self, request: CallerRequest) -> HttpReply:
@@ -68,6 +72,7 @@
             vms=self._vms,
             watches=self._watches,
             connections=len(self._connections),
+            failures=self._tasks.failing(),
             now=asyncio.get_running_loop().time(),
         )
         return HttpReply(200, _JSON, msgspec.json.encode(dump))
--- a/src/carawaybank/counters.py
+++ b/src/carawaybank/counters.py
@@ -84,6 +84,7 @@
         self._limit_events: Counter[str] = Counter()
         self._relays: Counter[str] = Counter()
         self._rejected_rows: Counter[str] = Counter()
+        self._task_failures: Counter[str] = Counter()
         self._retries: Counter[RetryLabels] = Counter()
         self._machine_reports: Counter[str] = Counter()
         self._allotments: Counter[AllotmentLabels] = Counter()
@@ -172,6 +173,16 @@
         with self._lock:
             return dict(self._rejected_rows)
 
+    def count_task_failure(self, task: str) -> None:
+        """Counts a failure of a background task, which runs again."""
+        with self._lock:
+            self._task_failures[task] += 1
+
+    def task_failures(self) -> dict[str, int]:
+        """Returns the number of failures of background tasks, by name of the task."""
+        with self._lock:
+            return dict(self._task_failures)
+
     def count_relay(self, event: str) -> None:
         """Counts a request that was passed on, taken in, or refused for want of room."""
         with self._lock:
--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -30,14 +30,14 @@
 
 import carawaybank
 from carawaybank import logs, streams
-from carawaybank.background import BackgroundTasks
+from carawaybank.background import BackgroundTasks, TaskFailure
 from carawaybank.callers import sweeps
 from carawaybank.callers.app import CallersApp
 from carawaybank.callers.connections import CallerConnection
 from carawaybank.callers.forwarding import Forwarder
 from carawaybank.callers.listeners import Listener
 from carawaybank.counters import Counters
-from carawaybank.exceptions import DocumentError, ListenError, TaskError
+from carawaybank.exceptions import DocumentError, ListenError
 from carawaybank.exposition import Exposition
 from carawaybank.host import Host
 from carawaybank.operators.app import OperatorsApp
@@ -121,17 +121,15 @@
 
         Raises:
             ListenError: If an address is already in use; nothing has been started then.
-            TaskError: If a background task failed; the daemon has drained then.
         """
         self._log.info("Starting with process id {}", os.getpid())
         servers = await self._listen()
         self._sibling_task.start()
         self._platform_poller.start()
         await self._join()
-        tasks = BackgroundTasks(on_failure=self._stop_on_failure)
-        tasks.start(self._probe_task.run())
-        tasks.start(self._run_maintenance())
-        tasks.start(self._metrics.load_on_demand())
+        tasks = BackgroundTasks(on_failure=self._record_failure)
+        for run in (self._probe_task.run, self._run_maintenance, self._metrics.load_on_demand):
+            tasks.start(run)
         settings = self._settings
         self._log.info(
             "Serving callers on {} with ticket {}", settings.callers_address, self._ticket_number()
@@ -152,9 +150,14 @@
             for connection in self._connections
         )
 
-    def _stop_on_failure(self, failure: TaskError) -> None:
-        self._log.opt(exception=failure).error("Stopping: {}", failure)
-        self.stop()
+    def _record_failure(self, failure: TaskFailure) -> None:
+        self._counters.count_task_failure(failure.task)
+        self._log.opt(exception=failure.error).error(
+            "{}; runs again in {:.2f} s, {} in a row",
+            failure.reason,
+            failure.pause_s,
+            failure.failure_count,
+        )
 
     def _build_platform(self) -> None:
         settings = self._settings
@@ -287,7 +290,7 @@
     logs.configure(level=settings.log_level, as_json=settings.log_json)
     try:
         asyncio.run(_serve(settings))
-    except (ListenError, TaskError) as error:
+    except ListenError as error:
         sys.stderr.write(f"carawaybankd: {error}\n")
         sys.exit(1)
 
--- a/src/carawaybank/dump.py
+++ b/src/carawaybank/dump.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from typing import TypedDict
 
+from carawaybank.background import TaskFailure
 from carawaybank.routing.router import Router
 from carawaybank.routing.target import Target
 from carawaybank.siblings.vms import VmDirectory
@@ -93,6 +94,22 @@
     failures: int
 
 
+class TaskState(TypedDict):
+    """State of a background task that fails; what it maintains may be out of date.
+
+    Attributes:
+        task: Name of the task.
+        failures: Number of failures since it was last sound.
+        reason: The last failure.
+        failed_s: Seconds since the last failure.
+    """
+
+    task: str
+    failures: int
+    reason: str
+    failed_s: float
+
+
 class Dump(TypedDict):
     """State of an entry VM.
 
@@ -110,6 +127,7 @@
         siblings: Other entry VMs, at most :data:`MAX_LISTED`.
         tables: Watched tables of the store.
         crashes: Crash reports, at most :data:`MAX_LISTED`.
+        failing_tasks: Background tasks that have not been sound since a failure.
     """
 
     vm: str
@@ -125,6 +143,7 @@
     siblings: list[SiblingState]
     tables: list[TableState]
     crashes: list[CrashReport]
+    failing_tasks: list[TaskState]
 
 
 def make_dump(
@@ -133,6 +152,7 @@
     vms: VmDirectory,
     watches: Sequence[TableWatch],
     connections: int,
+    failures: Sequence[TaskFailure] = (),
     now: float,
 ) -> Dump:
     """Returns the state of an entry VM.
@@ -142,6 +162,7 @@
         vms: Directory of the entry VMs.
         watches: Watches of the store's tables.
         connections: Number of open connections of callers.
+        failures: Last failures of the background tasks that fail.
         now: Monotonic time in seconds.
     """
     own = vms.own
@@ -161,6 +182,15 @@
         siblings=_sibling_states(vms, now),
         tables=[_table_state(watch, now) for watch in watches],
         crashes=list(router.quarantine.reports()[:MAX_LISTED]),
+        failing_tasks=[
+            TaskState(
+                task=failure.task,
+                failures=failure.failure_count,
+                reason=failure.reason,
+                failed_s=round(now - failure.at, 1),
+            )
+            for failure in failures
+        ],
     )
 
 
--- a/src/carawaybank/exceptions.py
+++ b/src/carawaybank/exceptions.py
@@ -51,10 +51,3 @@
 
 class ListenError(CarawaybankError):
     """A server cannot bind its address."""
-
-
-class TaskError(CarawaybankError):
-    """A background task failed, which makes the process stop.
-
-    The exception of the task is the ``__cause__``.
-    """
--- a/src/carawaybank/failures.py
+++ b/src/carawaybank/failures.py
@@ -4,25 +4,35 @@
 import traceback
 from typing import Any
 
-from carawaybank.exceptions import TaskError
+from carawaybank.background import TaskFailure
+from carawaybank.counters import Counters
 from carawaybank.journal import Journal
 
 
 class FailureLog:
-    """Logs failures with the place at which they arose."""
+    """Logs and counts failures, with the place at which they arose."""
 
-    def __init__(self, *, journal: Journal) -> None:
+    def __init__(self, *, counters: Counters, journal: Journal) -> None:
         """Creates the log.
 
         Args:
+            counters: Counts the failures of background tasks.
             journal: Receives the lines.
         """
+        self._counters = counters
         self._journal = journal
 
-    def record_restart(self, failure: TaskError) -> None:
-        """Logs the failure of a background task that runs again."""
-        place = find_place(failure.__cause__)
-        self._journal.log("daemon", "task restarted", reason=str(failure), place=place)
+    def record_task(self, failure: TaskFailure) -> None:
+        """Logs and counts the failure of a background task, which runs again after a pause."""
+        self._counters.count_task_failure(failure.task)
+        self._journal.log(
+            "daemon",
+            "task restarted",
+            reason=failure.reason,
+            place=find_place(failure.error),
+            failures=failure.failure_count,
+            pause_s=round(failure.pause_s, 2),
+        )
 
     def record_callback(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """Logs an error on the event loop; for ``set_exception_handler`` of the loop."""
--- a/src/carawaybank/metrics.py
+++ b/src/carawaybank/metrics.py
@@ -69,6 +69,7 @@
         counter("carawaybank.limits", [self._observe_limits], description="of targets, by event")
         counter("carawaybank.retries", [self._observe_retries], description="by service")
         counter("carawaybank.rows.rejected", [self._observe_rows], description="by table")
+        counter("carawaybank.task.failures", [self._observe_tasks], description="by task")
         counter("carawaybank.relays", [self._observe_relays], description="between VMs, by event")
         counter("carawaybank.machine_reports", [self._observe_machines], description="by state")
         counter("carawaybank.allotments", [self._observe_allotments], description="by tenant")
@@ -114,6 +115,10 @@
         counts = self._counters.rejected_rows()
         return [Observation(count, {"table": table}) for table, count in counts.items()]
 
+    def _observe_tasks(self, _: CallbackOptions) -> list[Observation]:
+        counts = self._counters.task_failures()
+        return [Observation(count, {"task": task}) for task, count in counts.items()]
+
     def _observe_relays(self, _: CallbackOptions) -> list[Observation]:
         counts = self._counters.relays()
         return [Observation(count, {"event": event}) for event, count in counts.items()]
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -22,7 +22,7 @@
 from carawaybank.counters import Counters
 from carawaybank.deployment import Deployment
 from carawaybank.endpoints import Endpoints
-from carawaybank.exceptions import ListenError, TaskError
+from carawaybank.exceptions import ListenError
 from carawaybank.exposition import Exposition
 from carawaybank.failures import FailureLog
 from carawaybank.handler import RequestHandler
@@ -82,9 +82,9 @@
         self._deployment = deployment
         self._adapter = adapter
         self._journal = Journal(vm=deployment.vm)
-        self._failures = FailureLog(journal=self._journal)
         self._settings_file = SettingsFile(path=settings_path, journal=self._journal)
         self._counters = Counters()
+        self._failures = FailureLog(counters=self._counters, journal=self._journal)
         self._rng = random.Random(f"{deployment.vm}.{time.time_ns()}")
         self._router = Router(
             options=deployment.router_options(), rng=self._rng, started_at=time.monotonic()
@@ -92,6 +92,7 @@
         self._vms = VmDirectory(
             own=registration.own_record(deployment), own_size=capacity_weight(deployment.capacity)
         )
+        self._tasks = BackgroundTasks(on_failure=self._failures.record_task, rng=self._rng)
         self._connections: set[CallerConnection] = set()
         self._backlog = ResponseBacklog(
             max_bytes=deployment.unread_memory_bytes,
@@ -279,6 +280,7 @@
             bootstrap=self._bootstrap,
             connections=self._connections,
             proofs=self._proofs,
+            tasks=self._tasks,
         )
 
     async def run(self) -> None:
@@ -286,8 +288,6 @@
 
         Raises:
             ListenError: If an address to listen on stays in use.
-            TaskError: If a background task failed again and again; raised once requests in progress
-                have finished.
         """
         loop = asyncio.get_running_loop()
         # By default, errors go to standard error, which blocks the loop while nobody reads it.
@@ -298,12 +298,11 @@
         listeners = await self._listen_unless_stopped()
         if listeners is None:
             return
-        tasks = BackgroundTasks(on_failure=self._stop_on_failure)
         for run in self._background_functions():
-            tasks.start_restarting(run, on_restart=self._failures.record_restart)
+            self._tasks.start(run)
         await self._stopped.wait()
         await self._stop(listeners)
-        tasks.cancel()
+        self._tasks.cancel()
 
     def _background_functions(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         """Returns what runs in the background; each can be run again after a failure."""
@@ -323,10 +322,6 @@
             self._loop_delay.run,
         ]
 
-    def _stop_on_failure(self, failure: TaskError) -> None:
-        self._journal.log("daemon", "task failed", reason=str(failure))
-        self._stopped.set()
-
     async def _listen_unless_stopped(self) -> Listeners | None:
         """Returns the listeners, or None if a signal stops the process while it waits for them."""
         listening = asyncio.create_task(self._listen())
--- a/src/carawaybank/platform/command.py
+++ b/src/carawaybank/platform/command.py
@@ -35,7 +35,7 @@
 
 import carawaybank
 from carawaybank import deployment, streams
-from carawaybank.exceptions import DocumentError, ListenError, TaskError
+from carawaybank.exceptions import DocumentError, ListenError
 from carawaybank.journal import Journal
 from carawaybank.node import Node
 from carawaybank.platform import decoding
@@ -64,7 +64,7 @@
         return _report(_BAD_SETTINGS, error)
     try:
         asyncio.run(_serve(settings, path))
-    except (ListenError, TaskError) as error:
+    except ListenError as error:
         _log_failure(_FAILED, str(error), vm=settings.vm)
         return _report(_FAILED, error)
     except Exception as error:
