Go on with a stop and with regular checks after a step that fails

A planned stop told siblings of itself before it waited for requests in progress. An unexpected error there ended the process with status 1 at once, and all that was in progress was lost: LOST around a SIGTERM, at each VM that has the cause. Maintenance ran its checks in a row, so that one that failed, such as settings that cannot be applied, kept the later ones from running: connections of callers had no time-outs then.

Cause: steps that do not depend on each other shared one failure.

Change: FailureLog.run_steps runs each step, logs one that fails (step failed, with its place) and counts it in carawaybank_task_failures_total.

Run: tests/test_failures.py (2) passes, with tests/test_watch.py and tests/test_background.py. Not run: test_a_stop_that_cannot_be_announced_finishes_what_is_in_progress, in real processes, neither before nor after the change, since the core for it gave the process no time.

--- a/src/carawaybank/failures.py
+++ b/src/carawaybank/failures.py
@@ -1,7 +1,9 @@
 """Logs unexpected failures of a process: of its background tasks and of callbacks."""
 
 import asyncio
+import functools
 import traceback
+from collections.abc import Callable
 from typing import Any
 
 from carawaybank.background import TaskFailure
@@ -34,6 +36,22 @@
             pause_s=round(failure.pause_s, 2),
         )
 
+    def run_steps(self, *steps: Callable[[], object]) -> None:
+        """Runs steps in order; one that fails is logged and counted, and the next one runs."""
+        for step in steps:
+            try:
+                step()
+            except Exception as error:
+                function = step.func if isinstance(step, functools.partial) else step
+                name = getattr(function, "__qualname__", repr(function))
+                self._counters.count_task_failure(name)
+                self._journal.log(
+                    "daemon",
+                    "step failed",
+                    reason=f"{name} failed: {error!r}",
+                    place=find_place(error),
+                )
+
     def record_callback(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """Logs an error on the event loop; for ``set_exception_handler`` of the loop."""
         cause = context.get("exception")
--- a/src/carawaybank/maintenance.py
+++ b/src/carawaybank/maintenance.py
@@ -1,10 +1,12 @@
 """Regular checks of an entry VM's connections, and its recovery from a suspension."""
 
 import asyncio
+import functools
 from collections.abc import Callable, Collection, Sequence
 
 from carawaybank.callers import sweeps
 from carawaybank.callers.connections import CallerConnection
+from carawaybank.failures import FailureLog
 from carawaybank.journal import Journal
 from carawaybank.pacing import PaceReports
 from carawaybank.relays import Relays
@@ -32,6 +34,7 @@
         retries: RetryReports,
         watches: Sequence[TableWatch],
         reload: Callable[[], None],
+        failures: FailureLog,
         journal: Journal,
     ) -> None:
         """Initializes the maintenance.
@@ -45,6 +48,7 @@
             retries: Logs the retries of requests.
             watches: The followed tables.
             reload: Applies changed settings.
+            failures: Records steps that fail.
             journal: Logs suspensions.
         """
         self._connections = connections
@@ -55,21 +59,25 @@
         self._retries = retries
         self._watches = watches
         self._reload = reload
+        self._failures = failures
         self._journal = journal
 
     async def run(self) -> None:
-        """Checks until cancelled."""
+        """Checks until cancelled; a check that fails does not keep the others from running."""
         loop = asyncio.get_running_loop()
         suspension = SuspensionWatch()
         while True:
             await asyncio.sleep(_INTERVAL_S)
-            self._recover_from_suspension(suspension.pop_suspended_s())
-            self._reload()
-            self._pacing.publish()
-            self._retries.publish()
-            self._sender.pool.close_idle()
-            self._relays.check_timeouts(loop.time())
-            sweeps.check_timeouts(self._connections, now=loop.time())
+            suspended_s = suspension.pop_suspended_s()
+            self._failures.run_steps(
+                functools.partial(self._recover_from_suspension, suspended_s),
+                self._reload,
+                self._pacing.publish,
+                self._retries.publish,
+                self._sender.pool.close_idle,
+                functools.partial(self._relays.check_timeouts, loop.time()),
+                functools.partial(sweeps.check_timeouts, self._connections, now=loop.time()),
+            )
 
     def _recover_from_suspension(self, suspended_s: float) -> None:
         """Cancels calls and closes idle connections; a suspension may have outdated their state."""
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -121,6 +121,7 @@
             ),
             watches=self._watches,
             reload=self._reload,
+            failures=self._failures,
             journal=self._journal,
         )
 
@@ -494,9 +495,8 @@
         )
         self._router.stop_plan = plan
         self._handler.is_stopping = True
-        self._vms.stop()
-        self._allotments.stop()
-        self._heartbeat.send_final()
+        # What is in progress is finished also if siblings cannot be told.
+        self._failures.run_steps(self._vms.stop, self._allotments.stop, self._heartbeat.send_final)
         deregistration = asyncio.create_task(self._registrations.deregister())
         result = await drain(
             plan,
--- a/tests/platform/test_command.py
+++ b/tests/platform/test_command.py
@@ -177,6 +177,46 @@
     asyncio.run(run())
 
 
+#: Runs the daemon; siblings cannot be told of its stop.
+FAILING_ANNOUNCEMENT = """
+import sys
+from carawaybank.platform import command
+from carawaybank.siblings.heartbeat import HeartbeatTask
+
+def fail(self):
+    raise KeyError("no such sibling")
+
+HeartbeatTask.send_final = fail
+sys.exit(command.main())
+"""
+
+
+def test_a_stop_that_cannot_be_announced_finishes_what_is_in_progress(tmp_path):
+    """Guards against a planned stop that ends with status 1 and loses all requests in progress."""
+
+    async def run():
+        async with Node() as node:
+            path = tmp_path / "node.toml"
+            path.write_text(node.text)
+            arguments = ["-c", FAILING_ANNOUNCEMENT, "--settings", str(path)]
+            node.process = await asyncio.create_subprocess_exec(
+                sys.executable, *arguments, stdout=PIPE, stderr=PIPE
+            )
+            await wait_until_ready(node.process, node.is_ready, node.output)
+            node.target.gate.clear()
+            call = asyncio.create_task(node.call("8100", "/x/1", method="POST"))
+            await node.wait_until(lambda: node.target.runs)
+            node.process.terminate()
+            await asyncio.sleep(0.5)
+            node.target.gate.set()
+            assert (await call).status == 200
+            output, _ = await asyncio.wait_for(node.process.communicate(), START_S)
+            assert node.process.returncode == 0
+            assert b"no such sibling" in output
+
+    asyncio.run(run())
+
+
 #: Runs the daemon; after SIGUSR1, callbacks of its event loop fail with much text.
 FAILING_CALLBACKS = """
 import asyncio, signal, sys
