Log a row that cannot be applied once, and count it

A row that makes a VM fail was set aside since the others are applied without it, but each update that held it wrote a line, and two with all rows. A writer that repeats its row each second, at every VM, can use up the rate limit of log lines, so that decisions are missing from the log; no metric showed such rows.

Cause: the delivery of a table kept no state about what it had set aside.

Change: Delivery remembers why it failed with each row, logs a row again only if the reason has changed or the row was applied or gone meanwhile, and counts each time in carawaybank_rows_rejected_total by the table. `changes not taken` is left for updates that fail although each row alone does not.

--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -406,6 +406,7 @@
             journal=self._journal,
             batch_delay_s=batch_delay_s,
             recovery_s=recovery_s,
+            on_set_aside=self._counters.count_rejected_row,
         )
 
     def _batch_delay_s(self) -> float:
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -60,6 +60,7 @@
         journal: Journal,
         batch_delay_s: Callable[[], float] = lambda: 0.0,
         recovery_s: float = RECOVERY_S,
+        on_set_aside: Callable[[str], None] = lambda _: None,
     ) -> None:
         """Initializes a watch that has not read the table yet.
 
@@ -70,12 +71,15 @@
             journal: Receives the log events of the watch.
             batch_delay_s: Returns the seconds to wait after an update to batch further changes.
             recovery_s: Seconds after a restore of the store for which its rows may be outdated.
+            on_set_aside: Called with the table for each row that ``on_update`` fails on.
         """
         self._recovery_s = recovery_s
         self._batch_delay_s = batch_delay_s
         self._selector = selector
         self._table = table
-        self._delivery = Delivery(on_update=on_update, table=table, journal=journal)
+        self._delivery = Delivery(
+            on_update=on_update, table=table, on_set_aside=on_set_aside, journal=journal
+        )
         self._journal = journal
         self._position: Position | None = None  #: Read up to here; None before the first read.
         #: Whether the next call reads the whole table. Until it succeeds, siblings are served the
