Do not use a sibling's report from the future for ever

A heartbeat whose report has a negative age dated the report later than now. It never expired, and no later report of the same reader replaced it, so that look-ups left out, or listed, VMs by it for as long as the process ran.

Cause: the age of a report was used as it came.

Change: a report is made now at the latest.

Run: test_a_report_from_the_future_counts_as_one_that_is_made_now failed before (the reader's next report was not used) and passes; tests/siblings/test_vms.py and test_weights.py pass (23).

--- a/src/carawaybank/siblings/liveness.py
+++ b/src/carawaybank/siblings/liveness.py
@@ -166,8 +166,11 @@
         return DomainReport(self._own, 0.0, tuple(sorted(unheard | set(stopping))))
 
     def apply_report(self, failure_domain: str, report: DomainReport, *, now: float) -> None:
-        """Stores a report, unless a newer one of the same reader is known."""
-        made_at = now - report.age_s
+        """Stores a report, unless a newer one of the same reader is known.
+
+        One with a negative age would be valid for ever, and no later one would replace it.
+        """
+        made_at = now - max(0.0, report.age_s)
         reports = self._reports.setdefault(failure_domain, {})
         known = reports.get(report.reporter)
         if known is None or made_at > known.made_at:
--- a/tests/siblings/test_vms.py
+++ b/tests/siblings/test_vms.py
@@ -207,3 +207,16 @@
     assert {record.vm for record in listed} == {"b"}
     listed = directory.select_for_caller("a1", "a", now=1.0, allowed_regions={"a"})
     assert {record.vm for record in listed} == {"v1"}
+
+
+def test_a_report_from_the_future_counts_as_one_that_is_made_now():
+    """Guards against a report that never expires, and in whose place no later one is used."""
+    vms = make_directory(make_record("x"), make_record("y", domain="b1"), now=-100.0)
+    for age_s in (-1e18, -5.0):
+        reports = {"b1": [DomainReport("z", age_s, ("y",))]}
+        vms.record_heartbeat(heartbeat("x", reports=reports), now=0.0)
+    assert not vms.is_alive(make_record("y", domain="b1"), now=0.1)
+    vms.record_heartbeat(heartbeat("x", reports={"b1": [DomainReport("z", 0.0, ())]}), now=0.5)
+    assert vms.is_alive(make_record("y", domain="b1"), now=0.5)
+    later = 0.5 + REPORT_VALIDITY_S + 0.1
+    assert not vms.has_report(make_record("y", domain="b1"), now=later)
