--- a/src/carawaybank/dump.py
+++ b/src/carawaybank/dump.py
@@ -182,15 +182,7 @@
         siblings=_sibling_states(vms, now),
         tables=[_table_state(watch, now) for watch in watches],
         crashes=list(router.quarantine.reports()[:MAX_LISTED]),
-        failing_tasks=[
-            TaskState(
-                task=failure.task,
-                failures=failure.failure_count,
-                reason=failure.reason,
-                failed_s=round(now - failure.at, 1),
-            )
-            for failure in failures
-        ],
+        failing_tasks=[_task_state(failure, now) for failure in failures],
     )
 
 
@@ -216,6 +208,15 @@
     )
 
 
+def _task_state(failure: TaskFailure, now: float) -> TaskState:
+    return TaskState(
+        task=failure.task,
+        failures=failure.failure_count,
+        reason=failure.reason,
+        failed_s=round(now - failure.at, 1),
+    )
+
+
 def _sibling_states(vms: VmDirectory, now: float) -> list[SiblingState]:
     states = []
     for record in vms.others[:MAX_LISTED]:
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -110,6 +110,9 @@
         self._make_request_path()
         self._make_tables()
         self._make_heartbeat()
+        self._make_maintenance()
+
+    def _make_maintenance(self) -> None:
         self._maintenance = Maintenance(
             connections=self._connections,
             sender=self._sender,
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -89,6 +89,12 @@
         self._recovery_timer: asyncio.TimerHandle | None = None
         self._failures = 0
         self._newest_read_position = INITIAL_POSITION
+        self._rows: dict[str, Row] = {}
+        self._read_at: float | None = None
+        self._history = History()
+        self._make_call_state()
+
+    def _make_call_state(self) -> None:
         self._catch_up = CatchUp()
         self._is_catch_up_call = self._is_pausing = False
         self._lag_check: asyncio.TimerHandle | None = None
@@ -97,9 +103,6 @@
         self._open_call: asyncio.Task[Any] | None = None
         self._reader: RowReader | None = None
         self._last_responder: RowReader | None = None  #: None if the last call failed.
-        self._rows: dict[str, Row] = {}
-        self._read_at: float | None = None
-        self._history = History()
 
     @property
     def read_at(self) -> float | None:
