--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -6,7 +6,6 @@
 import signal
 import socket
 import time
-import traceback
 from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
 from typing import Any
@@ -23,8 +22,9 @@
 from carawaybank.counters import Counters
 from carawaybank.deployment import Deployment
 from carawaybank.endpoints import Endpoints
-from carawaybank.exceptions import ListenError, TaskError
+from carawaybank.exceptions import ListenError
 from carawaybank.exposition import Exposition
+from carawaybank.failures import FailureLog
 from carawaybank.handler import RequestHandler
 from carawaybank.journal import Journal
 from carawaybank.loopdelay import EventLoopDelay
@@ -84,6 +84,7 @@
         self._journal = Journal(vm=deployment.vm)
         self._settings_file = SettingsFile(path=settings_path, journal=self._journal)
         self._counters = Counters()
+        self._failures = FailureLog(counters=self._counters, journal=self._journal)
         self._rng = random.Random(f"{deployment.vm}.{time.time_ns()}")
         self._router = Router(
             options=deployment.router_options(), rng=self._rng, started_at=time.monotonic()
@@ -91,6 +92,7 @@
         self._vms = VmDirectory(
             own=registration.own_record(deployment), own_size=capacity_weight(deployment.capacity)
         )
+        self._tasks = BackgroundTasks(on_failure=self._failures.record_task, rng=self._rng)
         self._connections: set[CallerConnection] = set()
         self._backlog = ResponseBacklog(
             max_bytes=deployment.unread_memory_bytes,
@@ -108,6 +110,9 @@
         self._make_request_path()
         self._make_tables()
         self._make_heartbeat()
+        self._make_maintenance()
+
+    def _make_maintenance(self) -> None:
         self._maintenance = Maintenance(
             connections=self._connections,
             sender=self._sender,
@@ -119,6 +124,7 @@
             ),
             watches=self._watches,
             reload=self._reload,
+            failures=self._failures,
             journal=self._journal,
         )
 
@@ -253,7 +259,9 @@
 
     def _make_control(self) -> None:
         self._metrics = Exposition(
-            vm=self._deployment.vm, counters=self._counters, on_failure=self._log_missing_metrics
+            vm=self._deployment.vm,
+            counters=self._counters,
+            on_failure=self._failures.record_missing_metrics,
         )
         self._endpoints = Endpoints(
             adapter=self._adapter,
@@ -276,6 +284,7 @@
             bootstrap=self._bootstrap,
             connections=self._connections,
             proofs=self._proofs,
+            tasks=self._tasks,
         )
 
     async def run(self) -> None:
@@ -283,24 +292,21 @@
 
         Raises:
             ListenError: If an address to listen on stays in use.
-            TaskError: If a background task failed again and again; raised once requests in progress
-                have finished.
         """
         loop = asyncio.get_running_loop()
         # By default, errors go to standard error, which blocks the loop while nobody reads it.
-        loop.set_exception_handler(self._log_callback_failure)
+        loop.set_exception_handler(self._failures.record_callback)
         self._stopped.install()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._journal.log("daemon", "started", **self._deployment._asdict())
         listeners = await self._listen_unless_stopped()
         if listeners is None:
             return
-        tasks = BackgroundTasks(on_failure=self._stop_on_failure)
         for run in self._background_functions():
-            tasks.start_restarting(run, on_restart=self._log_restart)
+            self._tasks.start(run)
         await self._stopped.wait()
         await self._stop(listeners)
-        tasks.cancel()
+        self._tasks.cancel()
 
     def _background_functions(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         """Returns what runs in the background; each can be run again after a failure."""
@@ -320,26 +326,6 @@
             self._loop_delay.run,
         ]
 
-    def _log_restart(self, failure: TaskError) -> None:
-        place = _place(failure.__cause__)
-        self._journal.log("daemon", "task restarted", reason=str(failure), place=place)
-
-    def _log_callback_failure(self, _: object, context: dict[str, Any]) -> None:
-        cause = context.get("exception")
-        self._journal.log(
-            "daemon",
-            "callback failed",
-            reason=f"{context['message']}: {cause!r}",
-            place=_place(cause),
-        )
-
-    def _log_missing_metrics(self, error: Exception) -> None:
-        self._journal.log("daemon", "metrics not loaded", reason=repr(error))
-
-    def _stop_on_failure(self, failure: TaskError) -> None:
-        self._journal.log("daemon", "task failed", reason=str(failure))
-        self._stopped.set()
-
     async def _listen_unless_stopped(self) -> Listeners | None:
         """Returns the listeners, or None if a signal stops the process while it waits for them."""
         listening = asyncio.create_task(self._listen())
@@ -423,6 +409,7 @@
             journal=self._journal,
             batch_delay_s=batch_delay_s,
             recovery_s=recovery_s,
+            on_set_aside=self._counters.count_rejected_row,
         )
 
     def _batch_delay_s(self) -> float:
@@ -512,9 +499,8 @@
         )
         self._router.stop_plan = plan
         self._handler.is_stopping = True
-        self._vms.stop()
-        self._allotments.stop()
-        self._heartbeat.send_final()
+        # What is in progress is finished also if siblings cannot be told.
+        self._failures.run_steps(self._vms.stop, self._allotments.stop, self._heartbeat.send_final)
         deregistration = asyncio.create_task(self._registrations.deregister())
         result = await drain(
             plan,
@@ -578,9 +564,3 @@
         self._deployment = deployment
         self._router.update_options(deployment.router_options())
         self._allotments.update_bounds(deployment.allotment_bounds())
-
-
-def _place(error: BaseException | None) -> str:
-    """Returns the file and line at which an error was raised; empty if it is not known."""
-    frames = traceback.extract_tb(error.__traceback__) if error else []
-    return f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
