--- a/src/carawaybank/routing/callerlists.py
+++ b/src/carawaybank/routing/callerlists.py
@@ -3,15 +3,10 @@
 Load pattern: callers pick one of the listed VMs at random and drop connections to VMs that a later
 list lacks. Each VM is therefore listed for a fixed set of caller addresses, which only grows or
 shrinks with its weight; all VMs compute it alike by hash and without messages.
-
-In a failure domain of one or two VMs no list can lack one, and a domain whose VMs are all congested
-has none to prefer. A share of the callers then gets VMs of the region's other failure domains.
 """
 
 from collections.abc import Mapping
-from typing import NamedTuple
 
-from carawaybank.routing.vmweights import CONGESTED_FACTOR
 from carawaybank.steering import hashing
 
 #: Minimum number of VMs in a list, so that a caller has another one when a VM fails.
@@ -25,9 +20,6 @@
 SHARED_HOLD_S = 60.0
 #: Maximum number of addresses and hosts that are counted in a window.
 MAX_COUNTED = 8_192
-#: Share of the callers of a VM that each of its levels leads to other failure domains. With a
-#: larger one, VMs there that have almost half of their capacity left are congested in turn.
-LED_AWAY_SHARE = 0.1
 _HASHES = 2.0**64
 
 
@@ -59,73 +51,6 @@
     return {*listed, *ranked[:MIN_LISTED]}
 
 
-class ListedVm(NamedTuple):
-    """What is known of a VM that may be listed.
-
-    Attributes:
-        size: Its weight without congestion; 0 if it states none.
-        level: Its level of congestion; 0 for none.
-    """
-
-    size: float
-    level: int
-
-    @property
-    def weight(self) -> float:
-        """Its weight; 0 if it states no size."""
-        return self.size * CONGESTED_FACTOR**self.level
-
-
-def needs_others(nearest: Mapping[str, ListedVm]) -> bool:
-    """Returns whether VMs are congested and too few others are left for a list."""
-    free_count = sum(vm.level == 0 for vm in nearest.values())
-    return free_count < min(MIN_LISTED, len(nearest))
-
-
-def select_nearby(
-    caller: str,
-    nearest: Mapping[str, ListedVm],
-    others: Mapping[str, ListedVm],
-    *,
-    max_listed: int,
-    draw: str,
-) -> set[str]:
-    """Returns the names of the VMs to list for a caller, which may include some farther away.
-
-    If ``needs_others``, less congested VMs take the place of a congested one for the share of its
-    callers that its level leads away.
-
-    Args:
-        caller: Address of the caller; empty if it is unknown or shared.
-        nearest: The VMs that are preferred.
-        others: The VMs that may take the place of congested ones.
-        max_listed: Maximum number of VMs if weights differ.
-        draw: Stands for the address of a caller that is not known; another one for each answer.
-    """
-    listed = set(nearest)
-    if caller:
-        weights = {vm: state.weight for vm, state in nearest.items()}
-        listed = select(caller, weights, max_listed=max_listed)
-    if not others or not needs_others(nearest):
-        return listed
-    key = caller or draw
-    leaving = [vm for vm in listed if not _is_kept(key, vm, nearest[vm])]
-    leaving.sort(key=lambda vm: (-nearest[vm].level, vm))
-    sizes = _fill_in_mean({vm: state.size for vm, state in others.items()})
-    ranks = {vm: hashing.score(key=key, member=vm) / size for vm, size in sizes.items()}
-    available = [vm for vm in others if _is_kept(key, vm, others[vm])]
-    available.sort(key=lambda vm: (others[vm].level, ranks[vm], vm))
-    for vm, other in zip(leaving, available, strict=False):
-        if others[other].level < nearest[vm].level:
-            listed = (listed - {vm}) | {other}
-    return listed
-
-
-def _is_kept(caller: str, vm: str, state: ListedVm) -> bool:
-    """Returns whether a VM stays on the lists of a caller at its level of congestion."""
-    return hashing.score(key=caller, member=vm) / _HASHES < 1.0 - LED_AWAY_SHARE * state.level
-
-
 def _fill_in_mean(weights: Mapping[str, float]) -> dict[str, float]:
     stated = [weight for weight in weights.values() if weight > 0.0]
     mean = sum(stated) / len(stated) if stated else 1.0
--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -357,8 +357,8 @@
 
         These are the VMs of the failure domain, of the region if those are too few, or all VMs if
         there is none in the region. VMs that reach no targets are returned only if there is no
-        other one that the caller may use. If VMs state different weights or are congested, those
-        that are returned depend on the caller.
+        other one that the caller may use. If VMs state different weights, those that are returned
+        depend on the caller.
 
         Args:
             failure_domain: Failure domain of the caller; empty if unknown.
@@ -374,28 +374,21 @@
             reaching = [r for r in reaching if r.region == region or r.region in allowed_regions]
         listed = reaching or listed
         nearest = [record for record in listed if record.failure_domain == failure_domain]
-        in_region = [record for record in listed if record.region == region]
         if len(nearest) < MIN_LISTED:
-            nearest = in_region or nearest
-        return self._select_by_weight(nearest or listed, in_region, caller, now)[:MAX_LISTED]
-
-    def _select_by_weight(
-        self, nearest: list[VmRecord], in_region: list[VmRecord], caller: str, now: float
-    ) -> list[VmRecord]:
-        if not self.weights.any_stated:
-            return nearest
-        states = self._states(nearest, now)
-        further = []
-        if callerlists.needs_others(states):
-            further = [record for record in in_region if record.vm not in states]
-        names = callerlists.select_nearby(
-            caller, states, self._states(further, now), max_listed=MAX_LISTED, draw=str(now)
-        )
-        return [record for record in (*nearest, *further) if record.vm in names]
-
-    def _states(self, records: list[VmRecord], now: float) -> dict[str, callerlists.ListedVm]:
-        size, level, listed = self.weights.size, self._congestion_level, callerlists.ListedVm
-        return {each.vm: listed(size(each.vm), level(each, now)) for each in records}
+            nearest = [record for record in listed if record.region == region] or nearest
+        return self._select_by_weight(nearest or listed, caller, now)[:MAX_LISTED]
+
+    def _select_by_weight(self, records: list[VmRecord], caller: str, now: float) -> list[VmRecord]:
+        if not caller or not self.weights.any_stated:
+            return records
+        weights = {
+            record.vm: self.weights.reduce(
+                self.weights.size(record.vm), self._congestion_level(record, now)
+            )
+            for record in records
+        }
+        names = callerlists.select(caller, weights, max_listed=MAX_LISTED)
+        return [record for record in records if record.vm in names]
 
     def _congestion_level(self, record: VmRecord, now: float) -> int:
         """Returns the level of congestion that a VM is known to have."""
