Keep a connection that was just opened, though the signal of a stop may be old

Class: a bound meant for what is at risk at the kill, applied to what is not; a kill costs a connection without a request no more than its close.

Change: these connections are kept until 3.6 s after the signal was received, as without a delay.

--- a/src/carawaybank/routing/stopping.py
+++ b/src/carawaybank/routing/stopping.py
@@ -94,12 +94,14 @@
             started_at: Time at which the stop signal was handled, in monotonic seconds.
             stop_within_s: Seconds from the signal until the process is killed.
             max_signal_delay_s: Seconds by which the signal may have been sent earlier. Nothing is
-                passed on, and no connection kept, longer than if it was.
+                passed on, and no connection on which a request came kept, longer than if it was.
         """
         self.refused_count = 0
         signalled_at = started_at - max_signal_delay_s
         self._listen_until = signalled_at + min(_LISTEN_S, _LISTEN_FRACTION * stop_within_s)
         self._read_until = signalled_at + _READ_FRACTION * stop_within_s
+        # A kill costs a connection without a request no more than its close.
+        self._first_request_until = started_at + _READ_FRACTION * stop_within_s
         self._finish_by = signalled_at + _GIVE_UP_FRACTION * stop_within_s
         self._give_up_at = started_at + _GIVE_UP_FRACTION * stop_within_s
         self._end_at = started_at + _END_FRACTION * stop_within_s
@@ -127,7 +129,7 @@
             return Step.KEEP
         if connection.is_receiving:
             return Step.KEEP if now < self._read_until else Step.REFUSE
-        is_kept = now < self._read_until if connection.is_new else self.is_listening(now)
+        is_kept = now < self._first_request_until if connection.is_new else self.is_listening(now)
         return Step.KEEP if is_kept else Step.CLOSE
 
     def has_given_up(self, now: float) -> bool:
--- a/tests/routing/test_stopping.py
+++ b/tests/routing/test_stopping.py
@@ -46,6 +46,13 @@
     assert make_plan().decide(connection, now) is step
 
 
+def test_a_connection_that_was_just_opened_is_kept_though_the_signal_may_be_old():
+    """Guards against a close that crosses the first request on a connection."""
+    plan = StopPlan(started_at=0.0, stop_within_s=STOP_S, max_signal_delay_s=4.9)
+    assert plan.decide(NEW, 0.1) is plan.decide(NEW, 3.5) is Step.KEEP
+    assert plan.decide(NEW, 3.7) is plan.decide(IDLE, 0.1) is Step.CLOSE
+
+
 @given(
     stop_within_s=st.floats(0.5, 600),
     usual_s=st.floats(0, 600),
