Expose the memory of the process and of the messages of peers

The gauges carawaybank_process_memory and carawaybank_messages_memory show both, the latter by kind of the peer; carawaybank_break_offs counts messages that were broken off for want of memory.

--- a/src/carawaybank/counters.py
+++ b/src/carawaybank/counters.py
@@ -9,7 +9,7 @@
 import itertools
 import threading
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from hdrh.histogram import HdrHistogram
@@ -92,6 +92,9 @@
         self._allotment_wait_count = 0
         self._allotment_wait_s = 0.0
         self._slow_callers: Counter[str] = Counter()
+        self._break_offs: Counter[str] = Counter()
+        #: Returns the bytes of memory that the messages of peers use, by kind of the peer.
+        self.message_memory: Callable[[], dict[str, int]] = dict
         #: Unix time in seconds at which the paths to a service's targets were lost, by service.
         self.paths_lost_at: dict[str, float] = {}
         self._latencies: dict[str, HdrHistogram] = {}
@@ -228,6 +231,16 @@
         with self._lock:
             self._slow_callers[event] += 1
 
+    def count_break_off(self, kind: str) -> None:
+        """Counts a message of a kind of peer that was broken off for want of memory."""
+        with self._lock:
+            self._break_offs[kind] += 1
+
+    def break_offs(self) -> dict[str, int]:
+        """Returns the messages that were broken off for want of memory, by kind of the peer."""
+        with self._lock:
+            return dict(self._break_offs)
+
     def slow_callers(self) -> dict[str, int]:
         """Returns how often connections of slow callers were ``paused`` and ``aborted``."""
         with self._lock:
--- a/src/carawaybank/metrics.py
+++ b/src/carawaybank/metrics.py
@@ -12,6 +12,7 @@
 from prometheus_client.registry import Collector
 
 from carawaybank.counters import Counters
+from carawaybank.resources import process_bytes
 
 #: Upper bounds of the latency buckets in seconds, from the response of a warm target to the longest
 #: timeout.
@@ -83,6 +84,9 @@
             "s",
         )
         counter("carawaybank.slow_callers", [self._observe_slow_callers], description="by event")
+        counter("carawaybank.break_offs", [self._observe_break_offs], description="by peer")
+        gauge("carawaybank.messages.memory", [self._observe_messages], "By")
+        gauge("carawaybank.process.memory", [lambda _: [Observation(process_bytes())]], "By")
         gauge("carawaybank.paths.lost_at", [self._observe_lost_paths], "s")
         gauge(
             "carawaybank.targets.under_pace",
@@ -135,6 +139,14 @@
         counts = self._counters.slow_callers()
         return [Observation(count, {"event": event}) for event, count in counts.items()]
 
+    def _observe_break_offs(self, _: CallbackOptions) -> list[Observation]:
+        counts = self._counters.break_offs()
+        return [Observation(count, {"peer": kind}) for kind, count in counts.items()]
+
+    def _observe_messages(self, _: CallbackOptions) -> list[Observation]:
+        sizes = self._counters.message_memory()
+        return [Observation(size, {"peer": kind}) for kind, size in sizes.items()]
+
     def _observe_lost_paths(self, _: CallbackOptions) -> list[Observation]:
         lost_at = dict(self._counters.paths_lost_at)
         return [Observation(at, {"service": service}) for service, at in lost_at.items()]
