Bound the memory that messages cost, and read in turn what costs time

Cause: limits counted the bytes of bodies. Each piece of a body, each header and each pipelined request is an object, so that bytes cost up to 25 times as much; the first 64 KB of each message, heads, queued requests and ready responses counted for nothing; the store, siblings and look-ups had no limit but 16 MB a message. A connection that ended kept its message until a garbage collection, through the references between it and its transport. The same pieces held the event loop, so that the others waited.

Change: small pieces of a body are joined as they arrive. All connections state what their messages cost to one budget of the process, and beyond it the largest unfinished one is broken off. A failed exchange drops its message at once.

--- a/src/carawaybank/buffers.py
+++ b/src/carawaybank/buffers.py
@@ -1,5 +1,10 @@
-"""Limits on the bytes that a process buffers for peers that may send without end."""
+"""Buffers for messages of peers, and limits on the bytes of peers that may send without end."""
 
+import io
+
+#: Bytes of a piece that is kept as it is, and of small pieces that are joined.
+_LARGE_PIECE_BYTES = 4_096
+_JOINED_BYTES = 65_536
 #: Framing bytes allowed per body byte. A chunk of one byte needs five bytes of framing.
 _FRAMING_BYTES_PER_BODY_BYTE = 8
 #: Framing bytes allowed in a message regardless of the size of its body.
@@ -52,6 +57,57 @@
         self._framing_bytes = self._body_bytes = 0
 
 
+class BodyBuffer:
+    """The bytes of a body in few objects, whatever the pieces in which they arrive.
+
+    Large pieces are kept as they are, and small ones are joined to large ones as they arrive. A
+    body that arrives in one piece is not copied.
+
+    >>> buffer = BodyBuffer()
+    >>> for piece in (b"a", b"b", b"cd"):
+    ...     buffer.append(piece)
+    >>> buffer.size, buffer.take(), buffer.size
+    (4, b'abcd', 0)
+    """
+
+    __slots__ = ("_large", "_small", "size")
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._large: list[bytes] = []
+        self._small = io.BytesIO()
+        #: Bytes of the body.
+        self.size = 0
+
+    def append(self, piece: bytes) -> None:
+        """Adds bytes."""
+        self.size += len(piece)
+        if len(piece) >= _LARGE_PIECE_BYTES:
+            self._join_small()
+            self._large.append(piece)
+        elif self._small.write(piece) and self._small.tell() >= _JOINED_BYTES:
+            self._join_small()
+
+    def take(self) -> bytes:
+        """Returns the body and empties the buffer."""
+        self._join_small()
+        body = self._large[0] if len(self._large) == 1 else b"".join(self._large)
+        self.clear()
+        return body
+
+    def clear(self) -> None:
+        """Empties the buffer."""
+        self._large = []
+        if self._small.tell():
+            self._small = io.BytesIO()
+        self.size = 0
+
+    def _join_small(self) -> None:
+        if self._small.tell():
+            self._large.append(self._small.getvalue())
+            self._small = io.BytesIO()
+
+
 class BufferBudget:
     """Limits the bytes of responses that all connections buffer together.
 
--- a/src/carawaybank/callers/backlog.py
+++ b/src/carawaybank/callers/backlog.py
@@ -42,10 +42,14 @@
     def has_room(self) -> bool:
         """Whether fewer bytes wait than the budget allows."""
         if self._budget.is_used_up:
-            for connection in tuple(self._paused):
-                connection.update()
+            self.refresh()
         return not self._budget.is_used_up
 
+    def refresh(self) -> None:
+        """Counts again what waits, since callers may have read a part."""
+        for connection in tuple(self._paused):
+            connection.update()
+
     def record_paused(self, connection: "ConnectionBacklog") -> None:
         """Records that the responses of a connection begin to wait."""
         self._paused.add(connection)
@@ -86,6 +90,7 @@
         ready_bytes: Callable[[], int],
         shared: ResponseBacklog | None,
         peer: str,
+        on_update: Callable[[], None] = lambda: None,
     ) -> None:
         """Starts with no bytes.
 
@@ -94,7 +99,9 @@
             ready_bytes: Returns the bytes of the ready responses that are not written yet.
             shared: Counts the waiting bytes of all connections; None to count none.
             peer: Address of the caller, for log events.
+            on_update: Called when the number of waiting bytes may have changed.
         """
+        self._on_update = on_update
         self._transport = transport
         self._ready_bytes = ready_bytes
         self._shared = shared
@@ -136,6 +143,7 @@
 
     def update(self) -> None:
         """Updates the number of waiting bytes in the budget of the VM."""
+        self._on_update()
         if self._shared is None:
             return
         waiting_bytes = 0
--- a/src/carawaybank/callers/connections.py
+++ b/src/carawaybank/callers/connections.py
@@ -21,6 +21,8 @@
 from carawaybank.callers.lingering import LingeringClose, close_now
 from carawaybank.callers.requests import CallerRequest, InvalidRequestError, RequestParser
 from carawaybank.callers.responses import encode_response
+from carawaybank.inputs import InputReader
+from carawaybank.memory import HEADER_BYTES, MemoryHolder
 from carawaybank.replies import HttpReply
 from carawaybank.routing.configuration import Limits
 from carawaybank.routing.stopping import ConnectionState
@@ -35,6 +37,15 @@
 _MIN_LEAVING_S = 0.1
 #: Memory for bodies of connections that have no limit, in bytes.
 _UNLIMITED_BYTES = 2**62
+#: Bytes of memory of an open connection with one ordinary request, and of a further request.
+_CONNECTION_BYTES = 16_000
+_REQUEST_BYTES = 4_000
+#: Bytes of a request up to which it is ordinary.
+_ORDINARY_BYTES = 2_048
+#: Requests of a connection that run without waiting for a turn.
+_MAX_STARTED = 4
+#: Seconds of work to route and forward a request.
+_REQUEST_WORK_S = 0.001
 
 
 Handler = Callable[[CallerRequest], Awaitable[HttpReply]]
@@ -72,12 +83,26 @@
     def __init__(self, *, request: CallerRequest | None) -> None:
         self.request = request
         self.task: asyncio.Task[None] | None = None
+        #: Bytes of the body that the connection has reserved in the shared memory of bodies.
         self.body_bytes = 0
         self.reply: HttpReply | None = None
+        self._held_bytes = _REQUEST_BYTES
+        if request is not None:
+            self._held_bytes += len(request.body) + HEADER_BYTES * len(request.headers)
         self.is_last = request is None or request.is_last
 
+    @property
+    def is_started(self) -> bool:
+        """Whether the request is handled, or has its response."""
+        return self.task is not None or self.reply is not None
+
+    @property
+    def memory_bytes(self) -> int:
+        """Bytes of memory of the request, or of its response once that is ready."""
+        return self._held_bytes if self.reply is None else _REQUEST_BYTES + len(self.reply.body)
+
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """The asyncio protocol of one connection of a caller."""
 
     def __init__(self, *, context: ConnectionContext, connections: set["CallerConnection"]) -> None:
@@ -94,6 +119,10 @@
         self._transport: asyncio.Transport | None = None
         self._backlog: ConnectionBacklog | None = None
         self._parser = RequestParser(limits=context.limits, on_request=self._enqueue)
+        self._input = InputReader(resume=self._flush)
+        self._memory: MemoryHolder | None = None
+        self._startable = _MAX_STARTED
+        self._is_start_waiting = False
         self._queue: deque[_Exchange] = deque()
         self._has_received = False
         self._is_input_ended = False
@@ -150,8 +179,32 @@
             ready_bytes=self._count_ready_bytes,
             shared=self._context.backlog,
             peer=peer,
+            on_update=self._update_memory,
+        )
+        self._memory = MemoryHolder(
+            budget=self._input.memory, kind="callers", peer=peer, break_off=self._break_off
         )
         self._connections.add(self)
+        self._update_memory()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer of the next read."""
+        return self._input.get_buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Processes a read, and pauses if it took much time or leads to much work."""
+        queued_count = len(self._queue)
+        self.data_received(self._input.get_input(nbytes))
+        # The first request is work that any caller may cause.
+        added_count = max(1, len(self._queue) - queued_count) - 1
+        if self._input.record(
+            nbytes,
+            pieces=self._parser.pop_pieces(),
+            extra_work_s=added_count * _REQUEST_WORK_S,
+        ):
+            self._pause_reading()
+        if self._parser.is_receiving or nbytes > _ORDINARY_BYTES or len(self._queue) > 1:
+            self._update_memory()
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and starts the requests that are complete."""
@@ -213,6 +266,9 @@
         self._queue.clear()
         if self._backlog is not None:
             self._backlog.resume()
+        if self._memory is not None:
+            self._memory.resize(0)
+            self._memory = None
 
     def close(self) -> None:
         """Closes the connection after the data written so far; later input is ignored."""
@@ -274,6 +330,24 @@
     def _is_writing_paused(self) -> bool:
         return self._backlog is not None and self._backlog.is_paused
 
+    def _update_memory(self) -> None:
+        """States the memory of what is received, queued and not read by the caller."""
+        if self._memory is None or self._transport is None:
+            return
+        unfinished = self._parser.memory_bytes if self._parser.is_receiving else 0
+        size = _CONNECTION_BYTES + unfinished + self._transport.get_write_buffer_size()
+        for exchange in self._queue:
+            size += exchange.memory_bytes
+        if len(self._queue) > _MAX_PIPELINED:
+            unfinished += (len(self._queue) - _MAX_PIPELINED) * _REQUEST_BYTES
+        self._memory.resize(size, unfinished_size=unfinished)
+
+    def _break_off(self) -> None:
+        """Refuses what is being received and what was not started, for want of memory."""
+        self._drop_unstarted()
+        self._refuse_body()
+        self._update_memory()
+
     def _count_ready_bytes(self) -> int:
         return sum(len(entry.reply.body) for entry in self._queue if entry.reply is not None)
 
@@ -300,10 +374,24 @@
     def _run_queued(self) -> None:
         """Starts the queued requests that are within the pipelining limit."""
         for exchange in itertools.islice(self._queue, _MAX_PIPELINED):
-            if exchange.task is None and exchange.reply is None and exchange.request is not None:
-                exchange.task = self._loop.create_task(
-                    self._run_handler(exchange, exchange.request)
-                )
+            if exchange.is_started or exchange.request is None:
+                continue
+            if not self._startable:
+                self._wait_to_start()
+                return
+            self._startable -= 1
+            exchange.task = self._loop.create_task(self._run_handler(exchange, exchange.request))
+
+    def _wait_to_start(self) -> None:
+        """Starts further requests in turn with other connections that pipeline."""
+        if not self._is_start_waiting:
+            self._is_start_waiting = True
+            self._input.turns.wait(self._end_start_wait, work_s=_MAX_STARTED * _REQUEST_WORK_S)
+
+    def _end_start_wait(self) -> None:
+        self._is_start_waiting = False
+        self._startable = _MAX_STARTED
+        self._run_queued()
 
     async def _run_handler(self, exchange: _Exchange, request: CallerRequest) -> None:
         # The task keeps the body while the handler runs, and nothing else does.
@@ -357,12 +445,13 @@
         self._loop.call_soon(self._flush)
 
     def _refuse_body(self) -> None:
-        self._refuse(503, "no memory is left for so large a body", retry_after_s=_BODY_WAIT_S)
+        self._refuse(503, "no memory is left for so large a request", retry_after_s=_BODY_WAIT_S)
 
     def _drop_body(self) -> None:
         if self._body_timer is not None:
             self._body_timer.cancel()
         self._bodies.drop()
+        self._parser.drop()
 
     def _release_body(self, exchange: _Exchange) -> None:
         self._bodies.release(exchange.body_bytes)
@@ -378,11 +467,19 @@
             return
         self._is_input_ended = True
         self._drop_body()
-        while self._queue[-1].task is None and self._queue[-1].reply is None:
+        self._drop_unstarted()
+
+    def _drop_unstarted(self) -> None:
+        while self._queue and not self._queue[-1].is_started:
             self._release_body(self._queue.pop())
 
     def _flush(self) -> None:
         """Writes the responses that are ready, in request order, and resumes reading."""
+        self._write_ready()
+        if self._queue or (self._memory is not None and self._memory.size > _CONNECTION_BYTES):
+            self._update_memory()
+
+    def _write_ready(self) -> None:
         self._end_input_if_closing()
         while (
             self._queue
@@ -391,6 +488,7 @@
             and not self._is_writing_paused
         ):
             exchange = self._queue.popleft()
+            self._startable = min(_MAX_STARTED, self._startable + 1)
             must_close = exchange.is_last or (self._is_input_ended and not self._queue)
             self._write(exchange, must_close=must_close)
             self._idle_since = self._loop.time()
@@ -402,6 +500,7 @@
             self._is_reading_paused
             and not self._is_writing_paused
             and not self._bodies.is_waiting
+            and not self._input.is_waiting
             and len(self._queue) < _MAX_PIPELINED
             and self._transport is not None
         ):
--- a/src/carawaybank/callers/requests.py
+++ b/src/carawaybank/callers/requests.py
@@ -5,13 +5,16 @@
 
 import httptools
 
-from carawaybank.buffers import FramingLimit
+from carawaybank.buffers import BodyBuffer, FramingLimit
+from carawaybank.memory import HEADER_BYTES, body_memory
 from carawaybank.replies import Headers
 from carawaybank.routing.configuration import Limits
 
 #: The colon, the space and the line break of a header line.
 _HEADER_OVERHEAD_BYTES = 4
 _VERSIONS = frozenset({"1.0", "1.1"})
+#: Pieces as which the begin and the end of a request count.
+_PIECES_PER_MESSAGE = 4
 #: Headers that say where a body ends.
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 
@@ -85,8 +88,8 @@
         self._error: InvalidRequestError | None = None
         self._path = b""
         self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._head_bytes = self._body_bytes = 0
+        self._body = BodyBuffer()
+        self._head_bytes = self._head_memory = self._pieces = 0
         self._framing = FramingLimit()
         self._is_finished = False
         self._has_skipped_body = self._is_body_resumed = False
@@ -105,7 +108,7 @@
     @property
     def body_bytes(self) -> int:
         """Bytes of the body that is being received, in full if its length is known."""
-        return max(self._body_bytes, self._announced_bytes or 0) if self.is_in_body else 0
+        return max(self._body.size, self._announced_bytes or 0) if self.is_in_body else 0
 
     @property
     def has_known_length(self) -> bool:
@@ -115,10 +118,28 @@
     @property
     def waits_for_continue(self) -> bool:
         """Whether the caller sent ``Expect: 100-continue`` and no byte of the body yet."""
-        if not self.is_in_body or self._body:
+        if not self.is_in_body or self._body.size:
             return False
         return any(name == "expect" and "100" in value for name, value in self._headers)
 
+    @property
+    def memory_bytes(self) -> int:
+        """Bytes of memory that the request uses that is being received."""
+        if not self.is_receiving:
+            return 0
+        return self._head_bytes + self._head_memory + body_memory(self._body.size)
+
+    def pop_pieces(self) -> int:
+        """Returns the pieces of requests that were parsed since the last call."""
+        pieces, self._pieces = self._pieces, 0
+        return pieces
+
+    def drop(self) -> None:
+        """Returns the memory of the request that is being received, which is not read on."""
+        self._headers = []
+        self._body.clear()
+        self._head_bytes = self._head_memory = 0
+
     def feed(self, data: bytes) -> None:
         """Parses bytes that were received from the caller.
 
@@ -179,8 +200,10 @@
         self.is_in_head = True
         self._head_count += 1
         self._path = b""
-        self._headers, self._body = [], []
-        self._head_bytes = self._body_bytes = 0
+        self._headers = []
+        self._body.clear()
+        self._head_bytes = self._head_memory = 0
+        self._pieces += _PIECES_PER_MESSAGE
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the path and query (callback of the parser)."""
@@ -189,7 +212,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; trailers after the body are ignored (callback of the parser)."""
+        self._pieces += 1
         if self.is_in_head:
+            self._head_memory += HEADER_BYTES + len(name) + len(value)
             self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -232,8 +257,8 @@
         Raises:
             InvalidRequestError: If the body is too large.
         """
-        self._body_bytes += len(data)
-        if self._body_bytes > self._limits().body_bytes:
+        self._pieces += 1
+        if self._body.size + len(data) > self._limits().body_bytes:
             self._refuse(413, "the request body is too large")
         self._framing.record(read_bytes=0, body_bytes=len(data))
         self._body.append(data)
@@ -250,11 +275,10 @@
             self._parser.get_method().decode("ascii"),
             self._path.decode("latin-1"),
             self._headers,
-            b"".join(self._body),
+            self._body.take(),
             self._peer,
             is_last=not keeps_alive,
         )
-        self._body = []
         self._on_request(request)
 
     def _count_parsed_head(self) -> int:
--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -15,6 +15,8 @@
 
 from carawaybank.buffers import BufferBudget
 from carawaybank.exceptions import CarawaybankError
+from carawaybank.inputs import InputReader
+from carawaybank.memory import MemoryHolder
 from carawaybank.replies import Headers, HttpReply, ReplyReader
 from carawaybank.sockets import has_unread_input
 from carawaybank.verdicts import Reason
@@ -45,6 +47,7 @@
 _WRITE_BYTES = 65_536
 #: Value of ``SO_LINGER`` with which a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_NO_MEMORY_MESSAGE = "no memory is left for so large an answer"
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE"})
 
 
@@ -86,7 +89,7 @@
         self.has_received_bytes = has_received_bytes
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One connection to a peer, which carries one exchange at a time.
 
     Attributes:
@@ -101,6 +104,8 @@
         """Initializes an unconnected protocol; use :meth:`open` to connect."""
         self._transport: asyncio.Transport | None = None
         self._reader = ReplyReader(method="GET")
+        self._input = InputReader(resume=self._resume_reading)
+        self._memory: MemoryHolder | None = None
         self._call: HttpCall | None = None
         self._waiter: asyncio.Future[HttpReply] | None = None
         self._max_body_bytes = _DEFAULT_MAX_BODY_BYTES
@@ -299,10 +304,30 @@
         """
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        host, port = (transport.get_extra_info("peername") or ("", 0))[:2]
+        self._memory = MemoryHolder(
+            budget=self._input.memory,
+            kind="responses",
+            peer=f"{host}:{port}",
+            break_off=self._break_off,
+        )
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer of the next read."""
+        return self._input.get_buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Processes a read, and pauses if it took much time."""
+        self.data_received(self._input.get_input(nbytes))
+        if self._waiter is None or self._waiter.done() or self._transport is None:
+            return
+        must_pause = self._input.record(nbytes, pieces=self._reader.pop_pieces())
+        if must_pause and not self._transport.is_closing():
+            self._transport.pause_reading()
+
     def data_received(self, data: bytes) -> None:
         """Parses bytes of a response; closes the connection if no exchange is pending."""
         if self._waiter is None or self._waiter.done():
@@ -311,6 +336,17 @@
         self._has_received_bytes = True
         self._reader.feed(data)
         self._process_replies()
+        if self._memory is not None and not self._waiter.done():
+            size = self._reader.memory_bytes
+            self._memory.resize(size, unfinished_size=size)
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _break_off(self) -> None:
+        """Fails the exchange, whose response uses more memory than is left."""
+        self.fail(Reason.ANSWER_TOO_LARGE, _NO_MEMORY_MESSAGE)
 
     def eof_received(self) -> bool:
         """Handles end of stream, which may complete a response or fail the exchange."""
@@ -338,6 +374,8 @@
 
     def _end_exchange(self) -> None:
         waiter, self._waiter = self._waiter, None
+        if self._memory is not None and self._memory.size:
+            self._memory.resize(0)
         if self._budget is not None:
             self._budget.release(self._reserved_bytes)
             self._budget, self._reserved_bytes = None, 0
@@ -369,7 +407,7 @@
         elif reader.body_bytes > self._max_body_bytes:
             self.fail(Reason.ANSWER_TOO_LARGE, "the answer is too large")
         elif not self._reserve(reader.body_bytes):
-            self.fail(Reason.ANSWER_TOO_LARGE, "no memory is left for so large an answer")
+            self.fail(Reason.ANSWER_TOO_LARGE, _NO_MEMORY_MESSAGE)
 
     def _reserve(self, body_bytes: int) -> bool:
         """Reserves bytes for a response body and returns whether the budget had them left."""
@@ -418,6 +456,10 @@
     def fail(self, reason: Reason, message: str) -> None:
         """Fails the pending exchange, if any; the connection is then closed."""
         self.is_reusable = False
+        # References between the connection and its transport keep both until a garbage collection.
+        self._reader.drop()
+        if self._memory is not None:
+            self._memory.resize(0)
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(
                 ExchangeError(
--- a/src/carawaybank/deployment.py
+++ b/src/carawaybank/deployment.py
@@ -5,6 +5,7 @@
 
 from carawaybank import documents
 from carawaybank.exceptions import DocumentError
+from carawaybank.memory import budget_bytes
 from carawaybank.routing.allotmentterms import AllotmentBounds
 from carawaybank.routing.options import RouterOptions
 from carawaybank.routing.vmweights import VmCapacity
@@ -168,6 +169,11 @@
     allotment_slack: float = 20.0
     contracts: frozenset[str] = frozenset()
 
+    @property
+    def message_memory_bytes(self) -> int:
+        """Bytes of memory that the messages of all peers may use together."""
+        return budget_bytes(self.memory_mb)
+
     @property
     def unread_memory_bytes(self) -> int:
         """Bytes of waiting responses to slow callers from which downloads are refused."""
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -26,9 +26,11 @@
 from carawaybank.exposition import Exposition
 from carawaybank.failures import FailureLog
 from carawaybank.handler import RequestHandler
+from carawaybank.inputs import loop_inputs
 from carawaybank.journal import Journal
 from carawaybank.loopdelay import EventLoopDelay
 from carawaybank.maintenance import Maintenance
+from carawaybank.memory import BreakOff, MemoryBudget
 from carawaybank.operators.rows import OperatorRows
 from carawaybank.pacing import PaceReports
 from carawaybank.relays import Relays
@@ -100,6 +102,11 @@
             counters=self._counters,
         )
         self._bodies = BodyMemory(max_bytes=deployment.body_memory_bytes)
+        self._memory = MemoryBudget(
+            max_bytes=deployment.message_memory_bytes, on_break_off=self._record_break_off
+        )
+        self._memory.refresh = self._backlog.refresh
+        self._counters.message_memory = lambda: self._memory.used_by_kind
         self._router.has_response_room = lambda: self._backlog.has_room
         self._stopped = StopSignal()
         self._told_to_close_count = 0
@@ -294,6 +301,7 @@
             ListenError: If an address to listen on stays in use.
         """
         loop = asyncio.get_running_loop()
+        loop_inputs().memory = self._memory
         # By default, errors go to standard error, which blocks the loop while nobody reads it.
         loop.set_exception_handler(self._failures.record_callback)
         self._stopped.install()
@@ -549,6 +557,16 @@
                 )
         return len(interrupted) + self._relays.client.give_up(is_final=is_final)
 
+    def _record_break_off(self, broken: BreakOff) -> None:
+        self._counters.count_break_off(broken.kind)
+        self._journal.log(
+            "memory",
+            "message broken off",
+            **broken._asdict(),
+            used=self._memory.used_by_kind,
+            max_bytes=self._memory.max_bytes,
+        )
+
     def _count_told_to_close(self) -> None:
         self._told_to_close_count += 1
 
--- a/src/carawaybank/replies.py
+++ b/src/carawaybank/replies.py
@@ -5,7 +5,8 @@
 
 import httptools
 
-from carawaybank.buffers import FramingLimit
+from carawaybank.buffers import BodyBuffer, FramingLimit
+from carawaybank.memory import HEADER_BYTES, body_memory
 
 Headers = list[tuple[str, str]]
 
@@ -15,6 +16,10 @@
 _MAX_HEADERS = 256
 _INFORMATIONAL_STATUSES = range(100, 200)
 _MIN_STATUS = 100
+#: Characters of a header that an error message contains.
+_MAX_LOGGED_CHARS = 40
+#: Pieces as which the begin and the end of a message count.
+_PIECES_PER_MESSAGE = 4
 
 
 class HttpReply(NamedTuple):
@@ -59,15 +64,14 @@
         self._parser = httptools.HttpResponseParser(self)
         self._is_head_request = method == "HEAD"
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        self._body = BodyBuffer()
+        self._head_memory = self._pieces = 0
         self._framing_limit = FramingLimit()
         self._head_bytes = 0
         self._has_head = False
         self._is_ended_by_close = False
         #: Complete responses that the connection has not processed yet.
         self.replies: deque[HttpReply] = deque()
-        #: Bytes received so far of the current response's body.
-        self.body_bytes = 0
         #: Whether a response was received in part, or invalid bytes were received.
         self.has_partial_reply = False
         #: Why parsing has failed; empty if it has not.
@@ -78,6 +82,28 @@
         """Whether all headers of the current response were received."""
         return self._has_head
 
+    @property
+    def body_bytes(self) -> int:
+        """Bytes received so far of the current response's body."""
+        return self._body.size
+
+    @property
+    def memory_bytes(self) -> int:
+        """Bytes of memory that the current response uses."""
+        return self._head_bytes + self._head_memory + body_memory(self._body.size)
+
+    def pop_pieces(self) -> int:
+        """Returns the pieces of messages that were parsed since the last call."""
+        pieces, self._pieces = self._pieces, 0
+        return pieces
+
+    def drop(self) -> None:
+        """Returns the memory of the current response, which is not read on."""
+        self._fail("it was dropped")
+        self._headers = []
+        self._body.clear()
+        self._head_bytes = self._head_memory = 0
+
     def feed(self, data: bytes) -> None:
         """Parses bytes from the peer; ignores them after a failure, see ``problem``."""
         if self.problem:
@@ -106,15 +132,19 @@
     def on_message_begin(self) -> None:
         """Resets the state for a new response; called by the parser."""
         self.has_partial_reply = True
-        self._headers, self._body = [], []
-        self._head_bytes = self.body_bytes = 0
+        self._headers = []
+        self._body.clear()
+        self._head_bytes = self._head_memory = 0
+        self._pieces += _PIECES_PER_MESSAGE
         self._has_head = self._is_ended_by_close = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header and ignores trailers; called by the parser."""
+        self._pieces += 1
         if len(self._headers) >= _MAX_HEADERS:
             self._reject("it has too many headers")
         if not self._has_head:
+            self._head_memory += HEADER_BYTES + len(name) + len(value)
             self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -125,7 +155,7 @@
         headers = dict(self._headers)
         coding = headers.get("transfer-encoding")
         if coding is not None and coding.lower() != "chunked":
-            self._reject(f"it has the transfer coding {coding}")
+            self._reject(f"it has the transfer coding {coding[:_MAX_LOGGED_CHARS]}")
         bodiless = self._parser.get_status_code() in {204, 304} or self._is_head_request
         has_length = coding is not None or "content-length" in headers
         self._is_ended_by_close = not has_length and not bodiless
@@ -136,7 +166,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Stores a part of the body; called by the parser."""
-        self.body_bytes += len(data)
+        self._pieces += 1
         self._framing_limit.record(read_bytes=0, body_bytes=len(data))
         self._body.append(data)
 
@@ -149,7 +179,7 @@
 
     def _finish(self, *, closes: bool) -> None:
         status = self._parser.get_status_code()
-        self.replies.append(HttpReply(status, self._headers, b"".join(self._body), closes))
+        self.replies.append(HttpReply(status, self._headers, self._body.take(), closes))
         self.has_partial_reply = False
 
     def _reject(self, problem: str) -> None:
