Bound the rows of a table by the memory of the VM

Found by the list of the places that hold a peer's bytes.

The number of rows is checked before they are decoded, tables count in the budget of all messages and use at most a quarter of it, changes that are kept for siblings have a limit in bytes, as have the departures that a sibling sends, the platform's responses to carawaybankd, and logged texts. carawaybankd gets the same budget, for 256 MB.

--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -40,6 +40,8 @@
 from carawaybank.exceptions import DocumentError, ListenError
 from carawaybank.exposition import Exposition
 from carawaybank.host import Host
+from carawaybank.inputs import loop_inputs
+from carawaybank.memory import BreakOff, MemoryBudget, budget_bytes
 from carawaybank.operators.app import OperatorsApp
 from carawaybank.operators.status import StatusReports
 from carawaybank.settings import Settings, load
@@ -60,6 +62,8 @@
 _MAX_RELAYS = 40
 #: Minimum body limit of the control address, on which siblings also exchange their records.
 _MIN_CONTROL_BODY_BYTES = 8 * 1024 * 1024
+#: Megabytes of memory that operators give a daemon.
+_MEMORY_MB = 256.0
 #: Seconds between checks of idle and slow connections.
 _MAINTENANCE_INTERVAL_S = 0.5
 _JOIN_LIMIT_S = 1.2
@@ -88,6 +92,10 @@
         seed = random.SystemRandom().getrandbits(64)
         self.host = Host(settings=settings, incarnation=start, seed=seed)
         self._counters = Counters()
+        self._memory = loop_inputs().memory = MemoryBudget(
+            max_bytes=budget_bytes(_MEMORY_MB), on_break_off=self._record_break_off
+        )
+        self._counters.message_memory = lambda: self._memory.used_by_kind
         self._metrics = Exposition(
             vm=settings.vm,
             counters=self._counters,
@@ -117,6 +125,12 @@
         self._build_platform()
         self._build_routers()
 
+    def _record_break_off(self, broken: BreakOff) -> None:
+        self._counters.count_break_off(broken.kind)
+        self._log.warning(
+            "Out of memory for messages; broke off {} bytes of {}", broken.size, broken.peer
+        )
+
     async def run(self) -> None:
         """Serves requests until :meth:`stop` is called and the daemon has drained.
 
--- a/src/carawaybank/delivery.py
+++ b/src/carawaybank/delivery.py
@@ -5,7 +5,7 @@
 from carawaybank.journal import Journal
 from carawaybank.rows import Row, TableUpdate
 
-#: Maximum number of characters of a key in a log line.
+#: Maximum number of characters of a key or a reason in a log line.
 _MAX_LOGGED_CHARS = 200
 
 
@@ -53,7 +53,7 @@
         if update.is_full:
             error = self._try_publish(update._replace(rows=taken))
         if error is not None and (update.is_full or not set_aside_count):
-            reason = repr(error)
+            reason = repr(error)[:_MAX_LOGGED_CHARS]
             self._journal.log("store", "changes not taken", table=self._table, reason=reason)
 
     def _forget(self, update: TableUpdate) -> None:
@@ -74,7 +74,7 @@
         if error is None:
             self._set_aside.pop(row.key, None)
             return True
-        reason = repr(error)
+        reason = repr(error)[:_MAX_LOGGED_CHARS]
         if self._set_aside.get(row.key) != reason:
             self._set_aside[row.key] = reason
             key = row.key[:_MAX_LOGGED_CHARS]
--- a/src/carawaybank/history.py
+++ b/src/carawaybank/history.py
@@ -9,6 +9,8 @@
 
 #: Changed rows kept for siblings; a sibling that lags by more reads the whole table.
 _MAX_CHANGED_ROWS = 2_000
+#: Bytes of memory that these may use.
+_MAX_CHANGED_BYTES = 8_000_000
 
 
 class _Batch(NamedTuple):
@@ -31,7 +33,7 @@
     def __init__(self) -> None:
         """Initializes an empty history."""
         self._batches: deque[_Batch] = deque()
-        self._row_count = 0
+        self._row_count = self._bytes = 0
         self._position = INITIAL_POSITION
         #: Changes after this version are kept; None before the first read.
         self._oldest_version: int | None = None
@@ -46,16 +48,18 @@
         self._position = update.position
         if is_new_era or self._oldest_version is None:
             self._batches.clear()
-            self._row_count = 0
+            self._row_count = self._bytes = 0
             self._oldest_version = update.version
         elif update.rows or update.after_outage:
             self._batches.append(_Batch(update.version, update.rows, update.after_outage))
             self._row_count += len(update.rows)
+            self._bytes += _count_bytes(update.rows)
         else:
             return
-        while self._row_count > _MAX_CHANGED_ROWS:
+        while self._row_count > _MAX_CHANGED_ROWS or self._bytes > _MAX_CHANGED_BYTES:
             oldest = self._batches.popleft()
             self._row_count -= len(oldest.rows)
+            self._bytes -= _count_bytes(oldest.rows)
             self._oldest_version = oldest.version
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
@@ -91,6 +95,10 @@
         return [batch for batch in self._batches if batch.version > position.version]
 
 
+def _count_bytes(rows: Iterable[Row]) -> int:
+    return sum(row.memory_bytes for row in rows)
+
+
 def _latest_rows(rows: Iterable[Row]) -> list[Row]:
     """Returns only the last change of each key."""
     return list({row.key: row for row in rows}.values())
--- a/src/carawaybank/platform/store.py
+++ b/src/carawaybank/platform/store.py
@@ -12,12 +12,15 @@
 from carawaybank.pool import ClientPool
 from carawaybank.replies import HttpReply
 from carawaybank.rows import (
+    MAX_TABLE_ROWS,
     ConnectionBrokenError,
     HistoryGoneError,
     Position,
     Row,
     Rows,
     StoreError,
+    check_table_size,
+    max_table_bytes,
 )
 from carawaybank.verdicts import Reason
 
@@ -25,8 +28,6 @@
 _CALL_TIMEOUT_S = 2.0
 _CONNECT_TIMEOUT_S = 0.6
 _PAGE_ROWS = 500
-#: Largest table in bytes of JSON that is read; siblings take no larger one.
-_MAX_TABLE_BYTES = 64_000_000
 #: Set on all responses: a number that rises when the store is restored from an older backup.
 _ERA_HEADER = "Store-Era"
 _MAX_ERA_DIGITS = 18
@@ -74,7 +75,7 @@
 
         Raises:
             StoreError: If a call fails, the store is restored from a backup between two pages, or
-                its pages do not end.
+                its pages do not end or use too much memory.
         """
         rows: list[Row] = []
         size = 0
@@ -84,8 +85,10 @@
             reply = await self._call("GET", f"/rows-get?{urlencode(query)}")
             page = _decode_rows(reply)
             last_key = rows[-1].key if rows else None
-            rows.extend(_decode_row(wire_row) for wire_row in page.get("rows", []))
-            size += len(reply.body)
+            page_rows = [_decode_row(wire_row) for wire_row in page.get("rows", [])]
+            rows += page_rows
+            size += sum(row.memory_bytes for row in page_rows)
+            check_table_size(size, max_bytes=max_table_bytes())
             first_position = first_position or Position(_read_era(reply), page.get("ver", 0))
             if _read_era(reply) != first_position.era:
                 raise StoreError(
@@ -93,7 +96,7 @@
                 )
             if not page.get("hasMore") or not rows:
                 return Rows(rows, first_position.version, era=first_position.era)
-            if rows[-1].key == last_key or size > _MAX_TABLE_BYTES:
+            if rows[-1].key == last_key:
                 raise StoreError(message=f"its pages do not end, after {len(rows)} rows")
             query["from"] = rows[-1].key + "\x00"
 
@@ -185,6 +188,9 @@
 
 
 def _decode_rows(reply: HttpReply) -> _WireRows:
+    # Decoded rows use many times the memory of their shortest form, two braces.
+    if reply.body.count(b"{") > MAX_TABLE_ROWS:
+        raise StoreError(message=f"a response has more than {MAX_TABLE_ROWS} rows")
     try:
         return msgspec.json.decode(reply.body, type=_WireRows)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
--- a/src/carawaybank/rows.py
+++ b/src/carawaybank/rows.py
@@ -3,6 +3,14 @@
 from typing import NamedTuple, Protocol
 
 from carawaybank.exceptions import CarawaybankError
+from carawaybank.inputs import loop_inputs
+
+#: Rows that a table may have. Deployments have a few thousand.
+MAX_TABLE_ROWS = 50_000
+#: Memory of a row beside its value, with what is decoded from it.
+_ROW_BYTES = 1_000
+#: Fraction of the memory of all messages that one table may use.
+_TABLE_FRACTION = 0.25
 
 
 class StoreError(CarawaybankError):
@@ -41,6 +49,30 @@
     version: int
     removed: bool
 
+    @property
+    def memory_bytes(self) -> int:
+        """Bytes of memory that the row uses while it is kept."""
+        return _ROW_BYTES + len(self.key) + len(self.value)
+
+
+def max_table_bytes() -> int:
+    """Returns the bytes of memory that a table may use, so that some is left for other peers."""
+    return int(loop_inputs().memory.max_bytes * _TABLE_FRACTION)
+
+
+def check_table_size(size: int, *, max_bytes: int) -> None:
+    """Checks the size of a table.
+
+    Args:
+        size: Bytes of memory of all rows.
+        max_bytes: Bytes that they may use.
+
+    Raises:
+        StoreError: If they use more.
+    """
+    if size > max_bytes:
+        raise StoreError(message=f"its rows use {size} bytes of memory, more than {max_bytes}")
+
 
 class Position(NamedTuple):
     """A point in the sequence of the store's changes; later positions compare as greater.
--- a/src/carawaybank/siblings/bootstrap.py
+++ b/src/carawaybank/siblings/bootstrap.py
@@ -25,6 +25,8 @@
 #: Seconds between attempts to fetch the tables from all seeds.
 _RETRY_PAUSE_S = 0.25
 _TIMEOUT_S = 0.6
+#: Bytes of all departures that a sibling keeps, with names of a hundred characters.
+_MAX_DEPARTURES_BYTES = 512_000
 _OK = 200
 
 
@@ -102,7 +104,9 @@
         connection = await ClientConnection.open(seed, timeout_s=_TIMEOUT_S)
         try:
             call = HttpCall("GET", DEPARTURES_PATH, [("Host", seed)])
-            reply = await connection.exchange(call, timeout_s=_TIMEOUT_S)
+            reply = await connection.exchange(
+                call, timeout_s=_TIMEOUT_S, max_body_bytes=_MAX_DEPARTURES_BYTES
+            )
         finally:
             connection.close()
         return msgspec.json.decode(reply.body, type=dict[str, int]) if reply.status == _OK else {}
--- a/src/carawaybank/siblings/relays.py
+++ b/src/carawaybank/siblings/relays.py
@@ -36,6 +36,8 @@
 MAX_RELAYED_BYTES = 32_000_000
 #: Maximum size in bytes of a result, which contains a whole response of a target.
 _MAX_RESULT_BYTES = 17_000_000
+#: Bytes of a sibling's error that are logged.
+_MAX_LOGGED_BYTES = 200
 #: Time limit in seconds to connect to a sibling.
 _CONNECT_TIMEOUT_S = 0.5
 #: Seconds after the deadline of an attempt for which the sibling's result is awaited.
@@ -138,7 +140,8 @@
             return RelayResult(NotRun(Reason.CONNECT_FAILED, 1.0, str(error)))
         if reply.status != 200:
             self._helpers.remove(relay.offer.vm)
-            self._log_failure(relay, request, reply.body.decode("utf-8", "replace").strip())
+            detail = reply.body[:_MAX_LOGGED_BYTES].decode("utf-8", "replace").strip()
+            self._log_failure(relay, request, detail)
             return RelayResult(NotRun(Reason.NO_CAPACITY, 1.0, "a sibling refused the request"))
         try:
             return _decode_result(reply.body)
--- a/src/carawaybank/siblings/tables.py
+++ b/src/carawaybank/siblings/tables.py
@@ -12,7 +12,15 @@
 from carawaybank.client import ClientConnection, ExchangeError, HttpCall
 from carawaybank.pool import ClientPool
 from carawaybank.replies import HttpReply
-from carawaybank.rows import ConnectionBrokenError, HistoryGoneError, Position, Rows, StoreError
+from carawaybank.rows import (
+    MAX_TABLE_ROWS,
+    ConnectionBrokenError,
+    HistoryGoneError,
+    Position,
+    Rows,
+    StoreError,
+    max_table_bytes,
+)
 from carawaybank.verdicts import Reason
 from carawaybank.watch import TableWatch
 
@@ -33,9 +41,12 @@
 #: Header with the seconds since the store had nothing newer than the sender, in decimal notation;
 #: ``inf`` if that is not known. Builds without strict revocation neither send nor read it.
 _PROOF_AGE_HEADER = "Proof-Age"
-#: Largest decompressed table in bytes that is read from a sibling. The store's pages are limited to
-#: 1 MB each.
+#: Largest decompressed table in bytes that is decoded.
 _MAX_BYTES = 64_000_000
+#: First bytes of MessagePack for an array of up to 15 elements, and of arrays whose length follows
+#: in two and in four bytes.
+_SHORT_ARRAYS = range(0x90, 0xA0)
+_LENGTH_BYTES = {0xDC: 2, 0xDD: 4}
 #: Number of encoded responses that are cached, because many followers wait for the same change.
 _MAX_CACHED_RESPONSES = 8
 
@@ -160,10 +171,12 @@
             age_s = float(text)
         except ValueError:
             return None
-        return age_s if age_s >= 0 and not decode(reply.body).rows else math.inf
+        has_rows = bool(decode(reply.body, max_bytes=max_table_bytes()).rows)
+        return age_s if age_s >= 0 and not has_rows else math.inf
 
     async def _call(self, path: str, timeout_s: float) -> Rows:
-        return decode((await self._exchange(path, timeout_s)).body)
+        reply = await self._exchange(path, timeout_s)
+        return decode(reply.body, max_bytes=max_table_bytes())
 
     async def _exchange(self, path: str, timeout_s: float) -> HttpReply:
         call = HttpCall("GET", path, [("Host", self._address)])
@@ -204,14 +217,28 @@
     return zlib.compress(msgspec.msgpack.encode(table_rows))
 
 
-def decode(data: bytes) -> Rows:
+def decode(data: bytes, *, max_bytes: int = _MAX_BYTES) -> Rows:
     """Decodes the rows that a sibling sent.
 
+    Args:
+        data: The encoded rows.
+        max_bytes: Bytes that they may have when they are decompressed.
+
     Raises:
         StoreError: If they are truncated, invalid or too large.
     """
     try:
-        plain = zlib.decompressobj().decompress(data, _MAX_BYTES)
+        plain = zlib.decompressobj().decompress(data, max_bytes)
+        if _count_rows(plain) > MAX_TABLE_ROWS:
+            raise StoreError(message=f"a sibling sent more than {MAX_TABLE_ROWS} rows")
         return msgspec.msgpack.decode(plain, type=Rows)
     except (zlib.error, msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise StoreError(message=f"the rows of a sibling cannot be decoded: {error}") from None
+
+
+def _count_rows(plain: bytes) -> int:
+    """Returns the number of rows that encoded rows begin with; 0 if they are invalid."""
+    kind = plain[1] if len(plain) > 1 else 0
+    if kind in _SHORT_ARRAYS:
+        return kind - _SHORT_ARRAYS.start
+    return int.from_bytes(plain[2 : 2 + _LENGTH_BYTES.get(kind, 0)], "big")
--- a/src/carawaybank/storage/clients.py
+++ b/src/carawaybank/storage/clients.py
@@ -12,6 +12,8 @@
 
 _T = TypeVar("_T")
 _CONFLICT_STATUS = 409
+#: Largest response in bytes, such as a state in the object store.
+_MAX_BODY_BYTES = 16_000_000
 
 
 class PlatformClient:
@@ -42,7 +44,10 @@
         """
         writes = method != "GET"
         try:
-            response = self._http.request(method, self._url + path, body=body)
+            response = self._http.request(
+                method, self._url + path, body=body, preload_content=False
+            )
+            data = self._read(response)
         except (NewConnectionError, MaxRetryError) as error:
             is_connect_failure = "NewConnection" in type(error).__name__
             raise PlatformError(
@@ -57,7 +62,23 @@
             raise PlatformError(
                 message=f"the platform answered {response.status}", may_have_run=writes
             )
-        return response.status, response.data
+        return response.status, data
+
+    @staticmethod
+    def _read(response: urllib3.BaseHTTPResponse) -> bytes:
+        """Returns the body of a response.
+
+        Raises:
+            HTTPError: If it is too large, or is not received.
+        """
+        try:
+            data = response.read(_MAX_BODY_BYTES + 1)
+            if len(data) <= _MAX_BODY_BYTES:
+                return data
+            response.close()
+            raise HTTPError(f"a response has more than {_MAX_BODY_BYTES} bytes")
+        finally:
+            response.release_conn()
 
     def decode(self, data: bytes, shape: type[_T]) -> _T:
         """Returns the JSON document in the body of a response.
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -17,7 +17,9 @@
 from carawaybank.catchup import CatchUp
 from carawaybank.delivery import Delivery
 from carawaybank.history import History
+from carawaybank.inputs import loop_inputs
 from carawaybank.journal import Journal
+from carawaybank.memory import MemoryHolder
 from carawaybank.rows import (
     INITIAL_POSITION,
     ConnectionBrokenError,
@@ -29,6 +31,8 @@
     Rows,
     StoreError,
     TableUpdate,
+    check_table_size,
+    max_table_bytes,
 )
 
 _T = TypeVar("_T")
@@ -90,6 +94,8 @@
         self._failures = 0
         self._newest_read_position = INITIAL_POSITION
         self._rows: dict[str, Row] = {}
+        self._rows_bytes = 0
+        self._memory: MemoryHolder | None = None  # Set by the first read.
         self._read_at: float | None = None
         self._history = History()
         self._make_call_state()
@@ -272,6 +278,7 @@
             self._journal.log("store", "era changed", table=self._table, era=update.era)
             self._needs_full_read = True
             return
+        self._check_size(update, is_full=is_full)
         if self._failures:
             self._journal.log("store", "regained", table=self._table, failures=self._failures)
         if after_outage:
@@ -320,6 +327,18 @@
             self._selector.record_break(reader)
             return await self._run_cancellable(poll(self._table, after=after, wait_s=0.0))
 
+    def _check_size(self, update: Rows, *, is_full: bool) -> None:
+        """Checks that the table leaves memory for the messages of peers.
+
+        Raises:
+            StoreError: If it does not.
+        """
+        size = 0 if is_full else self._rows_bytes
+        for row in update.rows:
+            known = None if is_full else self._rows.get(row.key)
+            size += (0 if row.removed else row.memory_bytes) - (known.memory_bytes if known else 0)
+        check_table_size(size, max_bytes=max_table_bytes())
+
     def _apply(self, update: Rows, *, is_full: bool, reader: str) -> None:
         if self._era is not None and update.era > self._era:
             self._begin_recovery(update)
@@ -330,12 +349,13 @@
         positions = (Position(update.era, row.version) for row in update.rows)
         self._newest_read_position = max([self._newest_read_position, *positions])
         for key in removed:
-            del self._rows[key]
+            self._drop_row(key)
         for row in update.rows:
-            if row.removed:
-                self._rows.pop(row.key, None)
-            else:
+            self._drop_row(row.key)
+            if not row.removed:
                 self._rows[row.key] = row
+                self._rows_bytes += row.memory_bytes
+        self._count_memory()
         removals = [Row(key, b"", update.version, removed=True) for key in removed]
         self._history.add(
             update._replace(rows=[*update.rows, *removals], version=self._position.version)
@@ -347,6 +367,18 @@
             )
             self._delivery.publish(delivery)
 
+    def _count_memory(self) -> None:
+        if self._memory is None:
+            self._memory = MemoryHolder(
+                budget=loop_inputs().memory, kind="tables", peer=self._table, break_off=lambda: None
+            )
+        self._memory.resize(self._rows_bytes)
+
+    def _drop_row(self, key: str) -> None:
+        row = self._rows.pop(key, None)
+        if row is not None:
+            self._rows_bytes -= row.memory_bytes
+
     def _begin_recovery(self, update: Rows) -> None:
         """Logs the restore from a backup and schedules the second delivery of the rows."""
         self._journal.log(
