--- a/src/carawaybank/callers/requests.py
+++ b/src/carawaybank/callers/requests.py
@@ -13,6 +13,8 @@
 #: The colon, the space and the line break of a header line.
 _HEADER_OVERHEAD_BYTES = 4
 _VERSIONS = frozenset({"1.0", "1.1"})
+#: Pieces as which a header counts, which takes as long as three chunks.
+_PIECES_PER_HEADER = 3
 #: Pieces as which the begin and the end of a request count.
 _PIECES_PER_MESSAGE = 4
 #: Headers that say where a body ends.
@@ -212,7 +214,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; trailers after the body are ignored (callback of the parser)."""
-        self._pieces += 1
+        self._pieces += _PIECES_PER_HEADER
         if self.is_in_head:
             self._head_memory += HEADER_BYTES + len(name) + len(value)
             self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
--- a/src/carawaybank/inputs.py
+++ b/src/carawaybank/inputs.py
@@ -16,7 +16,7 @@
 _MIN_READ_BYTES = 4_096
 _MAX_READ_BYTES = 262_144
 _READ_GROWTH = 4
-#: Seconds that a piece of a message takes: a chunk, a header, or the begin of a message.
+#: Seconds that a piece of a message takes, such as a chunk.
 _PIECE_S = 0.25e-6
 #: Seconds of work in one read from which a connection reads on in turn with others of its kind.
 _MAX_WORK_S = 0.1e-3
--- a/src/carawaybank/replies.py
+++ b/src/carawaybank/replies.py
@@ -18,6 +18,8 @@
 _MIN_STATUS = 100
 #: Characters of a header that an error message contains.
 _MAX_LOGGED_CHARS = 40
+#: Pieces as which a header counts, which takes as long as three chunks.
+_PIECES_PER_HEADER = 3
 #: Pieces as which the begin and the end of a message count.
 _PIECES_PER_MESSAGE = 4
 
@@ -140,7 +142,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header and ignores trailers; called by the parser."""
-        self._pieces += 1
+        self._pieces += _PIECES_PER_HEADER
         if len(self._headers) >= _MAX_HEADERS:
             self._reject("it has too many headers")
         if not self._has_head:
