--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -4,7 +4,6 @@
 import functools
 import random
 import signal
-import socket
 import time
 from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
@@ -14,15 +13,13 @@
 from carawaybank.background import BackgroundTasks
 from carawaybank.callers.backlog import ResponseBacklog
 from carawaybank.callers.bodies import BodyMemory
-from carawaybank.callers.connections import CallerConnection, ConnectionContext
-from carawaybank.callers.listeners import AddressWait, Listener, connection_factory, listen
+from carawaybank.callers.connections import CallerConnection
 from carawaybank.callers.shedding import LoadShedder
 from carawaybank.charging import Charging
 from carawaybank.control import ControlHandler
 from carawaybank.counters import Counters
 from carawaybank.deployment import Deployment
 from carawaybank.endpoints import Endpoints
-from carawaybank.exceptions import ListenError
 from carawaybank.exposition import Exposition
 from carawaybank.failures import FailureLog
 from carawaybank.handler import RequestHandler
@@ -39,6 +36,7 @@
 from carawaybank.routing.stopping import StopPlan
 from carawaybank.routing.vmweights import capacity_weight
 from carawaybank.rows import INITIAL_POSITION, Position, TableUpdate
+from carawaybank.servers import Servers
 from carawaybank.settingsfile import SettingsFile
 from carawaybank.shutdown import Listeners, drain
 from carawaybank.siblings import registration, weights
@@ -70,8 +68,6 @@
 #: Added to the name of a table for the position up to which a VM that lags has read it. Builds that
 #: do not know it take it for a table that they do not follow.
 _READ_SUFFIX = "/read"
-#: Seconds beyond the stop time for which the start waits for addresses that are in use.
-_ADDRESS_WAIT_MARGIN_S = 1.0
 #: Table with the registrations of VMs and the crash reports, followed by a single watch.
 SHARED_TABLE = "carawaybank"
 
@@ -109,7 +105,6 @@
         self._counters.message_memory = lambda: self._memory.used_by_kind
         self._router.has_response_room = lambda: self._backlog.has_room
         self._stopped = StopSignal()
-        self._told_to_close_count = 0
         self._pacing = PaceReports(
             targets=self._router.targets, counters=self._counters, journal=self._journal
         )
@@ -117,6 +112,7 @@
         self._make_request_path()
         self._make_tables()
         self._make_heartbeat()
+        self._make_control()
         self._make_maintenance()
 
     def _make_maintenance(self) -> None:
@@ -262,7 +258,6 @@
             journal=self._journal,
         )
         self._loop_delay = EventLoopDelay(now=time.monotonic())
-        self._make_control()
 
     def _make_control(self) -> None:
         self._metrics = Exposition(
@@ -279,7 +274,6 @@
             is_ready=lambda: self._handler.is_ready and self._registry.is_loaded,
             has_read_vms=lambda: self._shared_watch.is_loaded,
         )
-        self._other_listeners: list[Listener] = []
         limit = self._router.identification.revocation
         self._proofs = ConfigurationProofs(
             watch=self._watches[0], source=self._source, limit=limit, journal=self._journal
@@ -293,6 +287,19 @@
             proofs=self._proofs,
             tasks=self._tasks,
         )
+        self._servers = Servers(
+            deployment=lambda: self._deployment,
+            handler=self._handler,
+            relays=self._relays,
+            endpoints=self._endpoints,
+            control=self._control,
+            heartbeat=self._heartbeat,
+            shedder=self._shedder,
+            backlog=self._backlog,
+            bodies=self._bodies,
+            connections=self._connections,
+            journal=self._journal,
+        )
 
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT, then finishes the requests in progress.
@@ -329,14 +336,14 @@
             *self._relays.background_functions(),
             *self._own_weight.background_functions(),
             self._metrics.load_on_demand,
-            self._listen_for_scrapes,
+            self._servers.listen_for_scrapes,
             self._allotments.run,
             self._loop_delay.run,
         ]
 
     async def _listen_unless_stopped(self) -> Listeners | None:
         """Returns the listeners, or None if a signal stops the process while it waits for them."""
-        listening = asyncio.create_task(self._listen())
+        listening = asyncio.create_task(self._servers.listen())
         stopped = asyncio.create_task(self._stopped.wait())
         await asyncio.wait([listening, stopped], return_when=asyncio.FIRST_COMPLETED)
         stopped.cancel()
@@ -345,63 +352,6 @@
         listening.cancel()
         return None
 
-    async def _listen_for_datagrams(self) -> None:
-        loop = asyncio.get_running_loop()
-        address = (self._deployment.ip, self._deployment.sibling_port)
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.setblocking(False)
-        try:
-            sock.bind(address)
-        except OSError as error:
-            sock.close()
-            raise ListenError(f"cannot listen on UDP {address}: {error}") from error
-        await loop.create_datagram_endpoint(lambda: self._heartbeat, sock=sock)
-        self._heartbeat.read_from(sock)
-
-    async def _listen(self) -> Listeners:
-        """Listens on all addresses that a VM needs to serve, on that of callers last."""
-        deployment = self._deployment
-        wait = AddressWait(
-            wait_s=deployment.stop_within_s + _ADDRESS_WAIT_MARGIN_S, journal=self._journal
-        )
-        await wait.run(self._listen_for_datagrams)
-        context = ConnectionContext(
-            handle=self._handler.handle,
-            limits=lambda: self._handler.limits,
-            is_closing=lambda: self._handler.is_stopping,
-            backlog=self._backlog,
-            on_told_to_close=self._count_told_to_close,
-            bodies=self._bodies,
-            shed=self._shedder.refuse,
-        )
-        relays = self._relays.serve(self._handler, backlog=self._backlog, bodies=self._bodies)
-
-        async def start(
-            address: str, factory: Callable[[], CallerConnection], **options: Any
-        ) -> Listener:
-            return await wait.run(functools.partial(listen, address, factory, **options))
-
-        others = self._other_listeners
-        others += await self._endpoints.listen(
-            deployment, ttl_s=lambda: self._deployment.lookup_ttl_s, wait=wait
-        )
-        siblings = await start(f"{deployment.ip}:{deployment.sibling_port}", relays)
-        if deployment.control_address:
-            control = connection_factory(self._control.handle)
-            others.append(await start(deployment.control_address, control))
-        callers = await start(
-            deployment.callers_address,
-            lambda: CallerConnection(context=context, connections=self._connections),
-            refuse=self._shedder.refuse_connection,
-        )
-        return Listeners(requests=(callers, siblings), others=others)
-
-    async def _listen_for_scrapes(self) -> None:
-        """Listens for scrapes of metrics, which a VM does not need to serve."""
-        address = f"{self._deployment.ip}:{self._deployment.metrics_port}"
-        listener = await self._endpoints.listen_for_scrapes(address, journal=self._journal)
-        self._other_listeners.append(listener)
-
     def _watch(
         self,
         table: str,
@@ -523,7 +473,7 @@
             "daemon",
             "stopped",
             after_s=round(asyncio.get_running_loop().time() - started_at, 2),
-            told_to_close=self._told_to_close_count,
+            told_to_close=self._servers.told_to_close_count,
             closed=result.closed,
             refused=result.refused + plan.refused_count,
             waited_for=waited_for,
@@ -567,9 +517,6 @@
             max_bytes=self._memory.max_bytes,
         )
 
-    def _count_told_to_close(self) -> None:
-        self._told_to_close_count += 1
-
     def _reload(self) -> None:
         """Applies changed settings, on SIGHUP and periodically (in case no signal was sent)."""
         changed = self._settings_file.load_if_changed()
