Refuse downloads before the memory of messages is used up, and describe the budget

A caller that does not read holds ready responses, which are never broken off; without a refusal of new downloads they would take the place of all responses that are being received. Also counts responses that are written and not read below the transport's limit, and answers a break-off once only on a connection whose input has ended. Found by reading.

--- a/src/carawaybank/callers/connections.py
+++ b/src/carawaybank/callers/connections.py
@@ -345,7 +345,8 @@
     def _break_off(self) -> None:
         """Refuses what is being received and what was not started, for want of memory."""
         self._drop_unstarted()
-        self._refuse_body()
+        if not self._is_input_ended:
+            self._refuse_body()
         self._update_memory()
 
     def _count_ready_bytes(self) -> int:
@@ -476,7 +477,10 @@
     def _flush(self) -> None:
         """Writes the responses that are ready, in request order, and resumes reading."""
         self._write_ready()
-        if self._queue or (self._memory is not None and self._memory.size > _CONNECTION_BYTES):
+        if self._transport is None or self._memory is None:
+            return
+        holds_more = self._queue or self._transport.get_write_buffer_size()
+        if holds_more or self._memory.size > _CONNECTION_BYTES:
             self._update_memory()
 
     def _write_ready(self) -> None:
--- a/src/carawaybank/memory.py
+++ b/src/carawaybank/memory.py
@@ -20,6 +20,8 @@
 #: Fraction of the memory beyond that of a process without peers. What is left is for the copies of
 #: a message while it is encoded, and for the memory that the allocator does not reuse.
 _BUDGET_FRACTION = 0.6
+#: Fraction of the budget in use from which downloads are refused before they are sent to a target.
+_ROOM_FRACTION = 0.8
 #: Bytes of a process that has read its tables and has no peers.
 _BASE_BYTES = 40_000_000
 
@@ -153,6 +155,11 @@
         """Bytes that all holders use."""
         return self._used_bytes
 
+    @property
+    def has_room(self) -> bool:
+        """Whether there is room for large new messages."""
+        return self._used_bytes < self._max_bytes * _ROOM_FRACTION
+
     @property
     def used_by_kind(self) -> dict[str, int]:
         """Bytes in use by kind of the peer."""
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -103,7 +103,7 @@
         )
         self._memory.refresh = self._backlog.refresh
         self._counters.message_memory = lambda: self._memory.used_by_kind
-        self._router.has_response_room = lambda: self._backlog.has_room
+        self._router.has_response_room = lambda: self._backlog.has_room and self._memory.has_room
         self._stopped = StopSignal()
         self._pacing = PaceReports(
             targets=self._router.targets, counters=self._counters, journal=self._journal
