--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -29,3 +29,23 @@
     )
     assert 'verdict="not-run"' in line
     assert 'reason="no-capacity"' in line
+
+
+def test_the_memory_of_messages_and_what_was_broken_off_are_exported():
+    """Guards against a VM whose metrics do not say whose messages use up its memory."""
+    counters = Counters()
+    counters.message_memory = lambda: {"callers": 16_000, "responses": 70_000}
+    counters.count_break_off("responses")
+    metrics = Metrics(vm="vm-m", counters=counters)
+    text = scrape().decode()
+    metrics.close()
+    values = {}
+    for line in text.splitlines():
+        labels, _, value = line.rpartition(" ")
+        if "memory_bytes" in labels or "break_offs" in labels:
+            peer = labels.partition('peer="')[2].partition('"')[0]
+            values[labels.partition("{")[0], peer] = value
+    assert float(values["carawaybank_messages_memory_bytes", "callers"]) == 16_000
+    assert float(values["carawaybank_messages_memory_bytes", "responses"]) == 70_000
+    assert float(values["carawaybank_break_offs_total", "responses"]) == 1
+    assert float(values["carawaybank_process_memory_bytes", ""]) > 10e6
