--- a/src/carawaybank/callers/connections.py
+++ b/src/carawaybank/callers/connections.py
@@ -18,11 +18,12 @@
 
 from carawaybank.callers.backlog import ConnectionBacklog, ResponseBacklog
 from carawaybank.callers.bodies import BodyMemory, ConnectionBodies
+from carawaybank.callers.exchanges import REQUEST_BYTES, Exchange
 from carawaybank.callers.lingering import LingeringClose, close_now
 from carawaybank.callers.requests import CallerRequest, InvalidRequestError, RequestParser
 from carawaybank.callers.responses import encode_response
 from carawaybank.inputs import InputReader
-from carawaybank.memory import HEADER_BYTES, MemoryHolder
+from carawaybank.memory import MemoryHolder
 from carawaybank.replies import HttpReply
 from carawaybank.routing.configuration import Limits
 from carawaybank.routing.stopping import ConnectionState
@@ -37,9 +38,8 @@
 _MIN_LEAVING_S = 0.1
 #: Memory for bodies of connections that have no limit, in bytes.
 _UNLIMITED_BYTES = 2**62
-#: Bytes of memory of an open connection with one ordinary request, and of a further request.
+#: Bytes of memory of an open connection with one ordinary request.
 _CONNECTION_BYTES = 16_000
-_REQUEST_BYTES = 4_000
 #: Bytes of a request up to which it is ordinary.
 _ORDINARY_BYTES = 2_048
 #: Requests of a connection that run without waiting for a turn.
@@ -74,34 +74,6 @@
     shed: Callable[[CallerRequest], HttpReply | None] = lambda _: None
 
 
-class _Exchange:
-    """A request of one connection, with its response once that is ready.
-
-    Without a request, it is an error response to malformed or late input.
-    """
-
-    def __init__(self, *, request: CallerRequest | None) -> None:
-        self.request = request
-        self.task: asyncio.Task[None] | None = None
-        #: Bytes of the body that the connection has reserved in the shared memory of bodies.
-        self.body_bytes = 0
-        self.reply: HttpReply | None = None
-        self._held_bytes = _REQUEST_BYTES
-        if request is not None:
-            self._held_bytes += len(request.body) + HEADER_BYTES * len(request.headers)
-        self.is_last = request is None or request.is_last
-
-    @property
-    def is_started(self) -> bool:
-        """Whether the request is handled, or has its response."""
-        return self.task is not None or self.reply is not None
-
-    @property
-    def memory_bytes(self) -> int:
-        """Bytes of memory of the request, or of its response once that is ready."""
-        return self._held_bytes if self.reply is None else _REQUEST_BYTES + len(self.reply.body)
-
-
 class CallerConnection(asyncio.BufferedProtocol):
     """The asyncio protocol of one connection of a caller."""
 
@@ -123,7 +95,7 @@
         self._memory: MemoryHolder | None = None
         self._startable = _MAX_STARTED
         self._is_start_waiting = False
-        self._queue: deque[_Exchange] = deque()
+        self._queue: deque[Exchange] = deque()
         self._has_received = False
         self._is_input_ended = False
         self._is_reading_paused = False
@@ -339,7 +311,7 @@
         for exchange in self._queue:
             size += exchange.memory_bytes
         if len(self._queue) > _MAX_PIPELINED:
-            unfinished += (len(self._queue) - _MAX_PIPELINED) * _REQUEST_BYTES
+            unfinished += (len(self._queue) - _MAX_PIPELINED) * REQUEST_BYTES
         self._memory.resize(size, unfinished_size=unfinished)
 
     def _break_off(self) -> None:
@@ -361,7 +333,7 @@
             return
         self._is_continue_sent = False
         request = request._replace(unread_s=self._unread_s)
-        exchange = _Exchange(request=request)
+        exchange = Exchange(request=request)
         # A request that this connection itself did not read yet says nothing about the process.
         exchange.reply = None if self._has_waited_here else self._context.shed(request)
         exchange.body_bytes = self._bodies.take(len(request.body))
@@ -394,7 +366,7 @@
         self._startable = _MAX_STARTED
         self._run_queued()
 
-    async def _run_handler(self, exchange: _Exchange, request: CallerRequest) -> None:
+    async def _run_handler(self, exchange: Exchange, request: CallerRequest) -> None:
         # The task keeps the body while the handler runs, and nothing else does.
         exchange.request = request._replace(body=b"")
         try:
@@ -422,7 +394,7 @@
 
     def _end_input(self, reply: HttpReply) -> None:
         """Queues a response behind those to earlier requests, and ignores further input."""
-        exchange = _Exchange(request=None)
+        exchange = Exchange(request=None)
         exchange.reply = reply
         self._is_input_ended = True
         self._drop_body()
@@ -454,7 +426,7 @@
         self._bodies.drop()
         self._parser.drop()
 
-    def _release_body(self, exchange: _Exchange) -> None:
+    def _release_body(self, exchange: Exchange) -> None:
         self._bodies.release(exchange.body_bytes)
         exchange.body_bytes = 0
 
@@ -515,7 +487,7 @@
                 self._head_started_at = self._loop.time()
         self._send_continue()
 
-    def _close_after_response(self, exchange: _Exchange) -> None:
+    def _close_after_response(self, exchange: Exchange) -> None:
         """Closes the connection; the caller may have sent more, unless it asked to close."""
         self._is_input_ended = True
         if self._context.is_closing():
@@ -539,7 +511,7 @@
             self._is_reading_paused = False
             transport.resume_reading()
 
-    def _write(self, exchange: _Exchange, *, must_close: bool) -> None:
+    def _write(self, exchange: Exchange, *, must_close: bool) -> None:
         reply, backlog = exchange.reply, self._backlog
         assert reply is not None
         assert backlog is not None
--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -92,10 +92,7 @@
         seed = random.SystemRandom().getrandbits(64)
         self.host = Host(settings=settings, incarnation=start, seed=seed)
         self._counters = Counters()
-        self._memory = loop_inputs().memory = MemoryBudget(
-            max_bytes=budget_bytes(_MEMORY_MB), on_break_off=self._record_break_off
-        )
-        self._counters.message_memory = lambda: self._memory.used_by_kind
+        self._bound_memory()
         self._metrics = Exposition(
             vm=settings.vm,
             counters=self._counters,
@@ -125,6 +122,13 @@
         self._build_platform()
         self._build_routers()
 
+    def _bound_memory(self) -> None:
+        memory = MemoryBudget(
+            max_bytes=budget_bytes(_MEMORY_MB), on_break_off=self._record_break_off
+        )
+        loop_inputs().memory = memory
+        self._counters.message_memory = lambda: memory.used_by_kind
+
     def _record_break_off(self, broken: BreakOff) -> None:
         self._counters.count_break_off(broken.kind)
         self._log.warning(
--- a/src/carawaybank/metrics.py
+++ b/src/carawaybank/metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.metrics import CallbackOptions, Meter, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import MetricReader, PeriodicExportingMetricReader
 from opentelemetry.sdk.resources import Resource
@@ -52,9 +52,16 @@
         REGISTRY.unregister(self._latencies)
         self._provider.shutdown()
 
+    def _register_memory(self, meter: Meter) -> None:
+        counter, gauge = meter.create_observable_counter, meter.create_observable_gauge
+        counter("carawaybank.break_offs", [self._observe_break_offs], description="by peer")
+        gauge("carawaybank.messages.memory", [self._observe_messages], "By")
+        gauge("carawaybank.process.memory", [lambda _: [Observation(process_bytes())]], "By")
+
     def _register(self) -> None:
         counters = self._counters
         meter = self._provider.get_meter("carawaybank")
+        self._register_memory(meter)
         counter, gauge = meter.create_observable_counter, meter.create_observable_gauge
         counter("carawaybank.requests", [self._observe_requests], description="by verdict")
         counter("carawaybank.attempts", [self._observe_attempts], description="at targets")
@@ -84,9 +91,6 @@
             "s",
         )
         counter("carawaybank.slow_callers", [self._observe_slow_callers], description="by event")
-        counter("carawaybank.break_offs", [self._observe_break_offs], description="by peer")
-        gauge("carawaybank.messages.memory", [self._observe_messages], "By")
-        gauge("carawaybank.process.memory", [lambda _: [Observation(process_bytes())]], "By")
         gauge("carawaybank.paths.lost_at", [self._observe_lost_paths], "s")
         gauge(
             "carawaybank.targets.under_pace",
