Give turns in each round of the event loop, and start no request whose caller has left

Cause: reads with two or more requests paused the connection for a time computed ahead, in one queue with all other peers, also while the loop was idle, and a connection that does not read does not see its end.

Requests no longer pause the read. Their starts have turns of their own; both kinds of turns give a millisecond of work to each round of the loop and the rest to all others, without a timer.

--- a/src/carawaybank/callers/connections.py
+++ b/src/carawaybank/callers/connections.py
@@ -18,7 +18,7 @@
 
 from carawaybank.callers.backlog import ConnectionBacklog, ResponseBacklog
 from carawaybank.callers.bodies import BodyMemory, ConnectionBodies
-from carawaybank.callers.exchanges import REQUEST_BYTES, Exchange
+from carawaybank.callers.exchanges import Exchange
 from carawaybank.callers.lingering import LingeringClose, close_now
 from carawaybank.callers.requests import CallerRequest, InvalidRequestError, RequestParser
 from carawaybank.callers.responses import encode_response
@@ -39,7 +39,7 @@
 #: Memory for bodies of connections that have no limit, in bytes.
 _UNLIMITED_BYTES = 2**62
 #: Bytes of memory of an open connection with one ordinary request.
-_CONNECTION_BYTES = 16_000
+_CONNECTION_BYTES = 8_000
 #: Bytes of a request up to which it is ordinary.
 _ORDINARY_BYTES = 2_048
 #: Requests of a connection that run without waiting for a turn.
@@ -164,21 +164,14 @@
         return self._input.get_buffer()
 
     def buffer_updated(self, nbytes: int) -> None:
-        """Processes a read, and pauses if it took much time or leads to much work."""
-        queued_count = len(self._queue)
+        """Processes a read, and pauses if it took much time."""
         self.data_received(self._input.get_input(nbytes))
-        # The first request is work that any caller may cause.
-        added_count = max(1, len(self._queue) - queued_count) - 1
-        if self._input.record(
-            nbytes,
-            pieces=self._parser.pop_pieces(),
-            extra_work_s=added_count * _REQUEST_WORK_S,
-        ):
+        if self._input.record(nbytes, pieces=self._parser.pop_pieces()):
             self._pause_reading()
         if self._parser.is_receiving or nbytes > _ORDINARY_BYTES or len(self._queue) > 1:
             self._update_memory()
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parses received bytes and starts the requests that are complete."""
         self._has_received = True
         self._end_input_if_closing()
@@ -311,7 +304,10 @@
         for exchange in self._queue:
             size += exchange.memory_bytes
         if len(self._queue) > _MAX_PIPELINED:
-            unfinished += (len(self._queue) - _MAX_PIPELINED) * REQUEST_BYTES
+            for exchange in reversed(self._queue):
+                if exchange.is_started:
+                    break
+                unfinished += exchange.memory_bytes
         self._memory.resize(size, unfinished_size=unfinished)
 
     def _break_off(self) -> None:
@@ -359,11 +355,11 @@
         """Starts further requests in turn with other connections that pipeline."""
         if not self._is_start_waiting:
             self._is_start_waiting = True
-            self._input.turns.wait(self._end_start_wait, work_s=_MAX_STARTED * _REQUEST_WORK_S)
+            self._input.start_turns.wait(self._end_start_wait, work_s=_REQUEST_WORK_S)
 
     def _end_start_wait(self) -> None:
         self._is_start_waiting = False
-        self._startable = _MAX_STARTED
+        self._startable = 1
         self._run_queued()
 
     async def _run_handler(self, exchange: Exchange, request: CallerRequest) -> None:
--- a/src/carawaybank/callers/exchanges.py
+++ b/src/carawaybank/callers/exchanges.py
@@ -27,9 +27,7 @@
         #: Bytes of the body that the connection has reserved in the shared memory of bodies.
         self.body_bytes = 0
         self.reply: HttpReply | None = None
-        self._held_bytes = REQUEST_BYTES
-        if request is not None:
-            self._held_bytes += len(request.body) + HEADER_BYTES * len(request.headers)
+        self._body_size = 0 if request is None else len(request.body)
         self.is_last = request is None or request.is_last
 
     @property
@@ -40,4 +38,11 @@
     @property
     def memory_bytes(self) -> int:
         """Bytes of memory of the request, or of its response once that is ready."""
-        return self._held_bytes if self.reply is None else REQUEST_BYTES + len(self.reply.body)
+        message = self.request if self.reply is None else self.reply
+        size = REQUEST_BYTES
+        if message is not None:
+            size += sum(HEADER_BYTES + len(name) + len(value) for name, value in message.headers)
+        if self.reply is not None:
+            return size + len(self.reply.body)
+        path_size = 0 if self.request is None else len(self.request.path)
+        return size + path_size + self._body_size
--- a/src/carawaybank/callers/requests.py
+++ b/src/carawaybank/callers/requests.py
@@ -91,7 +91,7 @@
         self._path = b""
         self._headers: Headers = []
         self._body = BodyBuffer()
-        self._head_bytes = self._head_memory = self._pieces = 0
+        self._head_bytes = self._head_memory = self._pieces = self._max_body_bytes = 0
         self._framing = FramingLimit()
         self._is_finished = False
         self._has_skipped_body = self._is_body_resumed = False
@@ -142,7 +142,7 @@
         self._body.clear()
         self._head_bytes = self._head_memory = 0
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parses bytes that were received from the caller.
 
         Raises:
@@ -150,6 +150,7 @@
                 requests before it have been passed to ``on_request``.
         """
         heads = self._head_count if self.is_in_head else None
+        self._max_body_bytes = self._limits().body_bytes
         self._framing.record(read_bytes=len(data), body_bytes=0)
         try:
             self._parser.feed_data(data)
@@ -171,7 +172,7 @@
         if self._framing.is_exceeded:
             raise InvalidRequestError(status=400, detail="more framing than any request needs")
 
-    def _resume_after_upgrade(self, data: bytes) -> None:
+    def _resume_after_upgrade(self, data: bytes | memoryview) -> None:
         """Parses the bytes behind a head that offers another protocol; the offer is ignored.
 
         The parser library takes them for the other protocol. They are the body, if the head
@@ -260,7 +261,7 @@
             InvalidRequestError: If the body is too large.
         """
         self._pieces += 1
-        if self._body.size + len(data) > self._limits().body_bytes:
+        if self._body.size + len(data) > self._max_body_bytes:
             self._refuse(413, "the request body is too large")
         self._framing.record(read_bytes=0, body_bytes=len(data))
         self._body.append(data)
--- a/src/carawaybank/client.py
+++ b/src/carawaybank/client.py
@@ -19,6 +19,7 @@
 from carawaybank.memory import MemoryHolder
 from carawaybank.replies import Headers, HttpReply, ReplyReader
 from carawaybank.sockets import has_unread_input
+from carawaybank.steering import hashing
 from carawaybank.verdicts import Reason
 
 #: Time in milliseconds after which the kernel closes a connection with unacknowledged bytes. On
@@ -148,7 +149,7 @@
 
     def has_carried(self, request_id: str) -> bool:
         """Returns whether a late response could belong to an earlier attempt with this id."""
-        return request_id in self._sent_ids
+        return hashing.shorten(request_id) in self._sent_ids
 
     @classmethod
     async def open(
@@ -328,7 +329,7 @@
         if must_pause and not self._transport.is_closing():
             self._transport.pause_reading()
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parses bytes of a response; closes the connection if no exchange is pending."""
         if self._waiter is None or self._waiter.done():
             self.close()
@@ -369,11 +370,12 @@
         self._waiter = asyncio.get_running_loop().create_future()
         self._stray_replies = 0
         self._has_received_bytes = self._is_body_unwritten = False
-        self._sent_ids.append(call.expected_echo[1])
+        self._sent_ids.append(hashing.shorten(call.expected_echo[1]))
         self.exchanges += 1
 
     def _end_exchange(self) -> None:
         waiter, self._waiter = self._waiter, None
+        self._call = None
         if self._memory is not None and self._memory.size:
             self._memory.resize(0)
         if self._budget is not None:
--- a/src/carawaybank/inputs.py
+++ b/src/carawaybank/inputs.py
@@ -15,18 +15,24 @@
 #: Bytes of a read at first, and of one that fills its buffer again and again at little cost.
 _MIN_READ_BYTES = 4_096
 _MAX_READ_BYTES = 262_144
+#: Bytes of a piece in the mean from which reads may grow to that.
+_LARGE_PIECE_BYTES = 4_096
 _READ_GROWTH = 4
 #: Seconds that a piece of a message takes, such as a chunk.
-_PIECE_S = 0.25e-6
+_PIECE_S = 1e-6
 #: Seconds of work in one read from which a connection reads on in turn with others of its kind.
-_MAX_WORK_S = 0.1e-3
-#: Fraction of the time of the event loop that these connections use together.
-_SHARE = 0.4
+_MAX_WORK_S = 0.25e-3
+#: Seconds of such work in one round of the event loop.
+_ROUND_S = 1e-3
 _UNLIMITED_BYTES = 2**62
 
 
-class InputTurns:
-    """Lets connections whose input costs much time read on one at a time."""
+class Turns:
+    """Lets connections that cause much work go on in turn, a little in each round of the loop.
+
+    The event loop serves all others between two rounds. While they need no time, the next round
+    begins at once.
+    """
 
     def __init__(self) -> None:
         """Starts without connections."""
@@ -34,26 +40,28 @@
         self._is_scheduled = False
 
     def wait(self, resume: Callable[[], None], *, work_s: float) -> None:
-        """Calls back when the connection may read on.
+        """Calls back when it is the turn of a connection.
 
         Args:
             resume: Called from the event loop.
-            work_s: Seconds that its last read took.
+            work_s: Seconds of work that it is expected to cause.
         """
         self._waiting.append((resume, work_s))
-        if not self._is_scheduled:
-            self._schedule(work_s * (1 / _SHARE - 1))
+        self._schedule()
 
-    def _schedule(self, delay_s: float) -> None:
-        self._is_scheduled = True
-        asyncio.get_running_loop().call_later(delay_s, self._resume_next)
+    def _schedule(self) -> None:
+        if self._waiting and not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._run_round)
 
-    def _resume_next(self) -> None:
+    def _run_round(self) -> None:
         self._is_scheduled = False
-        resume, work_s = self._waiting.popleft()
-        if self._waiting:
-            self._schedule(work_s / _SHARE)
-        resume()
+        left_s = _ROUND_S
+        while self._waiting and left_s > 0:
+            resume, work_s = self._waiting.popleft()
+            left_s -= work_s
+            resume()
+        self._schedule()
 
 
 class LoopInputs:
@@ -61,13 +69,15 @@
 
     Attributes:
         turns: Lets connections read in turn.
+        start_turns: Lets connections that pipeline start requests in turn.
         memory: Bounds the memory of what was read; without limit until the owner of the process
             sets it.
     """
 
     def __init__(self) -> None:
         """Starts without a limit of the memory."""
-        self.turns = InputTurns()
+        self.turns = Turns()
+        self.start_turns = Turns()
         self.memory = MemoryBudget(max_bytes=_UNLIMITED_BYTES)
 
 
@@ -105,9 +115,9 @@
         self.is_waiting = False
 
     @property
-    def turns(self) -> InputTurns:
-        """Lets connections that cause much work go on one at a time."""
-        return self._inputs.turns
+    def start_turns(self) -> Turns:
+        """Lets connections that pipeline start requests in turn."""
+        return self._inputs.start_turns
 
     @property
     def memory(self) -> MemoryBudget:
@@ -122,30 +132,31 @@
         return view[: self._read_bytes]
 
     @staticmethod
-    def get_input(size: int) -> bytes:
-        """Returns a copy of the bytes of the last read of this thread.
+    def get_input(size: int) -> bytes | memoryview:
+        """Returns the bytes of the last read of this thread, valid until the next one.
 
         Args:
             size: Number of bytes that were read.
         """
         view: memoryview = _buffers.view
-        return bytes(view[:size])
+        return bytes(view[:size]) if size <= _MIN_READ_BYTES else view[:size]
 
-    def record(self, size: int, *, pieces: int, extra_work_s: float = 0.0) -> bool:
+    def record(self, size: int, *, pieces: int) -> bool:
         """Records a read that was parsed, and returns whether the connection must pause.
 
         Args:
             size: Number of bytes.
             pieces: Pieces of messages in them.
-            extra_work_s: Seconds of work beside parsing that they cause.
         """
-        work_s = pieces * _PIECE_S + extra_work_s
+        work_s = pieces * _PIECE_S
         if work_s > _MAX_WORK_S:
             self._read_bytes = _MIN_READ_BYTES
             self.is_waiting = True
             self._inputs.turns.wait(self._end_wait, work_s=work_s)
         elif size >= self._read_bytes:
-            self._read_bytes = min(_MAX_READ_BYTES, self._read_bytes * _READ_GROWTH)
+            has_large_pieces = pieces * _LARGE_PIECE_BYTES <= size
+            most = _MAX_READ_BYTES if has_large_pieces else _MIN_READ_BYTES * _READ_GROWTH
+            self._read_bytes = min(most, self._read_bytes * _READ_GROWTH)
         return self.is_waiting
 
     def _end_wait(self) -> None:
--- a/src/carawaybank/replies.py
+++ b/src/carawaybank/replies.py
@@ -106,7 +106,7 @@
         self._body.clear()
         self._head_bytes = self._head_memory = 0
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parses bytes from the peer; ignores them after a failure, see ``problem``."""
         if self.problem:
             return
--- a/src/carawaybank/steering/hashing.py
+++ b/src/carawaybank/steering/hashing.py
@@ -4,6 +4,9 @@
 
 import xxhash
 
+#: Characters of a text up to which it is a key itself.
+_MAX_KEY_CHARS = 128
+
 
 def score(*, key: str, member: str) -> int:
     """Returns the 64-bit hash of a member for a key; the highest one ranks first.
@@ -36,3 +39,14 @@
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.hexdigest()
+
+
+def shorten(text: str) -> str:
+    """Returns a text that identifies another one, for use as a key that is kept.
+
+    >>> shorten("order-7"), len(shorten(10_000 * "x"))
+    ('order-7', 32)
+    """
+    if len(text) <= _MAX_KEY_CHARS:
+        return text
+    return fingerprint(text.encode("utf-8", "surrogateescape"))
