--- a/src/carawaybank/memory.py
+++ b/src/carawaybank/memory.py
@@ -187,14 +187,19 @@
 
     def _relieve(self, grown: MemoryHolder) -> None:
         self.refresh()
+        passed_over: set[MemoryHolder] = set()
         while self._used_bytes > self._max_bytes:
-            largest = max(self._holders, key=lambda holder: holder.unfinished_size, default=grown)
+            largest = max(
+                self._holders - passed_over,
+                key=lambda holder: holder.unfinished_size,
+                default=grown,
+            )
             if largest.unfinished_size <= SMALL_BYTES:
                 largest = grown
-            if not largest.unfinished_size:
+            if not largest.unfinished_size or largest in passed_over:
                 return
             before = self._used_bytes
             self._on_break_off(BreakOff(largest.kind, largest.peer, largest.size))
             largest.break_off()
             if self._used_bytes >= before:
-                return
+                passed_over.add(largest)
--- a/src/carawaybank/platform/dialect.py
+++ b/src/carawaybank/platform/dialect.py
@@ -81,7 +81,7 @@
             request_id=request.header(_REQUEST_ID) or "",
             host=host,
             path=request.path,
-            object_key=request.header(_AFFINITY_KEY) or "",
+            object_key=hashing.shorten(request.header(_AFFINITY_KEY) or ""),
             fingerprint=fingerprint,
             budget_s=max(0, int(deadline_ms)) / 1000
             if deadline_ms and _WHOLE.fullmatch(deadline_ms)
--- a/src/carawaybank/routing/callerlists.py
+++ b/src/carawaybank/routing/callerlists.py
@@ -86,7 +86,7 @@
             self._window_started_at = now
             self._counts.clear()
             self._shared_until = {a: at for a, at in self._shared_until.items() if at > now}
-        key = (address, host)
+        key = (address, hashing.shorten(host))
         if key in self._counts or len(self._counts) < MAX_COUNTED:
             self._counts[key] = self._counts.get(key, 0) + 1
             if self._counts[key] > SHARED_FACTOR * WINDOW_S / ttl_s:
--- a/src/carawaybank/siblings/tables.py
+++ b/src/carawaybank/siblings/tables.py
@@ -237,8 +237,18 @@
 
 
 def _count_rows(plain: bytes) -> int:
-    """Returns the number of rows that encoded rows begin with; 0 if they are invalid."""
+    """Returns the number of rows that encoded rows begin with.
+
+    Raises:
+        StoreError: If they do not begin as siblings encode them.
+    """
     kind = plain[1] if len(plain) > 1 else 0
+    if (
+        not plain
+        or plain[0] not in _SHORT_ARRAYS
+        or (kind not in _SHORT_ARRAYS and kind not in _LENGTH_BYTES)
+    ):
+        raise StoreError(message="the rows of a sibling have another form")
     if kind in _SHORT_ARRAYS:
         return kind - _SHORT_ARRAYS.start
-    return int.from_bytes(plain[2 : 2 + _LENGTH_BYTES.get(kind, 0)], "big")
+    return int.from_bytes(plain[2 : 2 + _LENGTH_BYTES[kind]], "big")
--- a/src/carawaybank/storage/clients.py
+++ b/src/carawaybank/storage/clients.py
@@ -1,5 +1,6 @@
 """HTTP clients of the platform's services, behind the protocols of the package."""
 
+import time
 from typing import Any, TypeVar
 from urllib.parse import quote
 
@@ -7,11 +8,14 @@
 from urllib3.exceptions import HTTPError, MaxRetryError, NewConnectionError
 
 from carawaybank import documents
+from carawaybank.buffers import BodyBuffer
 from carawaybank.exceptions import DocumentError, PlatformError
 from carawaybank.storage.models import ListedVm, Row, Write
 
 _T = TypeVar("_T")
 _CONFLICT_STATUS = 409
+#: Bytes that are read at a time.
+_READ_BYTES = 65_536
 #: Largest response in bytes, such as a state in the object store.
 _MAX_BODY_BYTES = 16_000_000
 
@@ -27,6 +31,7 @@
             timeout_s: Timeout of a call in seconds, connecting included.
         """
         self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
         timeout = urllib3.Timeout(total=timeout_s)
         self._http = urllib3.PoolManager(timeout=timeout, retries=False, maxsize=4)
 
@@ -64,19 +69,20 @@
             )
         return response.status, data
 
-    @staticmethod
-    def _read(response: urllib3.BaseHTTPResponse) -> bytes:
+    def _read(self, response: urllib3.BaseHTTPResponse) -> bytes:
         """Returns the body of a response.
 
         Raises:
-            HTTPError: If it is too large, or is not received.
+            HTTPError: If it is too large, or is not received in time.
         """
+        body, deadline = BodyBuffer(), time.monotonic() + self._timeout_s
         try:
-            data = response.read(_MAX_BODY_BYTES + 1)
-            if len(data) <= _MAX_BODY_BYTES:
-                return data
-            response.close()
-            raise HTTPError(f"a response has more than {_MAX_BODY_BYTES} bytes")
+            for piece in response.stream(_READ_BYTES):
+                body.append(piece)
+                if body.size > _MAX_BODY_BYTES or time.monotonic() > deadline:
+                    response.close()
+                    raise HTTPError(f"a response is too long, {body.size} bytes so far")
+            return body.take()
         finally:
             response.release_conn()
 
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -334,7 +334,7 @@
             StoreError: If it does not.
         """
         size = 0 if is_full else self._rows_bytes
-        for row in update.rows:
+        for row in {row.key: row for row in update.rows}.values():
             known = None if is_full else self._rows.get(row.key)
             size += (0 if row.removed else row.memory_bytes) - (known.memory_bytes if known else 0)
         check_table_size(size, max_bytes=max_table_bytes())
