Take statuses from 600 and versions other than 1.0 and 1.1 for no response

They also got responses that a target sent as HTTP/0.9 or HTTP/2.0. Health checks, the store and siblings took such responses too; none of them uses a status other than 200.

Cause: since the reader refuses statuses below 100, but the parser library reads up to 999, and the versions 0.9 and 2.0, whose rules of framing are others. Neither was checked.

Change: the reader of responses accepts 100 to 599, of which 200 to 599 end an exchange, and the versions 1.0 and 1.1. All readers of responses on connections of the event loop use it. The request may have run, so that callers get 502.

--- a/src/carawaybank/replies.py
+++ b/src/carawaybank/replies.py
@@ -15,7 +15,8 @@
 #: Maximum number of headers of a response.
 _MAX_HEADERS = 256
 _INFORMATIONAL_STATUSES = range(100, 200)
-_MIN_STATUS = 100
+FINAL_STATUSES = range(200, 600)
+_VERSIONS = frozenset({"1.0", "1.1"})
 #: Characters of a header that an error message contains.
 _MAX_LOGGED_CHARS = 40
 #: Pieces as which the begin and the end of a message count.
@@ -150,16 +151,19 @@
     def on_headers_complete(self) -> None:
         """Determines how the body is delimited; called by the parser after the headers."""
         self._has_head = True
-        if self._parser.get_status_code() < _MIN_STATUS:
+        status = self._parser.get_status_code()
+        if status not in FINAL_STATUSES and status not in _INFORMATIONAL_STATUSES:
             self._reject("it has no valid status")
+        if self._parser.get_http_version() not in _VERSIONS:
+            self._reject("its version of HTTP is not known")
         headers = dict(self._headers)
         coding = headers.get("transfer-encoding")
         if coding is not None and coding.lower() != "chunked":
             self._reject(f"it has the transfer coding {coding[:_MAX_LOGGED_CHARS]}")
-        bodiless = self._parser.get_status_code() in {204, 304} or self._is_head_request
+        bodiless = status in {204, 304} or self._is_head_request
         has_length = coding is not None or "content-length" in headers
         self._is_ended_by_close = not has_length and not bodiless
-        if self._is_head_request and self._parser.get_status_code() not in _INFORMATIONAL_STATUSES:
+        if self._is_head_request and status in FINAL_STATUSES:
             # The parser would wait for a body of the announced length, which HEAD responses lack.
             self._finish(closes=True)
             self._reject("an answer to HEAD is read on its own")
--- /dev/null
+++ b/tests/test_statuses.py
@@ -0,0 +1,143 @@
+"""Responses whose status line names no status or version of HTTP/1.1."""
+
+import asyncio
+
+import pytest
+
+from carawaybank.client import ClientConnection, ExchangeError, HttpCall
+from carawaybank.platform.dialect import PlatformDialect
+from carawaybank.platform.store import StoreClient
+from carawaybank.replies import ReplyReader
+from carawaybank.rows import StoreError
+from tests.scripted_server import ScriptedServer, read_request
+
+METHODS = ("GET", "HEAD", "POST")
+#: What is no status of a final response, as it stands in a status line.
+NO_STATUSES = (
+    "000", "0", "00", "007", "099", "99", "20", "2000", "0200", "-200", "+200", "2 00", "2x0",
+    "101", "OK", "", "600", "700", "999",
+)  # fmt: skip
+NO_VERSIONS = ("HTTP/0.9", "HTTP/2.0", "HTTP/1.2", "HTTP/3.0", "HTTP/11", "HTTP/01.1", "http/1.1")
+STATUS_LINES = (
+    *(f"HTTP/1.1 {status} X" for status in NO_STATUSES),
+    *(f"HTTP/1.0 {status}" for status in NO_STATUSES),
+    *(f"{version} 200 OK" for version in NO_VERSIONS),
+    "HTTP/1.1",
+)
+IDENTITY = "X-Carawaybank-Request-Id: r1\r\nX-Carawaybank-Server-Seal: s\r\n"
+#: Ends of a response, by what says where its body ends.
+ENDS = {
+    "length": "Content-Length: 2\r\n\r\nok",
+    "empty": "Content-Length: 0\r\n\r\n",
+    "chunks": "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    "close": "\r\nok",
+}
+
+
+def read(data, *, method, size):
+    reader = ReplyReader(method=method)
+    for start in range(0, len(data), size):
+        reader.feed(data[start : start + size])
+    reader.end()
+    return reader
+
+
+def make_response(line, end="length", *, method="GET"):
+    """Returns a response, without its body if it responds to ``HEAD``."""
+    head, separator, body = f"{line}\r\n{IDENTITY}{ENDS[end]}".partition("\r\n\r\n")
+    return (head + separator + ("" if method == "HEAD" else body)).encode()
+
+
+@pytest.mark.parametrize("line", STATUS_LINES)
+@pytest.mark.parametrize("method", METHODS)
+def test_a_status_line_that_is_none_begins_no_response(method, line):
+    """Guards against a garbled status that callers get as that of a target, with its seal."""
+    for end in ENDS:
+        for before in (b"", b"HTTP/1.1 100 Continue\r\n\r\n"):
+            data = before + make_response(line, end, method=method)
+            for size in (1, 9, len(data)):
+                reader = read(data, method=method, size=size)
+                assert not reader.replies, (end, size)
+                assert reader.problem
+                assert reader.has_partial_reply
+
+
+@pytest.mark.parametrize("status", [200, 204, 226, 299, 304, 399, 421, 451, 499, 500, 511, 599])
+@pytest.mark.parametrize("version", ["HTTP/1.0", "HTTP/1.1"])
+@pytest.mark.parametrize("method", METHODS)
+def test_statuses_from_200_to_599_are_read_in_both_versions(method, version, status):
+    data = make_response(f"{version} {status} X", "empty", method=method)
+    for size in (1, len(data)):
+        assert [reply.status for reply in read(data, method=method, size=size).replies] == [status]
+
+
+async def exchange(method, response):
+    """Returns the verdict on a target's response."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(response)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connection = await ClientConnection.open(f"{host}:{port}", timeout_s=1.0)
+    echo = ("X-Carawaybank-Request-Id", "r1")
+    call = HttpCall(method, "/x", [("host", "x"), echo], b"", echo)
+    try:
+        return PlatformDialect().decode(call, await connection.exchange(call, timeout_s=1.0))
+    finally:
+        connection.close()
+        server.close()
+
+
+@pytest.mark.parametrize("method", METHODS)
+def test_a_target_whose_status_line_is_none_may_have_run_the_request(method):
+    """Also one that says that it has not run it, since nothing that it sends can be relied on."""
+    for line in STATUS_LINES:
+        response = make_response(line, method=method)
+        not_run = response.replace(b"\r\n", b"\r\nX-Carawaybank-Not-Run: 1\r\n", 1)
+        for data in (response, not_run):
+            with pytest.raises(ExchangeError) as raised:
+                asyncio.run(exchange(method, data))
+            assert raised.value.may_have_sent, line
+
+
+def run_script(line, body, call):
+    """Returns what a call to a platform that responds so returns."""
+
+    def respond(connection):
+        while read_request(connection):
+            head = f"{line}\r\nContent-Length: {len(body)}\r\n\r\n"
+            connection.sendall(head.encode() + body)
+
+    server = ScriptedServer(respond)
+    try:
+        return call(server.address)
+    finally:
+        server.close()
+
+
+@pytest.mark.parametrize("line", STATUS_LINES)
+def test_no_response_of_the_store_is_used_whose_status_line_is_none(line):
+    def read_rows(address):
+        return asyncio.run(StoreClient(address=address).read("op"))
+
+    assert not run_script("HTTP/1.1 200 OK", b"{}", read_rows).rows
+    with pytest.raises(StoreError):
+        run_script(line, b"{}", read_rows)
+
+
+@pytest.mark.parametrize("line", STATUS_LINES)
+def test_a_health_check_whose_status_line_is_none_does_not_show_a_sound_target(line):
+    def check(address):
+        async def run():
+            connection = await ClientConnection.open(address, timeout_s=1.0)
+            call = PlatformDialect().encode_health("/health", address=address)
+            return PlatformDialect().decode_health(await connection.exchange(call, timeout_s=1.0))
+
+        return asyncio.run(run())
+
+    assert run_script("HTTP/1.1 200 OK", b"", check).is_healthy
+    with pytest.raises(ExchangeError):
+        run_script(line, b"", check)
