Take a sibling's result without status and reason for unreadable

Callers got `HTTP/1.1 0 Unknown` for a request that a sibling had passed on, if the sibling's result had status 0 and an empty reason, and likewise for a negative status or one from 600.

Cause: a result without a reason was decoded as a response, whatever its status; 0 says that there is none.

Failed before: test_statuses.py::test_a_result_of_a_sibling_without_a_status_is_no_answer, 11 of 11 cases.

Change: such a result raises ValueError, which RelayClient logs and takes for a request that may have run, as it does with other results that it cannot decode. Results with a reason are decoded as before.

Result: the 11 cases pass, test_relays.py too.

--- a/src/carawaybank/siblings/relays.py
+++ b/src/carawaybank/siblings/relays.py
@@ -19,7 +19,7 @@
 from carawaybank.counters import Counters
 from carawaybank.journal import Journal
 from carawaybank.pool import ClientPool
-from carawaybank.replies import Headers, HttpReply
+from carawaybank.replies import FINAL_STATUSES, Headers, HttpReply
 from carawaybank.routing.helpers import Helpers
 from carawaybank.routing.messages import Relay, RelayResult, RelayTerms, Request
 from carawaybank.siblings.vms import VmDirectory
@@ -348,10 +348,12 @@
 
     Raises:
         msgspec.MsgspecError: If it cannot be decoded.
-        ValueError: If its reason is unknown.
+        ValueError: If its reason is unknown, or it has neither a reason nor a valid status.
     """
     reply = msgspec.msgpack.decode(body, type=RelayReply)
     if not reply.reason:
+        if reply.status not in FINAL_STATUSES:
+            raise ValueError(f"a result without a reason has the status {reply.status}")
         answer = Answered(reply.status, tuple((n, v) for n, v in reply.headers), reply.body)
         return RelayResult(answer, reply.target_id)
     kind = MayHaveRun if reply.may_have_run else NotRun
--- a/tests/test_statuses.py
+++ b/tests/test_statuses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from carawaybank.client import ClientConnection, ExchangeError, HttpCall
@@ -9,6 +10,8 @@
 from carawaybank.platform.store import StoreClient
 from carawaybank.replies import ReplyReader
 from carawaybank.rows import StoreError
+from carawaybank.siblings.relays import RelayReply, _decode_result
+from carawaybank.verdicts import Answered, MayHaveRun, NotRun
 from tests.scripted_server import ScriptedServer, read_request
 
 METHODS = ("GET", "HEAD", "POST")
@@ -103,6 +106,23 @@
             assert raised.value.may_have_sent, line
 
 
+@pytest.mark.parametrize("status", [-200, 0, 1, 20, 99, 100, 101, 199, 600, 999, 2000])
+def test_a_result_of_a_sibling_without_a_status_is_no_answer(status):
+    """Guards against a result without answer and reason, which a caller got with status 0."""
+    body = msgspec.msgpack.encode(RelayReply(status, [], b"ok", True, "", 0, "", "t1"))
+    with pytest.raises(ValueError, match=str(status)):
+        _decode_result(body)
+
+
+def test_other_results_of_a_sibling_are_decoded():
+    for status in (200, 404, 503, 599):
+        body = msgspec.msgpack.encode(RelayReply(status, [], b"ok", True, "", 0, "", "t1"))
+        assert _decode_result(body).verdict == Answered(status, (), b"ok")
+    for may_have_run, kind in ((True, MayHaveRun), (False, NotRun)):
+        reply = RelayReply(0, [], b"", may_have_run, "no-capacity", 1.0, "", "")
+        assert isinstance(_decode_result(msgspec.msgpack.encode(reply)).verdict, kind)
+
+
 def run_script(line, body, call):
     """Returns what a call to a platform that responds so returns."""
 
