Encode no response whose status is none of a final one

A caller would get whatever status a response of the process has: `HTTP/1.1 0 Unknown` if any part of it made one, or an informational one, after which it takes the next response on the connection for this one.

Failed before: test_statuses.py::test_no_response_is_encoded_whose_status_is_none, 20 of 20 cases; test_unexpected_errors.py:: test_a_response_whose_status_is_none_is_replaced, 8 of 8 (-1, 0, 99, 100, 101, 199, 600, 999 on a connection with four pipelined requests).

Change: encode_response raises ValueError.

--- a/src/carawaybank/callers/responses.py
+++ b/src/carawaybank/callers/responses.py
@@ -3,7 +3,7 @@
 import functools
 from http import HTTPStatus
 
-from carawaybank.replies import HttpReply
+from carawaybank.replies import FINAL_STATUSES, HttpReply
 
 #: Statuses whose responses have neither a body nor a Content-Length header.
 _BODILESS_STATUSES = frozenset({204, 304})
@@ -16,7 +16,12 @@
         reply: The response.
         is_head: Whether it responds to a HEAD request, so that its body is not sent.
         must_close: Whether the connection closes after it.
+
+    Raises:
+        ValueError: If its status is none of a final response.
     """
+    if reply.status not in FINAL_STATUSES:
+        raise ValueError(f"no response has the status {reply.status}")
     lines = [f"HTTP/1.1 {reply.status} {_reason_phrase(reply.status)}"]
     lines += [f"{name}: {value}" for name, value in reply.headers]
     if reply.status not in _BODILESS_STATUSES:
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -16,8 +16,9 @@
     """A client with its server.
 
     A path in ``release_events`` is answered after its event, and with the headers in
-    ``odd_headers`` and the body in ``bodies``. One in ``errors`` or ``shed_errors`` raises its
-    error in the handler or before it. What the event loop was told of is in ``reported``.
+    ``odd_headers``, the body in ``bodies`` and the status in ``statuses``. One in ``errors`` or
+    ``shed_errors`` raises its error in the handler or before it. What the event loop was told of
+    is in ``reported``.
     """
 
     def __init__(self, *, limits=None, closing=False, bodies=None):
@@ -31,6 +32,7 @@
         self.shed_errors = {}
         self.odd_headers = {}
         self.bodies = {}
+        self.statuses = {}
         self.reported = []
         self.connections = set()
 
@@ -47,7 +49,7 @@
             raise self.errors[request.path]
         headers = self.odd_headers.get(request.path, [("x-path", request.path)])
         body = self.bodies.get(request.path, request.path.encode() + request.body)
-        return HttpReply(200, headers, body)
+        return HttpReply(self.statuses.get(request.path, 200), headers, body)
 
     def shed(self, request):
         if request.path in self.shed_errors:
--- a/tests/callers/test_unexpected_errors.py
+++ b/tests/callers/test_unexpected_errors.py
@@ -136,3 +136,18 @@
             assert [type(report["exception"]) for report in caller.reported] == [UnicodeEncodeError]
 
     run(scenario())
+
+
+@pytest.mark.parametrize("status", [-1, 0, 99, 100, 101, 199, 600, 999])
+def test_a_response_whose_status_is_none_is_replaced(status):
+    """Guards against ``HTTP/1.1 0``, and informational responses that end no request."""
+
+    async def scenario():
+        async with Caller() as caller:
+            caller.statuses["/2"] = status
+            caller.send(b"".join(encode_get(f"/{number}") for number in range(1, 5)))
+            answers = await read_answers(caller, 4)
+            assert statuses(answers) == [200, 500, 200, 200]
+            assert len(caller.reported) == 1
+
+    run(scenario())
--- a/tests/test_statuses.py
+++ b/tests/test_statuses.py
@@ -5,15 +5,16 @@
 import msgspec
 import pytest
 
+from carawaybank.callers.responses import encode_response
 from carawaybank.client import ClientConnection, ExchangeError, HttpCall
 from carawaybank.platform.dialect import PlatformDialect
 from carawaybank.platform.store import StoreClient
-from carawaybank.replies import ReplyReader
+from carawaybank.replies import HttpReply, ReplyReader
 from carawaybank.rows import StoreError
 from carawaybank.siblings.relays import RelayReply, _decode_result
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun
-from tests.scripted_server import ScriptedServer, read_request
 
+TIMEOUT_S = 5.0
 METHODS = ("GET", "HEAD", "POST")
 #: What is no status of a final response, as it stands in a status line.
 NO_STATUSES = (
@@ -84,11 +85,11 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
-    connection = await ClientConnection.open(f"{host}:{port}", timeout_s=1.0)
+    connection = await ClientConnection.open(f"{host}:{port}", timeout_s=TIMEOUT_S)
     echo = ("X-Carawaybank-Request-Id", "r1")
     call = HttpCall(method, "/x", [("host", "x"), echo], b"", echo)
     try:
-        return PlatformDialect().decode(call, await connection.exchange(call, timeout_s=1.0))
+        return PlatformDialect().decode(call, await connection.exchange(call, timeout_s=TIMEOUT_S))
     finally:
         connection.close()
         server.close()
@@ -123,41 +124,51 @@
         assert isinstance(_decode_result(msgspec.msgpack.encode(reply)).verdict, kind)
 
 
-def run_script(line, body, call):
-    """Returns what a call to a platform that responds so returns."""
+@pytest.mark.parametrize("status", [-200, 0, 20, 99, 100, 101, 199, 600, 999, 2000])
+@pytest.mark.parametrize("is_head", [False, True])
+def test_no_response_is_encoded_whose_status_is_none(status, is_head):
+    """Guards against ``HTTP/1.1 0 Unknown``, whatever part of the process made it."""
+    with pytest.raises(ValueError, match=str(status)):
+        encode_response(HttpReply(status, [], b"ok"), is_head=is_head, must_close=False)
+
 
-    def respond(connection):
-        while read_request(connection):
-            head = f"{line}\r\nContent-Length: {len(body)}\r\n\r\n"
-            connection.sendall(head.encode() + body)
+async def respond(line, body, call):
+    """Returns what a call returns to whose address each request gets this response."""
+
+    async def serve(reader, writer):
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(f"{line}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+            await reader.read()
+        finally:
+            writer.transport.abort()
 
-    server = ScriptedServer(respond)
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
     try:
-        return call(server.address)
+        return await call(f"{host}:{port}")
     finally:
         server.close()
 
 
 @pytest.mark.parametrize("line", STATUS_LINES)
 def test_no_response_of_the_store_is_used_whose_status_line_is_none(line):
-    def read_rows(address):
-        return asyncio.run(StoreClient(address=address).read("op"))
+    async def read_rows(address):
+        return await StoreClient(address=address).read("op")
 
-    assert not run_script("HTTP/1.1 200 OK", b"{}", read_rows).rows
+    assert not asyncio.run(respond("HTTP/1.1 200 OK", b"{}", read_rows)).rows
     with pytest.raises(StoreError):
-        run_script(line, b"{}", read_rows)
+        asyncio.run(respond(line, b"{}", read_rows))
 
 
 @pytest.mark.parametrize("line", STATUS_LINES)
 def test_a_health_check_whose_status_line_is_none_does_not_show_a_sound_target(line):
-    def check(address):
-        async def run():
-            connection = await ClientConnection.open(address, timeout_s=1.0)
-            call = PlatformDialect().encode_health("/health", address=address)
-            return PlatformDialect().decode_health(await connection.exchange(call, timeout_s=1.0))
-
-        return asyncio.run(run())
+    async def check(address):
+        connection = await ClientConnection.open(address, timeout_s=TIMEOUT_S)
+        call = PlatformDialect().encode_health("/health", address=address)
+        reply = await connection.exchange(call, timeout_s=TIMEOUT_S)
+        return PlatformDialect().decode_health(reply)
 
-    assert run_script("HTTP/1.1 200 OK", b"", check).is_healthy
+    assert asyncio.run(respond("HTTP/1.1 200 OK", b"", check)).is_healthy
     with pytest.raises(ExchangeError):
-        run_script(line, b"", check)
+        asyncio.run(respond(line, b"", check))
