Fail a call to the platform's services that gets a status below 200

An object counted as stored, and a list of VMs as read, after a response with status 101, 103 or 199: the client of the own interface raised only for 500 and above. urllib3 itself refuses statuses below 100 and above 999; it skips 100 alone.

Change: PlatformClient.call returns statuses from 200 to 499 and raises PlatformError for others; a write may have run then.

Not covered: urllib3 takes a response of HTTP/0.9 for one of 1.0 and does not tell; what these services send goes to no caller.

--- a/src/carawaybank/storage/clients.py
+++ b/src/carawaybank/storage/clients.py
@@ -12,6 +12,8 @@
 
 _T = TypeVar("_T")
 _CONFLICT_STATUS = 409
+#: Statuses of responses that say what became of a call.
+_DECIDED_STATUSES = range(200, 500)
 #: Largest response in bytes, such as a state in the object store.
 _MAX_BODY_BYTES = 16_000_000
 
@@ -39,8 +41,8 @@
             body: Body of the request.
 
         Raises:
-            PlatformError: If there is no response or its status is 500 or above. ``may_have_run``
-                is true for a write unless the connection could not be opened.
+            PlatformError: If there is no response or its status is not one of 200 to 499.
+                ``may_have_run`` is true for a write unless the connection could not be opened.
         """
         writes = method != "GET"
         try:
@@ -58,7 +60,7 @@
             raise PlatformError(
                 message=f"the platform did not answer: {type(error).__name__}", may_have_run=writes
             ) from None
-        if response.status >= 500:
+        if response.status not in _DECIDED_STATUSES:
             raise PlatformError(
                 message=f"the platform answered {response.status}", may_have_run=writes
             )
--- a/tests/test_statuses.py
+++ b/tests/test_statuses.py
@@ -7,11 +7,13 @@
 
 from carawaybank.callers.responses import encode_response
 from carawaybank.client import ClientConnection, ExchangeError, HttpCall
+from carawaybank.exceptions import PlatformError
 from carawaybank.platform.dialect import PlatformDialect
 from carawaybank.platform.store import StoreClient
 from carawaybank.replies import HttpReply, ReplyReader
 from carawaybank.rows import StoreError
 from carawaybank.siblings.relays import RelayReply, _decode_result
+from carawaybank.storage.clients import HttpObjectStore, HttpVmList, PlatformClient
 from carawaybank.verdicts import Answered, MayHaveRun, NotRun
 
 TIMEOUT_S = 5.0
@@ -161,6 +163,28 @@
         asyncio.run(respond(line, b"{}", read_rows))
 
 
+@pytest.mark.parametrize("status", [0, 99, 101, 103, 199, 600, 999])
+def test_a_call_to_the_services_of_the_platform_fails_whose_status_is_none(status):
+    """Guards against an object that counts as stored after a response such as 101."""
+
+    def put(address):
+        client = PlatformClient(url=f"http://{address}", timeout_s=TIMEOUT_S)
+        HttpObjectStore(client=client).put("key", b"value")
+
+    def list_vms(address):
+        client = PlatformClient(url=f"http://{address}", timeout_s=TIMEOUT_S)
+        return HttpVmList(client=client).read()
+
+    for call in (put, list_vms):
+
+        async def run(address, call=call):
+            await asyncio.to_thread(call, address)
+
+        asyncio.run(respond("HTTP/1.1 200 OK", b"[]", run))
+        with pytest.raises(PlatformError):
+            asyncio.run(respond(f"HTTP/1.1 {status:03} X", b"[]", run))
+
+
 @pytest.mark.parametrize("line", STATUS_LINES)
 def test_a_health_check_whose_status_line_is_none_does_not_show_a_sound_target(line):
     async def check(address):
