Take responses of RTSP and ICE for none

Callers got the response of a target that began with `RTSP/1.0 200 OK` or `ICE/1.0 200 OK`, with its seal, as one of HTTP. The parser library knows the three protocols and does not tell which one it has read.

Failed before: test_statuses.py::test_a_response_of_another_protocol_is_none, 6 of 6 cases, whole and in pieces of 1 and 3 bytes.

Change: the reader compares the first five bytes of an exchange, behind empty lines, with `HTTP/`. A later response of the same exchange, behind an informational one, is not compared: where it begins within a segment is not known.

--- a/src/carawaybank/replies.py
+++ b/src/carawaybank/replies.py
@@ -17,6 +17,8 @@
 _INFORMATIONAL_STATUSES = range(100, 200)
 FINAL_STATUSES = range(200, 600)
 _VERSIONS = frozenset({"1.0", "1.1"})
+#: First bytes of a response. The parser library takes RTSP and ICE for HTTP.
+_PROTOCOL = b"HTTP/"
 #: Characters of a header that an error message contains.
 _MAX_LOGGED_CHARS = 40
 #: Pieces as which the begin and the end of a message count.
@@ -69,6 +71,7 @@
         self._head_memory = self._pieces = 0
         self._framing_limit = FramingLimit()
         self._head_bytes = 0
+        self._protocol = b""
         self._has_head = False
         self._is_ended_by_close = False
         #: Complete responses that the connection has not processed yet.
@@ -112,6 +115,9 @@
         if self.has_partial_reply and not self._has_head:
             self._head_bytes += len(data)
         self._framing_limit.record(read_bytes=len(data), body_bytes=0)
+        if len(self._protocol) < len(_PROTOCOL) and not self._is_protocol_known(data):
+            self._fail("it is not HTTP")
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -181,6 +187,13 @@
         else:
             self._finish(closes=not self._parser.should_keep_alive())
 
+    def _is_protocol_known(self, data: bytes) -> bool:
+        """Returns whether the first bytes of the exchange can be those of a response."""
+        # The parser skips empty lines before a response.
+        first = data if self._protocol else data.lstrip(b"\r\n")
+        self._protocol = (self._protocol + first[: len(_PROTOCOL)])[: len(_PROTOCOL)]
+        return _PROTOCOL.startswith(self._protocol)
+
     def _finish(self, *, closes: bool) -> None:
         status = self._parser.get_status_code()
         self.replies.append(HttpReply(status, self._headers, self._body.take(), closes))
--- a/tests/test_statuses.py
+++ b/tests/test_statuses.py
@@ -77,6 +77,24 @@
         assert [reply.status for reply in read(data, method=method, size=size).replies] == [status]
 
 
+@pytest.mark.parametrize("protocol", ["RTSP/1.0", "ICE/1.0"])
+@pytest.mark.parametrize("before", [b"", b"\r\n", b"\r\n\r\n\n"])
+def test_a_response_of_another_protocol_is_none(protocol, before):
+    """The parser library accepts these two as well."""
+    for method in METHODS:
+        data = before + make_response(f"{protocol} 200 OK", method=method)
+        for size in (1, 3, len(data)):
+            reader = read(data, method=method, size=size)
+            assert not reader.replies
+            assert reader.problem
+
+
+@pytest.mark.parametrize("before", [b"", b"\r\n", b"\r\n\r\n\n"])
+def test_empty_lines_before_a_response_are_skipped(before):
+    for size in (1, 3, 100_000):
+        assert len(read(before + make_response("HTTP/1.1 200 OK"), method="GET", size=size).replies)
+
+
 async def exchange(method, response):
     """Returns the verdict on a target's response."""
 
