Take a status line that is none for bytes that are no response in the soak

The soak held beside a VM that gave callers status 000, 600 or a response of HTTP/0.9 without a seal: its client recorded them as `answered`, and the check of MIXED compares statuses only where there is a seal.

Change: the soak's client ends a request as `garbled` unless the response has a status from 200 to 599 and version 1.0 or 1.1; find_mixed_answers reports these, as it did with bytes that the parser cannot read. It sends no Expect, so that an informational response is none either.

No soak was played.

--- a/standins/soak/connections.py
+++ b/standins/soak/connections.py
@@ -15,6 +15,9 @@
 #: Bytes a second and interval of bodies on a slow link.
 _SLOW_BYTES_PER_S = 60_000
 _SLOW_INTERVAL_S = 0.1
+#: Statuses and versions of final responses. The parser library reads others too.
+_STATUSES = range(200, 600)
+_VERSIONS = frozenset({"1.0", "1.1"})
 
 
 class Departure(NamedTuple):
@@ -241,11 +244,18 @@
             self.waiting[0].headers[name.decode().lower()] = value.decode()
 
     def on_headers_complete(self) -> None:
-        """Keeps the status and whether the connection ends."""
+        """Keeps the status and whether the connection ends.
+
+        Raises:
+            ValueError: If a final response has no such status or version.
+        """
+        status, version = self._parser.get_status_code(), self._parser.get_http_version()
         if self.waiting:
-            self.waiting[0].record["status"] = self._parser.get_status_code()
+            self.waiting[0].record["status"] = status
             value = self.waiting[0].headers.get("connection", "")
             self.is_told_to_close = self.is_told_to_close or value.lower() == "close"
+        if status not in _STATUSES or version not in _VERSIONS:
+            raise ValueError(f"a response of HTTP/{version} has the status {status}")
 
     def on_body(self, data: bytes) -> None:
         """Keeps a part of the body."""
--- a/tests/standins/test_soak_callers.py
+++ b/tests/standins/test_soak_callers.py
@@ -149,6 +149,30 @@
     converse(handle, talk)
 
 
+@pytest.mark.parametrize(
+    "line",
+    [
+        *(f"HTTP/1.1 {status} X" for status in ("000", "099", "100", "101", "199", "600", "999")),
+        "HTTP/0.9 200 OK",
+        "HTTP/2.0 200 OK",
+    ],
+)
+def test_a_status_line_that_is_none_is_garbled(line):
+    """Guards against a soak that holds beside callers who get status 000, or another version."""
+
+    async def handle(reader, writer):
+        await reader.read(10)
+        writer.write(f"{line}\r\nX-Carawaybank-Server-Seal: s\r\n\r\n".encode())
+        writer.close()
+
+    async def talk(connection, _):
+        exchange = make_exchange()
+        await connection.exchange(exchange, b"GET", timeout_s=WAIT_S)
+        assert exchange.record["outcome"] == "garbled"
+
+    converse(handle, talk)
+
+
 def test_faults_of_callers_begin_and_end():
     """Guards against a burst or another fault of callers that lasts for the whole run."""
     faults = [{"at": 4.0, "kind": "burst", "subject": "", "for_s": 3.0, "x": 1.7}]
