Close a connection after a response in chunks of HTTP/1.0

A connection to a target went on after a response of HTTP/1.0 with `Connection: keep-alive` and `Transfer-Encoding: chunked`. HTTP/1.0 has no chunks; RFC 9112 (6.1) takes such framing for faulty and asks to close after the message, since bytes of it could be read as the next response.

Failed before: test_wire.py::test_a_connection_is_closed_after_chunks_of_an_old_version, 1 of 2 cases; the other one, with a length, is kept.

Change: the reader says that such a response closes its connection. The response itself is used as before. Requests of HTTP/1.0 close theirs already.

Result: test_wire.py, test_client.py, test_unbounded_messages.py, test_cut_heads.py, test_statuses.py and tests/targets pass.

--- a/src/carawaybank/replies.py
+++ b/src/carawaybank/replies.py
@@ -73,7 +73,7 @@
         self._head_bytes = 0
         self._protocol = b""
         self._has_head = False
-        self._is_ended_by_close = False
+        self._is_ended_by_close = self._must_close = False
         #: Complete responses that the connection has not processed yet.
         self.replies: deque[HttpReply] = deque()
         #: Whether a response was received in part, or invalid bytes were received.
@@ -171,6 +171,8 @@
         bodiless = status in {204, 304} or self._is_head_request
         has_length = has_coding or "content-length" in names
         self._is_ended_by_close = not has_length and not bodiless
+        # Chunks are not part of HTTP/1.0: who sends them may not agree on where they end.
+        self._must_close = has_coding and self._parser.get_http_version() == "1.0"
         if self._is_head_request and status in FINAL_STATUSES:
             # The parser would wait for a body of the announced length, which HEAD responses lack.
             self._finish(closes=True)
@@ -187,7 +189,7 @@
         if self._parser.get_status_code() in _INFORMATIONAL_STATUSES:
             self.has_partial_reply = self._has_head = self._is_ended_by_close = False
         else:
-            self._finish(closes=not self._parser.should_keep_alive())
+            self._finish(closes=self._must_close or not self._parser.should_keep_alive())
 
     def _is_protocol_known(self, data: bytes) -> bool:
         """Returns whether the first bytes of the exchange can be those of a response."""
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -278,3 +278,15 @@
     data = head + body + b"GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n"
     read = Requests(split(data, sizes)).read
     assert read == read_requests(data)[: len(read)]
+
+
+@pytest.mark.parametrize(
+    ("coding", "closes"), [("Transfer-Encoding: chunked", True), ("X: y", False)]
+)
+def test_a_connection_is_closed_after_chunks_of_an_old_version(coding, closes):
+    """Guards against bytes of a body that are read as the next response (RFC 9112, 6.1)."""
+    body = "5\r\nhello\r\n0\r\n\r\n" if closes else "hello"
+    length = "" if closes else "Content-Length: 5\r\n"
+    head = f"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n{length}{coding}\r\n\r\n"
+    (reply,) = Responses([(head + body).encode()], method="GET").reader.replies
+    assert (reply.body, reply.closes) == (b"hello", closes)
