Count and limit heads that arrive in one read

A head that does not end was not counted in the read in which it began: a target or a caller that sent up to 256 KB of one header in its first read used memory that the budget of the process counted as 0, and got neither `its head is too large` nor 431 until it sent more. A complete head of 100 KB was read as a response if it came in one read, and refused if it came in two.

Cause: how many bytes of a read belong to the head that begins in it is not known, so that both readers counted only those of later reads.

Change: while no head is complete, the readers parse 8 KB at a time, of which the first are not counted. Bodies are parsed whole as before, and so are the usual heads, which are smaller.

--- a/src/carawaybank/callers/requests.py
+++ b/src/carawaybank/callers/requests.py
@@ -7,7 +7,7 @@
 
 from carawaybank.buffers import BodyBuffer, FramingLimit
 from carawaybank.memory import HEADER_BYTES, body_memory
-from carawaybank.replies import Headers
+from carawaybank.replies import HEAD_STEP_BYTES, Headers
 from carawaybank.routing.configuration import Limits
 
 #: The colon, the space and the line break of a header line.
@@ -147,6 +147,13 @@
             InvalidRequestError: If a request is malformed or exceeds a limit. The complete
                 requests before it have been passed to ``on_request``.
         """
+        start = 0
+        while len(data) - start > HEAD_STEP_BYTES and not self.is_in_body:
+            self._feed(data[start : start + HEAD_STEP_BYTES])
+            start += HEAD_STEP_BYTES
+        self._feed(data[start:] if start else data)
+
+    def _feed(self, data: bytes) -> None:
         heads = self._head_count if self.is_in_head else None
         self._framing.record(read_bytes=len(data), body_bytes=0)
         try:
@@ -191,7 +198,7 @@
                 self._parser.feed_data("\r\n".join(lines).encode("latin-1"))
             except httptools.HttpParserError as error:  # Such as a method of another protocol.
                 raise InvalidRequestError(status=400, detail=str(error)) from None
-        self.feed(data)
+        self._feed(data)
 
     def on_message_begin(self) -> None:
         """Resets the state for the next request (callback of the parser)."""
--- a/src/carawaybank/replies.py
+++ b/src/carawaybank/replies.py
@@ -12,6 +12,8 @@
 
 #: Maximum size in bytes of the status line and headers of a response.
 _MAX_HEAD_BYTES = 65_536
+#: Bytes of a head that are parsed at a time; those of the first time are not counted.
+HEAD_STEP_BYTES = 8_192
 #: Maximum number of headers of a response.
 _MAX_HEADERS = 256
 _INFORMATIONAL_STATUSES = range(100, 200)
@@ -110,6 +112,13 @@
 
     def feed(self, data: bytes) -> None:
         """Parses bytes from the peer; ignores them after a failure, see ``problem``."""
+        start = 0
+        while len(data) - start > HEAD_STEP_BYTES and not self._has_head and not self.problem:
+            self._feed(data[start : start + HEAD_STEP_BYTES])
+            start += HEAD_STEP_BYTES
+        self._feed(data[start:] if start else data)
+
+    def _feed(self, data: bytes) -> None:
         if self.problem:
             return
         if self.has_partial_reply and not self._has_head:
