--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,7 +5,7 @@
 import tracemalloc
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from carawaybank.callers.requests import InvalidRequestError, RequestParser
@@ -155,6 +155,11 @@
     return end.join([draw(STATUS_LINES), *lines, b"", b""]) + draw(BODIES)
 
 
+#: Parts of messages on which the reader and the strict reading once differed.
+SENT_IN_CHUNKS = b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+TWICE_CODED = b"Transfer-Encoding: identity\r\n" + SENT_IN_CHUNKS
+ANY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
 CUTS = st.lists(st.integers(1, 40), min_size=1, max_size=12)
 
 
@@ -257,6 +262,8 @@
 @given(
     st.lists(responses(), min_size=1, max_size=3), st.sampled_from(["GET", "HEAD", "POST"]), CUTS
 )
+@example([b"HTTP/1.1 200 OK\r\n" + TWICE_CODED], "POST", [13])
+@example([b"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n" + SENT_IN_CHUNKS, ANY], "GET", [40])
 def test_no_response_is_read_that_a_strict_reading_does_not_have(parts, method, sizes):
     """Guards against a body that is not the target's, and a response of another request."""
     data = b"".join(parts)
@@ -266,6 +273,7 @@
 
 @settings(max_examples=1000)
 @given(st.lists(requests(), min_size=1, max_size=3), st.lists(BODIES, max_size=1), CUTS)
+@example([b"POST /d HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n"], [ANY], [7])
 def test_requests_are_read_alike_however_they_are_cut(parts, bodies, sizes):
     """Guards against a request that depends on the segments in which it arrives."""
     data = b"".join(parts + bodies)
@@ -276,6 +284,7 @@
 
 @settings(max_examples=1000)
 @given(LINES, LINES, chunks(), CUTS)
+@example(b"Transfer-Encoding: xchunked", b"Transfer-Encoding: chunked", b"0\r\n\r\n", [17])
 def test_no_request_in_chunks_is_read_that_a_strict_reading_does_not_have(line, other, body, sizes):
     """Guards against smuggling by sizes of chunks, extensions and trailers."""
     head = b"\r\n".join([b"POST /a HTTP/1.1", b"Host: a", line, other, b"", b""])
@@ -384,3 +393,10 @@
         assert held <= 1.25 * reader.memory_bytes + BUFFER_BYTES
         reader.drop()
         assert reader.memory_bytes <= BASE_BYTES
+
+
+@pytest.mark.parametrize("size", [1, 100_000])
+def test_a_later_response_of_another_protocol_is_none(size):
+    """Guards against a response of RTSP behind an informational one, which the library reads."""
+    data = b"HTTP/1.1 100 Continue\r\n\r\nRTSP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    assert not Responses(split(data, [size]), method="GET").replies
