--- a/src/carawaybank/callers/requests.py
+++ b/src/carawaybank/callers/requests.py
@@ -7,7 +7,7 @@
 
 from carawaybank.buffers import BodyBuffer, FramingLimit
 from carawaybank.memory import HEADER_BYTES, body_memory
-from carawaybank.replies import Headers
+from carawaybank.replies import HEAD_STEP_BYTES, Headers
 from carawaybank.routing.configuration import Limits
 
 #: The colon, the space and the line break of a header line.
@@ -149,6 +149,13 @@
             InvalidRequestError: If a request is malformed or exceeds a limit. The complete
                 requests before it have been passed to ``on_request``.
         """
+        start = 0
+        while len(data) - start > HEAD_STEP_BYTES and not self.is_in_body:
+            self._feed(data[start : start + HEAD_STEP_BYTES])
+            start += HEAD_STEP_BYTES
+        self._feed(data[start:] if start else data)
+
+    def _feed(self, data: bytes) -> None:
         heads = self._head_count if self.is_in_head else None
         self._max_body_bytes = self._limits().body_bytes
         self._framing.record(read_bytes=len(data), body_bytes=0)
@@ -194,7 +201,7 @@
                 self._parser.feed_data("\r\n".join(lines).encode("latin-1"))
             except httptools.HttpParserError as error:  # Such as a method of another protocol.
                 raise InvalidRequestError(status=400, detail=str(error)) from None
-        self.feed(data)
+        self._feed(data)
 
     def on_message_begin(self) -> None:
         """Resets the state for the next request (callback of the parser)."""
@@ -244,7 +251,8 @@
         if names.count("host") != 1 and (is_http_1_1 or names.count("host")):
             self._refuse(400, "a request needs one host header")
         values = dict(self._headers)
-        if values.get("transfer-encoding", "chunked").lower() != "chunked":
+        coding = values.get("transfer-encoding", "chunked").lower()
+        if coding != "chunked" or names.count("transfer-encoding") > 1:
             self._refuse(501, "the transfer coding is not known")
         is_chunked = "transfer-encoding" in values
         length = int(values.get("content-length", 0))
--- a/src/carawaybank/replies.py
+++ b/src/carawaybank/replies.py
@@ -12,10 +12,15 @@
 
 #: Maximum size in bytes of the status line and headers of a response.
 _MAX_HEAD_BYTES = 65_536
+#: Bytes of a head that are parsed at a time; those of the first time are not counted.
+HEAD_STEP_BYTES = 8_192
 #: Maximum number of headers of a response.
 _MAX_HEADERS = 256
 _INFORMATIONAL_STATUSES = range(100, 200)
-_MIN_STATUS = 100
+FINAL_STATUSES = range(200, 600)
+_VERSIONS = frozenset({"1.0", "1.1"})
+#: First bytes of a response. The parser library takes RTSP and ICE for HTTP.
+_PROTOCOL = b"HTTP/"
 #: Characters of a header that an error message contains.
 _MAX_LOGGED_CHARS = 40
 #: Pieces as which a header counts, which takes as long as three chunks.
@@ -70,8 +75,9 @@
         self._head_memory = self._pieces = 0
         self._framing_limit = FramingLimit()
         self._head_bytes = 0
+        self._protocol = b""
         self._has_head = False
-        self._is_ended_by_close = False
+        self._is_ended_by_close = self._must_close = False
         #: Complete responses that the connection has not processed yet.
         self.replies: deque[HttpReply] = deque()
         #: Whether a response was received in part, or invalid bytes were received.
@@ -108,11 +114,21 @@
 
     def feed(self, data: bytes | memoryview) -> None:
         """Parses bytes from the peer; ignores them after a failure, see ``problem``."""
+        start = 0
+        while len(data) - start > HEAD_STEP_BYTES and not self._has_head and not self.problem:
+            self._feed(data[start : start + HEAD_STEP_BYTES])
+            start += HEAD_STEP_BYTES
+        self._feed(data[start:] if start else data)
+
+    def _feed(self, data: bytes) -> None:
         if self.problem:
             return
         if self.has_partial_reply and not self._has_head:
             self._head_bytes += len(data)
         self._framing_limit.record(read_bytes=len(data), body_bytes=0)
+        if len(self._protocol) < len(_PROTOCOL) and not self._is_protocol_known(data):
+            self._fail("it is not HTTP")
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -152,16 +168,23 @@
     def on_headers_complete(self) -> None:
         """Determines how the body is delimited; called by the parser after the headers."""
         self._has_head = True
-        if self._parser.get_status_code() < _MIN_STATUS:
+        status = self._parser.get_status_code()
+        if status not in FINAL_STATUSES and status not in _INFORMATIONAL_STATUSES:
             self._reject("it has no valid status")
-        headers = dict(self._headers)
-        coding = headers.get("transfer-encoding")
-        if coding is not None and coding.lower() != "chunked":
+        if self._parser.get_http_version() not in _VERSIONS:
+            self._reject("its version of HTTP is not known")
+        names = {name for name, _ in self._headers}
+        # Codings in several headers are one list.
+        coding = ", ".join(value for name, value in self._headers if name == "transfer-encoding")
+        has_coding = "transfer-encoding" in names
+        if has_coding and coding.lower() != "chunked":
             self._reject(f"it has the transfer coding {coding[:_MAX_LOGGED_CHARS]}")
-        bodiless = self._parser.get_status_code() in {204, 304} or self._is_head_request
-        has_length = coding is not None or "content-length" in headers
+        bodiless = status in {204, 304} or self._is_head_request
+        has_length = has_coding or "content-length" in names
         self._is_ended_by_close = not has_length and not bodiless
-        if self._is_head_request and self._parser.get_status_code() not in _INFORMATIONAL_STATUSES:
+        # Chunks are not part of HTTP/1.0: who sends them may not agree on where they end.
+        self._must_close = has_coding and self._parser.get_http_version() == "1.0"
+        if self._is_head_request and status in FINAL_STATUSES:
             # The parser would wait for a body of the announced length, which HEAD responses lack.
             self._finish(closes=True)
             self._reject("an answer to HEAD is read on its own")
@@ -177,7 +200,14 @@
         if self._parser.get_status_code() in _INFORMATIONAL_STATUSES:
             self.has_partial_reply = self._has_head = self._is_ended_by_close = False
         else:
-            self._finish(closes=not self._parser.should_keep_alive())
+            self._finish(closes=self._must_close or not self._parser.should_keep_alive())
+
+    def _is_protocol_known(self, data: bytes) -> bool:
+        """Returns whether the first bytes of the exchange can be those of a response."""
+        # The parser skips empty lines before a response.
+        first = data if self._protocol else data.lstrip(b"\r\n")
+        self._protocol = (self._protocol + first[: len(_PROTOCOL)])[: len(_PROTOCOL)]
+        return _PROTOCOL.startswith(self._protocol)
 
     def _finish(self, *, closes: bool) -> None:
         status = self._parser.get_status_code()
