Update the router once for all changed registrations

A store with very many registrations held up the event loop: for each changed row the names and limits of all VMs were built again, so that the work grew with the square of the rows.

The router is updated once after all rows of an update. test_many_changed_rows_update_the_router_once fails before.

--- a/src/carawaybank/siblings/registration.py
+++ b/src/carawaybank/siblings/registration.py
@@ -98,7 +98,7 @@
             if record.vm != own.vm or record.incarnation == own.incarnation:
                 present.add(row.key)
             if self._vms.update(record, now=now):
-                self.record_change(record)
+                self._log_change(record)
         if update.is_full and own.vm not in present:
             self._handle_missing(now, is_certain=update.is_backup)
         if update.is_full and not update.is_backup:
@@ -108,10 +108,13 @@
         self._update_router()
 
     def record_change(self, record: VmRecord) -> None:
-        """Logs the changed record of a VM and updates the router, for a row or a heartbeat."""
-        self._journal.log("siblings", "vm changed", sibling=record._asdict())
+        """Logs the record of a VM that a heartbeat changed, and updates the router."""
+        self._log_change(record)
         self._update_router()
 
+    def _log_change(self, record: VmRecord) -> None:
+        self._journal.log("siblings", "vm changed", sibling=record._asdict())
+
     def update_cut_off(self) -> None:
         """Updates the router if other VMs reach no targets or do so again.
 
--- a/tests/siblings/test_registration.py
+++ b/tests/siblings/test_registration.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from carawaybank.rows import Row, TableUpdate
 from carawaybank.siblings.liveness import HEARTBEAT_TIMEOUT_S
 from carawaybank.siblings.registration import KEY_PREFIX, Registrations
 from carawaybank.siblings.vms import VmDirectory, VmRecord
@@ -76,6 +77,23 @@
     run_scenario(scenario)
 
 
+def test_many_changed_rows_update_the_router_once(monkeypatch):
+    """Guards against an update of all VMs for each changed row, which held up the event loop."""
+
+    async def scenario(world):
+        vms, registrations, task = start(world)
+        updates = []
+        monkeypatch.setattr(world.router.limits, "update_vms", updates.append)
+        records = [OWN._replace(vm=f"vm-{n}") for n in range(100, 200)]
+        rows = [Row(r.vm, msgspec.json.encode(r), 1, removed=False) for r in records]
+        registrations.apply(TableUpdate(rows, is_full=True, after_outage=False))
+        assert len(vms.others) == 100
+        assert [len(update) for update in updates] == [101]
+        task.cancel()
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize(
     "value",
     [
