Bound the headers and targets of a relay before they are decoded

Lists of headers and targets have at most 20,000 elements, which msgspec checks before it decodes them. The three new tests of test_relays.py fail before.

--- a/src/carawaybank/siblings/relays.py
+++ b/src/carawaybank/siblings/relays.py
@@ -9,7 +9,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import Annotated, NamedTuple, Protocol
 
 import msgspec
 
@@ -19,7 +19,7 @@
 from carawaybank.counters import Counters
 from carawaybank.journal import Journal
 from carawaybank.pool import ClientPool
-from carawaybank.replies import Headers, HttpReply
+from carawaybank.replies import HttpReply
 from carawaybank.routing.helpers import Helpers
 from carawaybank.routing.messages import Relay, RelayResult, RelayTerms, Request
 from carawaybank.siblings.vms import VmDirectory
@@ -36,6 +36,9 @@
 MAX_RELAYED_BYTES = 32_000_000
 #: Maximum size in bytes of a result, which contains a whole response of a target.
 _MAX_RESULT_BYTES = 17_000_000
+#: Headers of a message that is passed on, or targets that it names. Three bytes may become a header
+#: of 64 bytes of memory.
+_MAX_ELEMENTS = 20_000
 #: Bytes of a sibling's error that are logged.
 _MAX_LOGGED_BYTES = 200
 #: Time limit in seconds to connect to a sibling.
@@ -46,6 +49,38 @@
 _MAX_IDLE_S = 5.0
 
 
+_BoundedHeaders = Annotated[list[tuple[str, str]], msgspec.Meta(max_length=_MAX_ELEMENTS)]
+_BoundedTargets = Annotated[tuple[str, ...], msgspec.Meta(max_length=_MAX_ELEMENTS)]
+
+
+class _WireCall(NamedTuple):
+    """An ``HttpCall`` with a limited number of headers."""
+
+    method: str
+    path: str
+    headers: _BoundedHeaders
+    body: bytes = b""
+    expected_echo: tuple[str, str] = ("", "")
+
+
+class _WireTerms(NamedTuple):
+    """``RelayTerms`` with a limited number of targets."""
+
+    service: str
+    tried_targets: _BoundedTargets
+    configuration_version: int
+    tenant: str = ""
+
+
+class _WireRelay(NamedTuple):
+    """A ``RelayMessage`` as it is decoded."""
+
+    vm: str
+    request: Request
+    call: _WireCall
+    terms: _WireTerms
+
+
 class RelayMessage(NamedTuple):
     """A request as passed on to a sibling.
 
@@ -77,7 +112,7 @@
     """
 
     status: int
-    headers: Headers
+    headers: _BoundedHeaders
     body: bytes
     may_have_run: bool
     reason: str
@@ -266,7 +301,7 @@
         if request.method != "POST" or request.path != RELAY_PATH:
             return self._reject(request, 404, "unknown path")
         try:
-            message = msgspec.msgpack.decode(request.body, type=RelayMessage)
+            message = _decode_message(request.body)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             return self._reject(request, 400, f"malformed relay: {error}")
         record = self._vms.find_serving(message.vm, now=asyncio.get_running_loop().time())
@@ -317,6 +352,17 @@
     return msgspec.msgpack.encode((message.vm, request, message.call, terms))
 
 
+def _decode_message(body: bytes) -> RelayMessage:
+    """Returns a relay.
+
+    Raises:
+        msgspec.MsgspecError: If it cannot be decoded, or has too many headers or targets.
+        UnicodeDecodeError: If a text in it is no UTF-8.
+    """
+    vm, request, call, terms = msgspec.msgpack.decode(body, type=_WireRelay)
+    return RelayMessage(vm, request, HttpCall(*call), RelayTerms(*terms))
+
+
 def _drop_defaults(record: Request | RelayTerms) -> tuple[object, ...]:
     """Returns the values of a record without the last ones that are equal to their defaults."""
     values = tuple(record)
--- a/tests/siblings/test_relays.py
+++ b/tests/siblings/test_relays.py
@@ -104,6 +104,34 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    "message",
+    [
+        make_message()._replace(call=HttpCall("GET", "/look/1", 20_001 * [("", "")])),
+        make_message()._replace(terms=RelayTerms("ledger", 20_001 * ("",), 7)),
+    ],
+    ids=["headers", "targets"],
+)
+def test_a_relay_of_very_many_elements_is_rejected(message):
+    """Guards against a relay that uses 20 times its bytes of memory when it is decoded."""
+
+    async def scenario():
+        requests = Requests()
+        requests.gate.set()
+        headers, body = [("relay-id", "1")], encode_message(message)
+        request = CallerRequest("POST", RELAY_PATH, headers, body, peer="10.0.0.1")
+        assert (await make_server(requests).handle(request)).status == 400
+
+    asyncio.run(scenario())
+
+
+def test_a_result_of_very_many_headers_is_rejected():
+    """Guards against a sibling's result that uses 20 times its bytes of memory."""
+    reply = RelayReply(200, 20_001 * [("", "")], b"", True, "", 0.0, "", "t1")
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.msgpack.decode(msgspec.msgpack.encode(reply), type=RelayReply)
+
+
 def test_a_stopping_vm_takes_in_no_requests():
     """Guards against requests that end with the VM that took them in."""
     assert make_server(Requests(), is_accepting=False).room == 0
