--- a/src/carawaybank/documents.py
+++ b/src/carawaybank/documents.py
@@ -76,7 +76,8 @@
 
     Raises:
         DocumentError: If the data is not JSON, is nested too deeply or not of the expected type, or
-            contains a number whose absolute value is larger than ``MAX_NUMBER``, or too many values.
+            contains very many values or a number whose absolute value is larger than
+            ``MAX_NUMBER``.
     """
     if _count_values(data) > _MAX_VALUES:
         raise DocumentError(source=source, faults=(f"it has more than {_MAX_VALUES} values",))
