--- a/src/carawaybank/control.py
+++ b/src/carawaybank/control.py
@@ -21,6 +21,9 @@
 
 DUMP_PATH = "/v1/dump"
 EXPLAIN_PATH = "/v1/explain"
+#: Bytes of a query that is decoded; the longest head of a request has 16 KB. A list in JSON uses
+#: 20 times its bytes.
+_MAX_QUERY_BYTES = 65_536
 _JSON = [("content-type", "application/json")]
 
 
@@ -78,6 +81,8 @@
         return HttpReply(200, _JSON, msgspec.json.encode(dump))
 
     def _explain(self, request: CallerRequest) -> HttpReply:
+        if len(request.body) > _MAX_QUERY_BYTES:
+            return HttpReply(400, _JSON, msgspec.json.encode({"detail": "the query is too large"}))
         try:
             query = documents.decode_json(request.body, Query, source=EXPLAIN_PATH)
         except DocumentError as error:
