Limit the time that large datagrams take

Datagrams of more than 2 KB use at most a fifth of the time in processor time, with a burst of 0.1 s, and are dropped beyond; small ones, such as ordinary heartbeats, are always handled.

--- a/src/carawaybank/siblings/heartbeat.py
+++ b/src/carawaybank/siblings/heartbeat.py
@@ -11,6 +11,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections.abc import Callable, Sequence
 from typing import cast
 
@@ -32,6 +33,52 @@
 #: Datagrams that are read in one round of the event loop, and the size of the largest in bytes.
 _MAX_DATAGRAMS = 256
 _MAX_DATAGRAM_BYTES = 65_536
+#: Bytes of a datagram that is always handled. The largest ones take up to 12 ms.
+_SMALL_BYTES = 2_048
+#: Seconds of processor time for larger ones at once, and fraction of the time that they may use.
+_MAX_WORK_S = 0.1
+_WORK_SHARE = 0.2
+
+
+class DatagramWork:
+    """Limits the time that large datagrams take.
+
+    Load pattern: a peer sends the largest datagrams as fast as it can, while callers wait for the
+    same event loop.
+
+    >>> work = DatagramWork(now=0.0)
+    >>> work.record(0.5, now=0.0)
+    >>> work.may_handle(60_000, now=1.0), work.may_handle(300, now=1.0)
+    (False, True)
+    >>> work.may_handle(60_000, now=3.0)
+    True
+    """
+
+    def __init__(self, *, now: float) -> None:
+        """Starts with no time used.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        self._left_s = _MAX_WORK_S
+        self._updated_at = now
+
+    def may_handle(self, size: int, *, now: float) -> bool:
+        """Returns whether a datagram of a number of bytes is handled, not dropped."""
+        if size <= _SMALL_BYTES:
+            return True
+        self._update(now)
+        return self._left_s > 0.0
+
+    def record(self, work_s: float, *, now: float) -> None:
+        """Records the processor time of a datagram that was handled."""
+        self._update(now)
+        self._left_s -= work_s
+
+    def _update(self, now: float) -> None:
+        gained_s = _WORK_SHARE * (now - self._updated_at)
+        self._left_s = min(_MAX_WORK_S, self._left_s + gained_s)
+        self._updated_at = now
 
 
 class HeartbeatTask(asyncio.DatagramProtocol):
@@ -66,6 +113,7 @@
         self._on_report = on_report
         self._transport: asyncio.DatagramTransport | None = None
         self._sock: socket.socket | None = None
+        self._work = DatagramWork(now=time.monotonic())
         self._rounds = 0
         self._last_early_at = float("-inf")
 
@@ -97,6 +145,17 @@
             self._handle(data)
 
     def _handle(self, data: bytes) -> None:
+        """Handles a datagram, or drops a large one while such take too much time."""
+        if not self._work.may_handle(len(data), now=time.monotonic()):
+            return
+        started = time.thread_time()
+        try:
+            self._apply(data)
+        finally:
+            if len(data) > _SMALL_BYTES:
+                self._work.record(time.thread_time() - started, now=time.monotonic())
+
+    def _apply(self, data: bytes) -> None:
         """Records a heartbeat and calls the callbacks; ignores an invalid datagram."""
         if data.startswith(b"{"):
             self._on_report(data)
