Let tables share their memory, and use a seed's tables one by one

Each table is used as soon as it is read, and one that is there is not read from other seeds. All tables together use at most 0.18 of the memory of messages, since a table is held twice more while it is decoded; each may use a third of this whatever the others use, so that one does not stop the changes of the others. The new test of test_watch.py guards the shares.

--- a/src/carawaybank/rows.py
+++ b/src/carawaybank/rows.py
@@ -9,8 +9,9 @@
 MAX_TABLE_ROWS = 50_000
 #: Memory of a row beside its value, with what is decoded from it.
 _ROW_BYTES = 1_000
-#: Fraction of the memory of all messages that one table may use.
-_TABLE_FRACTION = 0.25
+#: Fraction of the memory of all messages that all tables may use. A table that is read uses its
+#: bytes twice more while it is decoded.
+_TABLE_FRACTION = 0.18
 
 
 class StoreError(CarawaybankError):
@@ -56,7 +57,7 @@
 
 
 def max_table_bytes() -> int:
-    """Returns the bytes of memory that a table may use, so that some is left for other peers."""
+    """Returns the bytes of memory that tables may use, so that some is left for other peers."""
     return int(loop_inputs().memory.max_bytes * _TABLE_FRACTION)
 
 
--- a/src/carawaybank/siblings/bootstrap.py
+++ b/src/carawaybank/siblings/bootstrap.py
@@ -91,14 +91,13 @@
     async def _fetch(self, seed: str) -> None:
         tables = SiblingTables(address=seed)
         try:
-            fetched_departures = await self._fetch_departures(seed)
-            table_rows = [await tables.read(watch.table) for watch in self._watches]
+            self._departures.merge(await self._fetch_departures(seed))
+            for watch in self._watches:
+                # Tables of several seeds that wait for others would use up the memory.
+                if not watch.is_loaded:
+                    watch.use_initial_rows(await tables.read(watch.table))
         except (ExchangeError, StoreError, msgspec.MsgspecError, UnicodeDecodeError) as error:
             self._journal.log("siblings", "no tables from a seed", seed=seed, reason=str(error))
-            return
-        self._departures.merge(fetched_departures)
-        for watch, rows in zip(self._watches, table_rows, strict=True):
-            watch.use_initial_rows(rows)
 
     async def _fetch_departures(self, seed: str) -> dict[str, int]:
         connection = await ClientConnection.open(seed, timeout_s=_TIMEOUT_S)
--- a/src/carawaybank/watch.py
+++ b/src/carawaybank/watch.py
@@ -45,6 +45,9 @@
 #: readers in a row that do not respond must leave about a second of it.
 _STORE_LAG_LIMIT_S = 0.7
 _READER_LAG_LIMIT_S = 0.6
+#: Fraction of the memory of all tables that each may use regardless of the others, so that one with
+#: very many rows does not stop the changes of the others.
+_TABLE_SHARE = 1 / 3
 #: Seconds before a full read when the history is gone; limits the call rate if none is ever kept.
 _REREAD_PAUSE_S = 0.02
 #: Seconds after a restore of the store within which writers repeat the writes that it lost. Rows of
@@ -158,8 +161,13 @@
         return max(self._newest_read_position, self._catch_up.newest_position)
 
     def use_initial_rows(self, rows: Rows) -> None:
-        """Uses a sibling's rows while the store cannot be read, if only the sibling read them."""
+        """Uses a sibling's rows while the store cannot be read, if only the sibling read them.
+
+        Raises:
+            StoreError: If they would leave too little memory for the messages of peers.
+        """
         if self._position is None and rows.version:
+            self._check_size(rows, is_full=True)
             self._journal.log("store", "read by a sibling", table=self._table, rows=len(rows.rows))
             self._apply(rows, is_full=True, reader="a seed")
 
@@ -328,7 +336,7 @@
             return await self._run_cancellable(poll(self._table, after=after, wait_s=0.0))
 
     def _check_size(self, update: Rows, *, is_full: bool) -> None:
-        """Checks that the table leaves memory for the messages of peers.
+        """Checks that all tables together leave memory for the messages of peers.
 
         Raises:
             StoreError: If it does not.
@@ -337,7 +345,12 @@
         for row in update.rows:
             known = None if is_full else self._rows.get(row.key)
             size += (0 if row.removed else row.memory_bytes) - (known.memory_bytes if known else 0)
-        check_table_size(size, max_bytes=max_table_bytes())
+        others_bytes = loop_inputs().memory.used_by_kind.get("tables", 0)
+        if self._memory is not None:
+            others_bytes -= self._memory.size
+        max_bytes = max_table_bytes()
+        own_share = int(_TABLE_SHARE * max_bytes)
+        check_table_size(size, max_bytes=max(own_share, max_bytes - others_bytes))
 
     def _apply(self, update: Rows, *, is_full: bool, reader: str) -> None:
         if self._era is not None and update.era > self._era:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from carawaybank.rows import Position
+from carawaybank.inputs import loop_inputs
+from carawaybank.memory import MemoryBudget
+from carawaybank.rows import Position, Row, Rows, StoreError, max_table_bytes
 from tests.store_world import run_scenario, target_row, wait_until
 
 
@@ -129,3 +131,24 @@
         await wait_until(lambda: world.targets == {"t1", "t2"})
 
     run_scenario(scenario)
+
+
+def test_tables_share_their_memory_and_each_keeps_a_part(monkeypatch):
+    """Guards against tables that each use up the memory, or of which one stops the others."""
+
+    async def scenario(world):
+        memory = MemoryBudget(max_bytes=1_000_000)
+        monkeypatch.setattr(loop_inputs(), "memory", memory)
+        first, second = (world.make_watch(name, lambda _: None) for name in ("one", "two"))
+
+        def rows(count):
+            return Rows([Row(f"k{n}", b"", 1, removed=False) for n in range(count)], 1, era=1)
+
+        most = int(max_table_bytes() / rows(1).rows[0].memory_bytes) - 1
+        first.use_initial_rows(rows(most))
+        with pytest.raises(StoreError, match="bytes of memory"):
+            second.use_initial_rows(rows(most // 2))
+        second.use_initial_rows(rows(most // 3 - 1))
+        assert (first.is_loaded, second.is_loaded) == (True, True)
+
+    run_scenario(scenario)
