Kill VMs of the soak above the memory of the deployment

The soak sampled memory once a second and let such a VM run on, so that it reported one FAULT at most and none of the lost requests.

The event memory_kill is no planned work and no disturbance: the end counts as one by itself. A peak above 0.8 of the limit breaks the new rule MEMORY, and the summary names the largest peak. The case of the test with 300.0 MB of 300 MB was 'limits kept' and is MEMORY now, since the new rule is stricter; the case of kept limits has 240 MB.

--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -5,7 +5,7 @@
 
 from standins.soak.answers import summarize_own_answers
 from standins.soak.history import BROKEN_OFF, History, Violation, load_history
-from standins.soak.lifecycles import find_faults, find_late_readiness
+from standins.soak.lifecycles import find_faults, find_late_readiness, summarize_memory
 from standins.soak.losses import find_excused_cuts, find_losses
 from standins.soak.steering import find_excess_retries, find_late_arrivals, find_stale_configs
 from standins.soak.unanswered import summarize_unanswered
@@ -122,6 +122,7 @@
     lines += [f"  {count:7} {after}" for after, count in sorted(losses.items())]
     lines += summarize_unanswered(history)
     lines += summarize_own_answers(history)
+    lines.append(summarize_memory(history))
     excused = find_excused_cuts(history)
     lines.append("requests cut by a VM that are not counted")
     lines += [
--- a/standins/soak/fleet.py
+++ b/standins/soak/fleet.py
@@ -12,6 +12,7 @@
 from carawaybank.client import ClientConnection, HttpCall
 from standins.soak.launcher import Launcher
 from standins.soak.layout import Layout, Vm
+from standins.soak.memory import MemoryWatch
 from standins.soak.records import Recorder
 
 _POLL_S = 1.0
@@ -40,7 +41,7 @@
         vm: Name and addresses.
         process: The current or last process.
         has_been_ready: Whether the current process has become ready.
-        peak_mb: Largest memory of the current process so far, in megabytes.
+        memory: Memory of the current or last process.
         descriptors: Largest number of open descriptors seen so far.
     """
 
@@ -59,12 +60,13 @@
         self.vm = vm
         self.process: asyncio.subprocess.Process | None = None
         self.has_been_ready = False
-        self.peak_mb = 0.0
+        self.memory: MemoryWatch | None = None
         self.descriptors = 0
         self._planned_end_at = float("inf")
         self._ended_by_itself = asyncio.Event()
         self._layout = layout
         self._grace_s = layout.deployment["bounds"]["graceS"]
+        self._memory_mb = layout.deployment["bounds"]["memoryMb"]
         self._recorder, self._launcher = recorder, launcher
         self._settings = directory / f"{vm.name}.toml"
         self._log = directory / f"{vm.name}.log"
@@ -91,13 +93,14 @@
         self.has_been_ready = False
         self._planned_end_at = float("inf")
         self._ended_by_itself.clear()
-        self.peak_mb, self.descriptors = 0.0, 0
+        self.descriptors = 0
         self._event("start")
         with self._log.open("ab") as log:
             self.process = await self._launcher.start(settings=self._settings, log=log)
         self._started_at = time.monotonic()
         self._pidfd = os.pidfd_open(self.process.pid)
-        self._ended = asyncio.create_task(self._note_end(self.process))
+        self.memory = MemoryWatch(pid=self.process.pid, pidfd=self._pidfd, limit_mb=self._memory_mb)
+        self._ended = asyncio.create_task(self._note_end(self.process, self.memory))
 
     def send(self, number: signal.Signals, *, event: str = "") -> None:
         """Sends a signal to the process if it runs.
@@ -213,25 +216,22 @@
             return 0
 
     async def poll(self) -> None:
-        """Records readiness and samples memory and descriptors, once a second."""
+        """Records readiness and counts descriptors, once a second."""
         while True:
             started_at = time.monotonic()
             status = await self.readiness()
             self._recorder.add("ready", at=started_at, vm=self.vm.name, status=status)
-            self._sample()
+            self._count_descriptors()
             await asyncio.sleep(max(0.0, started_at + _POLL_S - time.monotonic()))
 
-    def _sample(self) -> None:
+    def _count_descriptors(self) -> None:
         if not self.is_running or self.process is None:
             return
-        directory = Path(f"/proc/{self.process.pid}")
+        directory = Path(f"/proc/{self.process.pid}/fd")
         with contextlib.suppress(OSError):  # The process has just ended.
-            lines = (directory / "status").read_text().splitlines()
-            peaks = [int(line.split()[1]) / 1000 for line in lines if line.startswith("VmHWM")]
-            self.peak_mb = max([self.peak_mb, *peaks])
-            self.descriptors = max(self.descriptors, len(list((directory / "fd").iterdir())))
+            self.descriptors = max(self.descriptors, len(list(directory.iterdir())))
 
-    async def _note_end(self, process: asyncio.subprocess.Process) -> None:
+    async def _note_end(self, process: asyncio.subprocess.Process, memory: MemoryWatch) -> None:
         pidfd, ended_at = self._pidfd, list[float]()
         # A thread sees the end on time also while the event loop is late.
         watch = threading.Thread(target=_watch_end, args=(pidfd, ended_at), daemon=True)
@@ -241,6 +241,10 @@
         at = min([*ended_at, time.monotonic()])
         os.close(pidfd)
         is_planned = self._planned_end_at <= at
+        if memory.killed_at is not None:
+            self._recorder.add(
+                "event", at=memory.killed_at, event="memory_kill", vm=self.vm.name, pid=process.pid
+            )
         self._recorder.add(
             "event",
             at=at,
@@ -249,7 +253,7 @@
             pid=process.pid,
             status=status,
             expected=is_planned,
-            peak_mb=round(self.peak_mb, 1),
+            peak_mb=round(memory.peak_mb, 1),
             descriptors=self.descriptors,
         )
         if not is_planned:
--- a/standins/soak/lifecycles.py
+++ b/standins/soak/lifecycles.py
@@ -1,4 +1,4 @@
-"""FAULT, KILL, and readiness after a stop: how processes start, run and end."""
+"""FAULT, KILL, MEMORY, and readiness after a stop: how processes start, run and end."""
 
 from collections.abc import Iterable
 
@@ -7,12 +7,16 @@
 #: Longest time from the start of a process to its readiness, in seconds.
 MAX_START_S = 20.0
 
+#: Share of the limit above which the largest memory of a process is a finding. The platform counts
+#: bytes that have been received and not read, which the process's own memory does not hold.
+MAX_MEMORY_SHARE = 0.8
+
 #: Time after SIGTERM at which stopping VMs may no longer count as ready, in seconds.
 MAX_READY_AFTER_STOP_S = 4.0
 
 
 def find_faults(history: History) -> Iterable[Violation]:
-    """FAULT, KILL: finds processes that end by themselves, start or stop badly, or use too much."""
+    """FAULT, KILL, MEMORY: finds processes that end, start or stop badly, or use too much."""
     for event in history.find_events("exit"):
         yield from _check_exit(history, event)
     for event in history.find_events("start"):
@@ -42,6 +46,15 @@
     return odd
 
 
+def summarize_memory(history: History) -> str:
+    """Returns a line with the largest memory of a VM and the kills above the limit."""
+    ends = [end for end in history.find_events("exit") if end.peak_mb is not None]
+    largest = max(ends, key=lambda end: end.peak_mb or 0.0, default=None)
+    kills = len(history.find_events("memory_kill"))
+    peak = f"{largest.peak_mb:.1f} MB at {largest.vm}" if largest else "not known"
+    return f"largest memory {peak}, of {history.bounds.memoryMb:g} MB; {kills} killed above it"
+
+
 def find_late_readiness(history: History) -> Iterable[Violation]:
     """Finds stopping VMs that count as ready too long, if they are over a quarter."""
     ready, late = [], []
@@ -70,6 +83,11 @@
         yield _fault(end, f"ended by itself with status {end.status}")
     if end.peak_mb is not None and end.peak_mb > bounds.memoryMb:
         yield _fault(end, f"peak memory {end.peak_mb:.1f} MB of {bounds.memoryMb:g} MB")
+    elif end.peak_mb is not None and end.peak_mb > MAX_MEMORY_SHARE * bounds.memoryMb:
+        what = (
+            f"peak memory {end.peak_mb:.1f} MB, over {MAX_MEMORY_SHARE:g} of {bounds.memoryMb:g} MB"
+        )
+        yield _violation("MEMORY", end, what)
     if end.descriptors is not None and end.descriptors > bounds.maxFds:
         yield _fault(end, f"{end.descriptors} descriptors of {bounds.maxFds}")
 
--- a/tests/standins/test_soak_lifecycles.py
+++ b/tests/standins/test_soak_lifecycles.py
@@ -1,4 +1,4 @@
-"""FAULT, KILL and readiness in a soak: planted faults, and what the rules allow."""
+"""FAULT, KILL, MEMORY and readiness in a soak: planted faults, and what the rules allow."""
 
 import pytest
 
@@ -13,7 +13,7 @@
 
 
 class TestFaults:
-    """FAULT, KILL, and readiness after a stop."""
+    """FAULT, KILL, MEMORY, and readiness after a stop."""
 
     @pytest.mark.parametrize(
         ("events", "rules"),
@@ -115,7 +115,12 @@
                 id="descriptors",
             ),
             pytest.param(
-                [(50, "SIGKILL", {}), (50, "exit", {"peak_mb": 300.0, "descriptors": 4100})],
+                [(50, "SIGKILL", {}), (50, "exit", {"peak_mb": 300.0})],
+                ["MEMORY"],
+                id="most of the memory",
+            ),
+            pytest.param(
+                [(50, "SIGKILL", {}), (50, "exit", {"peak_mb": 240.0, "descriptors": 4100})],
                 [],
                 id="limits kept",
             ),
