Let targets, callers and the store of the soak send without end

The mixes endless, endless_callers and endless_store draw forms and speeds of standins/floods.py. Callers and a gate before the store run in a process of their own, so that neither the load nor the reports of targets wait for them. A run whose response has no end counts as broken off by its target when that response begins; a 504 at the end of its time as a timeout. Requests that send without end have a path of their own and are not recorded.

--- a/standins/floods.py
+++ b/standins/floods.py
@@ -114,9 +114,10 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
-    async def start(self, host: str = "127.0.0.1") -> str:
-        """Listens, and returns the address."""
-        self._server = await asyncio.start_server(self._serve, host, 0)
+    async def start(self, address: str = "127.0.0.1:0") -> str:
+        """Listens at an address and returns it with the port in use."""
+        host, _, number = address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(number))
         name, port = self._server.sockets[0].getsockname()[:2]
         return f"{name}:{port}"
 
@@ -126,6 +127,12 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    def recover(self) -> None:
+        """Responds as a sound peer from now on; open connections are closed."""
+        self.form = None
+        for writer in self._writers:
+            writer.transport.abort()
+
     def close(self) -> None:
         """Closes the listener and all connections."""
         if self._server is not None:
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -11,7 +11,8 @@
                       odd_stops, boot, kills, signals, configs, starts, freezes, leaves,
                       evacuations, store, herd, busy_hosts, odd_configs, settings, give_up,
                       retry_abuse, burst, shift, garble, crashes, slow_targets, release,
-                      slow_store, lost_answers, links, all
+                      slow_store, lost_answers, links, endless, endless_callers,
+                      endless_store, all
                       [default: stops].
   --links             Delay what passes over links, as the deployment's file says.
   --store-limits      Give the store the times and rates of the deployment's file.
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -2,9 +2,11 @@
 
 import math
 import random
+from collections.abc import Callable
 
 from standins.soak.boots import draw_boots
 from standins.soak.configurations import CHANGES, INVALID
+from standins.soak.endless import draw_endless, draw_endless_callers, draw_endless_store
 from standins.soak.history import MAX_BUSY_PAUSE_S
 from standins.soak.layout import TROUBLES, Layout, Trouble
 from standins.soak.odd_stops import draw_odd_stops
@@ -14,6 +16,7 @@
     "stops", "kills", "signals", "starts", "freezes", "configs", "leaves", "evacuations", "store",
     "herd", "busy_hosts", "odd_configs", "settings", "give_up", "retry_abuse", "burst", "shift",
     "garble", "crashes", "slow_targets", "release", "slow_store", "lost_answers", "links",
+    "endless", "endless_callers", "endless_store",
 )  # fmt: skip
 #: Other ways to stop VMs, which take the place of "stops" and do not belong to "all".
 _OTHER_STOPS = ("starved", "late_stops", "stop_pairs", "odd_stops")
@@ -77,7 +80,7 @@
 
     def draw(self, name: str) -> list[Fault]:
         places = [place["name"] for place in self._layout.deployment["places"]]
-        draws = {
+        draws: dict[str, Callable[[], list[Fault]]] = {
             "none": list[Fault],
             "stops": lambda: self._stops("stop"),
             "starved": lambda: self._stops("starved_stop"),
@@ -110,12 +113,18 @@
             "slow_store": lambda: self._series("store_slow", [""], 1, _STORE_FAULT_S),
             "lost_answers": self._lost_answers,
             "links": self._links,
+            "endless": lambda: self._endless(draw_endless, 2),
+            "endless_callers": lambda: self._endless(draw_endless_callers, 2),
+            "endless_store": lambda: self._endless(draw_endless_store, 1),
         }
         return draws[name]()
 
     def _time(self) -> float:
         return self._rng.uniform(_FIRST_S, max(_FIRST_S + 1.0, self._seconds - _LAST_S))
 
+    def _endless(self, draw: Callable[..., list[Fault]], count: int) -> list[Fault]:
+        return draw(self._layout, rng=self._rng, times=[self._time() for _ in range(count)])
+
     def _stops(self, kind: str) -> list[Fault]:
         count = min(self._layout.deployment["stops"], len(self._vms))
         chosen = self._rng.sample(self._vms, count)
--- a/standins/soak/history.py
+++ b/standins/soak/history.py
@@ -7,8 +7,11 @@
 from pathlib import Path
 from typing import Any, NamedTuple, TypeVar
 
+#: Outcome of a run whose response has no end; the run ends when that response begins.
+ENDLESS = "endless"
+
 #: Outcomes of runs in which the target itself ended the exchange without its whole response.
-BROKEN_OFF = frozenset({"cut", "crashed", "killed", "reset"})
+BROKEN_OFF = frozenset({"cut", "crashed", "killed", "reset", ENDLESS})
 
 #: Outcome of a run that a target gave up because the VM closed the connection.
 DROPPED = "dropped"
@@ -23,7 +26,9 @@
 _OWN_END_SLACK_S = 1.0
 
 _LINK_FAULTS = frozenset({"cut", "delay", "reset", "silence"})
-_STORE_FAULTS = frozenset({"store_away", "store_restart", "store_slow", "store_lost"})
+_STORE_FAULTS = frozenset(
+    {"store_away", "store_restart", "store_slow", "store_lost", "store_endless"}
+)
 
 
 class Request(NamedTuple):
--- a/standins/soak/layout.py
+++ b/standins/soak/layout.py
@@ -17,6 +17,7 @@
 HOST = "ficu95.example"
 TARGET_PORT = 20_000
 _FRONT, _READY, _DIRECTORY, _SIBLING, _STORE, _CONTROL, _METRICS = range(8100, 8107)
+_STORE_GATE = 8107
 
 
 class Place(TypedDict):
@@ -230,16 +231,23 @@
     Attributes:
         deployment: The deployment.
         network: First three numbers of all IP addresses.
+        has_store_gate: Whether VMs reach the store through a gate.
     """
 
     deployment: Deployment
     network: str
+    has_store_gate: bool = False
 
     @property
     def store_address(self) -> str:
         """Address of the store."""
         return f"{self.network}.1:{_STORE}"
 
+    @property
+    def vms_store_address(self) -> str:
+        """Address at which VMs reach the store."""
+        return f"{self.network}.1:{_STORE_GATE}" if self.has_store_gate else self.store_address
+
     @property
     def sites(self) -> dict[str, Site]:
         """Failure domain and region of each failure domain by its name."""
@@ -327,7 +335,7 @@
                 f"metrics_port = {_METRICS}",
                 "cpu_share = 0.86\ncores = 1\nlink_mbps = 1000.0",
                 f"[siblings]\nseeds = [{seeds}]",
-                f'[store]\naddress = "{self.store_address}"',
+                f'[store]\naddress = "{self.vms_store_address}"',
                 "[regions]",
                 *regions,
                 "[contracts]",
--- a/standins/soak/links.py
+++ b/standins/soak/links.py
@@ -184,6 +184,10 @@
         """Sets the limits of the socket's transport."""
         self._transport.set_write_buffer_limits(high, low)
 
+    def get_write_buffer_size(self) -> int:
+        """Returns the bytes on their way to the VM and those that the socket has not taken."""
+        return self._link.outbound.pending_bytes + self._transport.get_write_buffer_size()
+
     def is_reading(self) -> bool:
         """Returns whether bytes of the VM are taken from the socket."""
         return self._transport.is_reading()
--- a/standins/soak/losses.py
+++ b/standins/soak/losses.py
@@ -4,7 +4,16 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from standins.soak.history import BROKEN_OFF, DROPPED, Event, History, Request, Run, Violation
+from standins.soak.history import (
+    BROKEN_OFF,
+    DROPPED,
+    ENDLESS,
+    Event,
+    History,
+    Request,
+    Run,
+    Violation,
+)
 
 #: Losses of a kept connection apart from planned work that the rule tolerates in a run.
 MAX_LOSSES_ANYTIME = 3
@@ -59,9 +68,12 @@
         request.vm, request.sent_at - history.bounds.stable_s, request.ended_at
     ):
         return "unplanned disturbance from stableMs before the request to its end"
-    if runs and _broke_off(history, request):
-        return "the server broke off"
     budget_s = history.budget_of(request)
+    # A response without end is broken off when it begins; a VM may read it until its time is up.
+    is_timeout = request.status == 504 and age_s >= budget_s
+    is_read_on = is_timeout and bool(runs) and runs[-1].outcome == ENDLESS
+    if runs and not is_read_on and _broke_off(history, request):
+        return "the server broke off"
     if age_s >= budget_s:
         return "the time budget or the route's timeout was reached"
     if not _was_passed_on(history, request) and _waits_behind_another(history, request):
--- a/standins/soak/records.py
+++ b/standins/soak/records.py
@@ -28,7 +28,8 @@
         how: Variety of the kind.
         share: Share of what is concerned to which the fault applies.
         x: Size of the fault: a factor, a share of responses or a limit, by its kind.
-        place: Failure domain to which callers move.
+        place: Failure domain to which callers move, or class that they ask for.
+        count: Number of connections.
     """
 
     at: float
@@ -42,6 +43,7 @@
     share: NotRequired[float]
     x: NotRequired[float]
     place: NotRequired[str]
+    count: NotRequired[int]
 
 
 class Plan(NamedTuple):
@@ -76,6 +78,11 @@
         """Planned faults of links."""
         return [fault for fault in self.faults if fault["kind"] in LINK_FAULTS]
 
+    @property
+    def has_store_gate(self) -> bool:
+        """Whether VMs reach the store through a gate, which answers without end at times."""
+        return any(fault["kind"] == "endless_store" for fault in self.faults)
+
     @property
     def store_limits(self) -> StoreLimits | None:
         """What calls of the store take, and how many it bears; None for no limits."""
@@ -86,7 +93,7 @@
     @property
     def layout(self) -> Layout:
         """Addresses of all processes."""
-        return Layout(self.deployment, self.network)
+        return Layout(self.deployment, self.network, self.has_store_gate)
 
     def write(self, directory: Path) -> None:
         """Writes the plan for the other processes."""
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -15,6 +15,7 @@
 from standins.rowstore import RowStore
 from standins.soak.boots import FIRST_START, boot, start_first
 from standins.soak.configurations import Operator
+from standins.soak.endless import CALLERS, STORE
 from standins.soak.fleet import StopPause, VmProcess
 from standins.soak.launcher import Launcher
 from standins.soak.odd_stops import stop_oddly
@@ -123,6 +124,8 @@
         hosts = [await self._help("targets", number) for number in range(self._plan.hosts)]
         loaders = [await self._help("load", number) for number in range(self._plan.loaders)]
         self._hosts, self._loaders = hosts, loaders
+        if any(fault["kind"] in {CALLERS, STORE} for fault in self._plan.faults):
+            await self._help("flooder", 0)
         await asyncio.sleep(1.0)
         self._supervisors = [asyncio.create_task(supervise(vm)) for vm in self._vms.values()]
         firsts = [fault for fault in self._plan.faults if fault["kind"] == FIRST_START]
--- a/standins/soak/targets.py
+++ b/standins/soak/targets.py
@@ -20,6 +20,8 @@
 import httptools
 
 from standins.soak.chunks import encode_chunks
+from standins.soak.endless import Flood, is_endless, make_flood, send_response
+from standins.soak.history import ENDLESS
 from standins.soak.layout import RequestClass, Service, Target
 from standins.soak.records import Fault, Plan, Recorder
 from standins.soak.rows import write_rows
@@ -38,7 +40,7 @@
 _EXTRA_LATE_S = 0.3
 #: Replacements of a release listen at ports of their own.
 _REPLACEMENT_PORTS = 1000
-_FAULTS = frozenset({"leave", "replace", "garble", "srv_slow", "srv_crash"})
+_FAULTS = frozenset({"leave", "replace", "garble", "srv_slow", "srv_crash", "endless"})
 
 
 class Response(NamedTuple):
@@ -48,11 +50,13 @@
         data: Bytes of the response.
         is_last: Whether the target ends the connection behind it.
         extra: Bytes of a second response, which the target sends late; empty for none.
+        flood: What the target sends without end in place of a response, if anything.
     """
 
     data: bytes
     is_last: bool = False
     extra: bytes = b""
+    flood: Flood | None = None
 
 
 def accept_directly(protocol: asyncio.Protocol) -> asyncio.Protocol:
@@ -73,6 +77,7 @@
         warmth: Objects on which it works faster, and its cold time.
         garbles: Share of responses by the way in which they go wrong.
         slow_factor: Factor of the work.
+        flood: How it answers without end, if it does.
         is_crashed: Whether the process has crashed and not come back.
     """
 
@@ -105,6 +110,7 @@
         self.warmth = Warmth(service=service, started_at=time.monotonic())
         self.garbles: dict[str, float] = {}
         self.slow_factor = 1.0
+        self.flood: Flood | None = None
         self.is_crashed = False
         self._crashed_at = 0.0
         self._service, self._seed = service, seed
@@ -134,6 +140,13 @@
         for connection in list(self._connections):
             connection.reset()
 
+    def end_flood(self) -> None:
+        """Answers as before, and resets the connections with a response without end."""
+        self.flood = None
+        for connection in list(self._connections):
+            if connection.is_flooding:
+                connection.reset()
+
     async def restart(self) -> None:
         """Starts again under the same name, cold and without knowledge of before."""
         self.is_crashed = False
@@ -165,6 +178,11 @@
         share = self.garbles.get(how, 0.0)
         return share > 0.0 and self.rng.random() < share
 
+    def draw_flood(self) -> Flood | None:
+        """Returns how the target answers without end, if it does."""
+        is_drawn = self.flood is not None and self.rng.random() < self.flood.share
+        return self.flood if is_drawn else None
+
     def row(self) -> dict[str, object]:
         """Returns the next content of the target's row."""
         self.seq += 1
@@ -203,11 +221,13 @@
             self._slots.release()
 
     def _reject(self, request: "_Request", status: int) -> Response:
-        if request.path != "/healthz":
-            self._record(request, time.monotonic(), status, "rejected")
+        self._record(request, time.monotonic(), status, "rejected")
         return self._encode(request, status, _NOT_RUN)
 
     async def _run(self, request: "_Request") -> Response:
+        if (flood := self.draw_flood()) is not None:
+            self._record(request, time.monotonic(), 0, ENDLESS)
+            return Response(b"", flood=flood)
         if request.path == "/healthz":
             await asyncio.sleep(0.006)
             headers = {"X-Carawaybank-Cold-Ms": str(self._cold_left_ms())}
@@ -244,6 +264,9 @@
     def _record(
         self, request: "_Request", started_at: float, status: int, outcome: str, **more: bool
     ) -> None:
+        """Records an arrival, unless no caller records the request."""
+        if request.path == "/healthz" or is_endless(request.path):
+            return
         self.recorder.add(
             "run",
             id=request.headers.get(_ID, ""),
@@ -318,6 +341,7 @@
         self._running: asyncio.Task[None] | None = None
         self._idle: asyncio.TimerHandle | None = None
         self._extra = b""
+        self.is_flooding = False
 
     def reset(self) -> None:
         """Ends the connection at once."""
@@ -387,6 +411,11 @@
         if request.is_early:
             transport.pause_reading()
         response = await self._server.respond(request)
+        if response.flood is not None:
+            self.is_flooding = True
+            await send_response(transport, response.flood)
+            self._received.clear()
+            return
         transport.write(response.data)
         if response.is_last:
             transport.close()
@@ -460,6 +489,16 @@
     server.recorder.event("garble_end", target=server.target.name, how=fault["how"])
 
 
+async def _flood(server: TargetServer, fault: Fault) -> None:
+    """Lets a target answer without end for some time."""
+    server.flood = make_flood(fault)
+    values = {name: fault[name] for name in ("how", "x", "share")}
+    server.recorder.event("endless", target=server.target.name, **values)
+    await asyncio.sleep(fault["for_s"])
+    server.end_flood()
+    server.recorder.event("endless_end", target=server.target.name)
+
+
 async def _slow_down(server: TargetServer, fault: Fault) -> None:
     """Lets a target work slowly for some time."""
     server.slow_factor = fault["x"]
@@ -505,8 +544,10 @@
     elif fault["kind"] == "replace":
         await _replace(server, fault, plan, servers)
     else:
-        inject = {"garble": _garble, "srv_slow": _slow_down, "srv_crash": _crash}[fault["kind"]]
-        await inject(server, fault)
+        inject = {
+            "garble": _garble, "srv_slow": _slow_down, "srv_crash": _crash, "endless": _flood,
+        }  # fmt: skip
+        await inject[fault["kind"]](server, fault)
 
 
 async def _host(directory: Path, number: int) -> None:
