--- a/standins/soak/endless.py
+++ b/standins/soak/endless.py
@@ -41,7 +41,7 @@
 
 
 def draw_endless(layout: Layout, *, rng: random.Random, times: list[float]) -> list[Fault]:
-    """Draws targets that answer without end: one at a time, and at last a third of all.
+    """Draws targets that answer without end: one at a time, and once a third of all.
 
     Args:
         layout: The deployment.
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -87,9 +87,10 @@
     places = {place["name"] for place in layout.deployment["places"]}
     targets = {target.name for target in layout.targets}
     subjects = {"evacuate": places, "leave": targets, "host_pause": targets}
-    of_targets = "garble", "srv_crash", "srv_slow", "replace"
+    of_targets = "garble", "srv_crash", "srv_slow", "replace", "endless"
     subjects |= {"shift": places, **dict.fromkeys(of_targets, targets)}
     of_none = "config", "invalid_config", "store_away", "store_slow", "store_lost", "kill_all"
+    of_none = *of_none, "endless_store"
     subjects |= {kind: {""} for kind in (*of_none, "give_up", "retry_abuse", "burst")}
     vms = {vm.name for vm in layout.vms}
     assert all(fault["subject"] in subjects.get(fault["kind"], vms) for fault in faults)
--- a/tests/standins/test_soak_memory.py
+++ b/tests/standins/test_soak_memory.py
@@ -32,9 +32,7 @@
     """Guards against a VM that a machine of the platform would end and that the soak keeps."""
 
     async def play():
-        async with run_vm(
-            tmp_path, "x = []\nwhile len(x) < 900: x.append(b'x' * 1_000_000)"
-        ) as vm:
+        async with run_vm(tmp_path, "x = []\nwhile len(x) < 900: x.append(b'x' * 1_000_000)") as vm:
             await wait_for_end(vm)
 
     asyncio.run(play())
