--- a/src/carawaybank/callers/requests.py
+++ b/src/carawaybank/callers/requests.py
@@ -155,7 +155,7 @@
             start += HEAD_STEP_BYTES
         self._feed(data[start:] if start else data)
 
-    def _feed(self, data: bytes) -> None:
+    def _feed(self, data: bytes | memoryview) -> None:
         heads = self._head_count if self.is_in_head else None
         self._max_body_bytes = self._limits().body_bytes
         self._framing.record(read_bytes=len(data), body_bytes=0)
--- a/src/carawaybank/replies.py
+++ b/src/carawaybank/replies.py
@@ -120,7 +120,7 @@
             start += HEAD_STEP_BYTES
         self._feed(data[start:] if start else data)
 
-    def _feed(self, data: bytes) -> None:
+    def _feed(self, data: bytes | memoryview) -> None:
         if self.problem:
             return
         if self.has_partial_reply and not self._has_head:
