Read the first bytes of a large response, and keep the largest size of a table

Pages of the store without end have their limit of 64 MB again where the process has no limit of memory: test_pages_without_end_count_as_a_failure_of_the_store failed.

--- a/src/carawaybank/replies.py
+++ b/src/carawaybank/replies.py
@@ -202,10 +202,10 @@
         else:
             self._finish(closes=self._must_close or not self._parser.should_keep_alive())
 
-    def _is_protocol_known(self, data: bytes) -> bool:
+    def _is_protocol_known(self, data: bytes | memoryview) -> bool:
         """Returns whether the first bytes of the exchange can be those of a response."""
         # The parser skips empty lines before a response.
-        first = data if self._protocol else data.lstrip(b"\r\n")
+        first = bytes(data) if self._protocol else bytes(data).lstrip(b"\r\n")
         self._protocol = (self._protocol + first[: len(_PROTOCOL)])[: len(_PROTOCOL)]
         return _PROTOCOL.startswith(self._protocol)
 
--- a/src/carawaybank/rows.py
+++ b/src/carawaybank/rows.py
@@ -7,6 +7,8 @@
 
 #: Rows that a table may have. Deployments have a few thousand.
 MAX_TABLE_ROWS = 50_000
+#: Bytes of memory that tables use at most, whatever the memory of the process.
+_MAX_TABLE_BYTES = 64_000_000
 #: Memory of a row beside its value, with what is decoded from it.
 _ROW_BYTES = 1_000
 #: Fraction of the memory of all messages that all tables may use. A table that is read uses its
@@ -58,7 +60,7 @@
 
 def max_table_bytes() -> int:
     """Returns the bytes of memory that tables may use, so that some is left for other peers."""
-    return int(loop_inputs().memory.max_bytes * _TABLE_FRACTION)
+    return min(_MAX_TABLE_BYTES, int(loop_inputs().memory.max_bytes * _TABLE_FRACTION))
 
 
 def check_table_size(size: int, *, max_bytes: int) -> None:
