--- a/src/carawaybank/platform/store.py
+++ b/src/carawaybank/platform/store.py
@@ -19,7 +19,6 @@
     Row,
     Rows,
     StoreError,
-    check_table_size,
     max_table_bytes,
 )
 from carawaybank.verdicts import Reason
@@ -75,7 +74,7 @@
 
         Raises:
             StoreError: If a call fails, the store is restored from a backup between two pages, or
-                its pages do not end or use too much memory.
+                its pages do not end within the memory of tables.
         """
         rows: list[Row] = []
         size = 0
@@ -88,7 +87,6 @@
             page_rows = [_decode_row(wire_row) for wire_row in page.get("rows", [])]
             rows += page_rows
             size += sum(row.memory_bytes for row in page_rows)
-            check_table_size(size, max_bytes=max_table_bytes())
             first_position = first_position or Position(_read_era(reply), page.get("ver", 0))
             if _read_era(reply) != first_position.era:
                 raise StoreError(
@@ -96,7 +94,7 @@
                 )
             if not page.get("hasMore") or not rows:
                 return Rows(rows, first_position.version, era=first_position.era)
-            if rows[-1].key == last_key:
+            if rows[-1].key == last_key or size > max_table_bytes():
                 raise StoreError(message=f"its pages do not end, after {len(rows)} rows")
             query["from"] = rows[-1].key + "\x00"
 
