Count open connections from the first byte, and keep a body of one piece without a buffer

A connection of 8 KB was below the step from which a holder is counted, so that idle connections counted for nothing.

--- a/src/carawaybank/buffers.py
+++ b/src/carawaybank/buffers.py
@@ -75,17 +75,22 @@
     def __init__(self) -> None:
         """Starts empty."""
         self._large: list[bytes] = []
-        self._small = io.BytesIO()
+        self._small: io.BytesIO | None = None
         #: Bytes of the body.
         self.size = 0
 
     def append(self, piece: bytes) -> None:
         """Adds bytes."""
+        is_first = not self.size
         self.size += len(piece)
-        if len(piece) >= _LARGE_PIECE_BYTES:
+        if is_first or len(piece) >= _LARGE_PIECE_BYTES:
             self._join_small()
             self._large.append(piece)
-        elif self._small.write(piece) and self._small.tell() >= _JOINED_BYTES:
+            return
+        if self._small is None:
+            self._small = io.BytesIO()
+        self._small.write(piece)
+        if self._small.tell() >= _JOINED_BYTES:
             self._join_small()
 
     def take(self) -> bytes:
@@ -97,15 +102,13 @@
 
     def clear(self) -> None:
         """Empties the buffer."""
-        self._large = []
-        if self._small.tell():
-            self._small = io.BytesIO()
-        self.size = 0
+        if self.size:
+            self._large, self._small, self.size = [], None, 0
 
     def _join_small(self) -> None:
-        if self._small.tell():
+        if self._small is not None:
             self._large.append(self._small.getvalue())
-            self._small = io.BytesIO()
+            self._small = None
 
 
 class BufferBudget:
--- a/src/carawaybank/inputs.py
+++ b/src/carawaybank/inputs.py
@@ -20,7 +20,7 @@
 _READ_GROWTH = 4
 #: Seconds that a piece of a message takes, such as a chunk.
 _PIECE_S = 1e-6
-#: Seconds of work in one read from which a connection reads on in turn with others of its kind.
+#: Seconds of work in one read from which a connection reads on in turn with others.
 _MAX_WORK_S = 0.25e-3
 #: Seconds of such work in one round of the event loop.
 _ROUND_S = 1e-3
--- a/src/carawaybank/memory.py
+++ b/src/carawaybank/memory.py
@@ -96,7 +96,7 @@
         """
         grown_by = size - self.size
         self.unfinished_size = unfinished_size
-        if size and -_STEP_BYTES < grown_by < _STEP_BYTES:
+        if self.size and size and -_STEP_BYTES < grown_by < _STEP_BYTES:
             return
         self.size = size
         if grown_by:
--- a/src/carawaybank/replies.py
+++ b/src/carawaybank/replies.py
@@ -114,6 +114,9 @@
 
     def feed(self, data: bytes | memoryview) -> None:
         """Parses bytes from the peer; ignores them after a failure, see ``problem``."""
+        if len(data) <= HEAD_STEP_BYTES:
+            self._feed(data)
+            return
         start = 0
         while len(data) - start > HEAD_STEP_BYTES and not self._has_head and not self.problem:
             self._feed(data[start : start + HEAD_STEP_BYTES])
