Write a large response without copying its body

A response existed four times while it was written: received, joined with its head, as the rest that the kernel had not taken, and in the transport's buffer. The body is now passed to the transport as a view behind the head.

--- a/src/carawaybank/callers/backlog.py
+++ b/src/carawaybank/callers/backlog.py
@@ -122,7 +122,7 @@
         """
         return self._transport.get_write_buffer_size() + count_unacknowledged_bytes(self._transport)
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | memoryview) -> None:
         """Writes data to the transport."""
         self._written_bytes += len(data)
         self._transport.write(data)
--- a/src/carawaybank/callers/connections.py
+++ b/src/carawaybank/callers/connections.py
@@ -21,7 +21,7 @@
 from carawaybank.callers.exchanges import Exchange
 from carawaybank.callers.lingering import LingeringClose, close_now
 from carawaybank.callers.requests import CallerRequest, InvalidRequestError, RequestParser
-from carawaybank.callers.responses import encode_response
+from carawaybank.callers.responses import encode_segments
 from carawaybank.inputs import InputReader
 from carawaybank.memory import MemoryHolder
 from carawaybank.replies import HttpReply
@@ -513,12 +513,13 @@
         assert backlog is not None
         is_head = exchange.request is not None and exchange.request.method == "HEAD"
         try:
-            data = encode_response(reply, is_head=is_head, must_close=must_close)
+            segments = encode_segments(reply, is_head=is_head, must_close=must_close)
         except Exception as error:
             # Without a response, the caller would take the next one for the response to this.
             failure = self._report_failure(error)
-            data = encode_response(failure, is_head=is_head, must_close=must_close)
-        backlog.write(data)
+            segments = encode_segments(failure, is_head=is_head, must_close=must_close)
+        for segment in segments:
+            backlog.write(segment)
 
     def _send_continue(self) -> None:
         """Sends ``100 Continue`` if the caller waits for it and no earlier response is pending."""
--- a/src/carawaybank/callers/responses.py
+++ b/src/carawaybank/callers/responses.py
@@ -7,10 +7,19 @@
 
 #: Statuses whose responses have neither a body nor a Content-Length header.
 _BODILESS_STATUSES = frozenset({204, 304})
+#: Bytes of a body that is sent together with its head.
+_COPIED_BYTES = 65_536
 
 
 def encode_response(reply: HttpReply, *, is_head: bool, must_close: bool) -> bytes:
-    """Returns the bytes of a response.
+    """Returns the bytes of a response; see :func:`encode_segments`."""
+    return b"".join(encode_segments(reply, is_head=is_head, must_close=must_close))
+
+
+def encode_segments(
+    reply: HttpReply, *, is_head: bool, must_close: bool
+) -> tuple[bytes | memoryview, ...]:
+    """Returns the bytes of a response in one or two segments, so that a large body is not copied.
 
     Args:
         reply: The response.
@@ -30,7 +39,10 @@
         lines.append("connection: close")
     head = "\r\n".join(lines)
     body = b"" if is_head or reply.status in _BODILESS_STATUSES else reply.body
-    return f"{head}\r\n\r\n".encode("latin-1") + body
+    encoded_head = f"{head}\r\n\r\n".encode("latin-1")
+    if len(body) <= _COPIED_BYTES:
+        return (encoded_head + body,)
+    return encoded_head, memoryview(body)
 
 
 @functools.cache
