--- a/src/carawaybank/daemon.py
+++ b/src/carawaybank/daemon.py
@@ -92,7 +92,6 @@
         seed = random.SystemRandom().getrandbits(64)
         self.host = Host(settings=settings, incarnation=start, seed=seed)
         self._counters = Counters()
-        self._bound_memory()
         self._metrics = Exposition(
             vm=settings.vm,
             counters=self._counters,
@@ -142,6 +141,7 @@
             ListenError: If an address is already in use; nothing has been started then.
         """
         self._log.info("Starting with process id {}", os.getpid())
+        self._bound_memory()
         servers = await self._listen()
         self._sibling_task.start()
         self._platform_poller.start()
--- a/src/carawaybank/siblings/relays.py
+++ b/src/carawaybank/siblings/relays.py
@@ -36,8 +36,7 @@
 MAX_RELAYED_BYTES = 32_000_000
 #: Maximum size in bytes of a result, which contains a whole response of a target.
 _MAX_RESULT_BYTES = 17_000_000
-#: Headers of a message that is passed on, or targets that it names. Three bytes may become a header
-#: of 64 bytes of memory.
+#: Headers or targets of a message that is passed on. Three bytes may become 64 bytes of memory.
 _MAX_ELEMENTS = 20_000
 #: Bytes of a sibling's error that are logged.
 _MAX_LOGGED_BYTES = 200
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -175,7 +175,7 @@
 class Responses:
     """What the reader of responses makes of pieces."""
 
-    def __init__(self, pieces, *, method):
+    def __init__(self, *, pieces, method):
         self.reader = ReplyReader(method=method)
         self.received = self.pieces = 0
         for piece in pieces:
@@ -199,7 +199,7 @@
 class Requests:
     """What the reader of requests makes of pieces."""
 
-    def __init__(self, pieces, *, limits=Limits):
+    def __init__(self, *, pieces, limits=Limits):
         self.requests = []
         self.status = None
         self.parser = RequestParser(limits=limits, on_request=self.requests.append)
@@ -238,10 +238,10 @@
 
     def test_a_response_is_not_read(self, version, coding):
         data = make_twice_coded(f"HTTP/{version} 200 OK", coding)
-        assert not Responses([data], method="GET").replies
+        assert not Responses(pieces=[data], method="GET").replies
 
     def test_a_request_is_refused(self, version, coding):
-        request = Requests([make_twice_coded(f"POST /a HTTP/{version}", coding)])
+        request = Requests(pieces=[make_twice_coded(f"POST /a HTTP/{version}", coding)])
         assert not request.read
         assert request.status in {400, 501}
 
@@ -253,9 +253,9 @@
 def test_responses_are_read_alike_however_they_are_cut(parts, method, sizes):
     """Guards against a response that depends on the segments in which it arrives."""
     data = b"".join(parts)
-    whole = Responses([data], method=method).verdict
-    assert Responses(split(data, sizes), method=method).verdict == whole
-    assert Responses(split(data, [1]), method=method).verdict == whole
+    whole = Responses(pieces=[data], method=method).verdict
+    assert Responses(pieces=split(data, sizes), method=method).verdict == whole
+    assert Responses(pieces=split(data, [1]), method=method).verdict == whole
 
 
 @settings(max_examples=1000)
@@ -267,7 +267,7 @@
 def test_no_response_is_read_that_a_strict_reading_does_not_have(parts, method, sizes):
     """Guards against a body that is not the target's, and a response of another request."""
     data = b"".join(parts)
-    replies = Responses(split(data, sizes), method=method).used
+    replies = Responses(pieces=split(data, sizes), method=method).used
     assert replies == read_responses(data, method=method)[: len(replies)]
 
 
@@ -277,9 +277,9 @@
 def test_requests_are_read_alike_however_they_are_cut(parts, bodies, sizes):
     """Guards against a request that depends on the segments in which it arrives."""
     data = b"".join(parts + bodies)
-    whole = Requests([data]).verdict
-    assert Requests(split(data, sizes)).verdict == whole
-    assert Requests(split(data, [1])).verdict == whole
+    whole = Requests(pieces=[data]).verdict
+    assert Requests(pieces=split(data, sizes)).verdict == whole
+    assert Requests(pieces=split(data, [1])).verdict == whole
 
 
 @settings(max_examples=1000)
@@ -289,7 +289,7 @@
     """Guards against smuggling by sizes of chunks, extensions and trailers."""
     head = b"\r\n".join([b"POST /a HTTP/1.1", b"Host: a", line, other, b"", b""])
     data = head + body + b"GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n"
-    read = Requests(split(data, sizes)).read
+    read = Requests(pieces=split(data, sizes)).read
     assert read == read_requests(data)[: len(read)]
 
 
@@ -301,7 +301,7 @@
     body = "5\r\nhello\r\n0\r\n\r\n" if closes else "hello"
     length = "" if closes else "Content-Length: 5\r\n"
     head = f"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n{length}{coding}\r\n\r\n"
-    (reply,) = Responses([(head + body).encode()], method="GET").reader.replies
+    (reply,) = Responses(pieces=[(head + body).encode()], method="GET").reader.replies
     assert (reply.body, reply.closes) == (b"hello", closes)
 
 
@@ -330,9 +330,9 @@
 def test_valid_messages_are_read_whatever_their_pieces(name, size):
     """Guards against limits that end small chunks, large responses or slow uploads."""
     head, sent, body = VALID[name]
-    read = Responses(split(RESPONSE + head + sent, [size]), method="GET")
+    read = Responses(pieces=split(RESPONSE + head + sent, [size]), method="GET")
     assert (read.replies, read.reader.problem) == ([(200, body)], "")
-    received = Requests(split(REQUEST + head + sent, [size]))
+    received = Requests(pieces=split(REQUEST + head + sent, [size]))
     assert (received.read, received.status) == ([("POST", "/a", body)], None)
 
 
@@ -365,18 +365,18 @@
 def test_the_first_bytes_of_a_response_count(before):
     """Guards against heads that arrive in one read and are neither counted nor limited."""
     head = before + RESPONSE + b"X: " + b"a" * 50_000
-    assert Responses([head], method="GET").reader.memory_bytes > 40_000
-    assert Responses([head + b"a" * 50_000], method="GET").reader.problem
+    assert Responses(pieces=[head], method="GET").reader.memory_bytes > 40_000
+    assert Responses(pieces=[head + b"a" * 50_000], method="GET").reader.problem
     complete = head + b"a" * 50_000 + b"\r\nContent-Length: 0\r\n\r\n"
-    assert not Responses([complete], method="GET").replies
+    assert not Responses(pieces=[complete], method="GET").replies
 
 
 @pytest.mark.parametrize("before", [b"", REQUEST + b"Content-Length: 5000\r\n\r\n" + b"x" * 5_000])
 def test_the_first_bytes_of_a_request_count(before):
     """The same for callers, who get 431 whatever the size of a read."""
     head = before + REQUEST + b"X: " + b"a" * 15_000
-    assert Requests([head]).parser.memory_bytes > 6_000
-    assert Requests([head + b"a" * 50_000]).status == 431
+    assert Requests(pieces=[head]).parser.memory_bytes > 6_000
+    assert Requests(pieces=[head + b"a" * 50_000]).status == 431
 
 
 @settings(max_examples=40)
@@ -386,8 +386,8 @@
     first, again = repeated
     rest = first + again * (UNENDED_BYTES // len(again) + 1)
     for start, read in (
-        (RESPONSE, lambda data: Responses(split(data, [size]), method="GET").reader),
-        (REQUEST, lambda data: Requests(split(data, [size])).parser),
+        (RESPONSE, lambda data: Responses(pieces=split(data, [size]), method="GET").reader),
+        (REQUEST, lambda data: Requests(pieces=split(data, [size])).parser),
     ):
         reader, held = measure(functools.partial(read, start + rest))
         assert held <= 1.25 * reader.memory_bytes + BUFFER_BYTES
@@ -399,4 +399,4 @@
 def test_a_later_response_of_another_protocol_is_none(size):
     """Guards against a response of RTSP behind an informational one, which the library reads."""
     data = b"HTTP/1.1 100 Continue\r\n\r\nRTSP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok"
-    assert not Responses(split(data, [size]), method="GET").replies
+    assert not Responses(pieces=split(data, [size]), method="GET").replies
