A report that is sent on between VMs does not get younger

What callers saw: nothing that was reported. A VM that was lost could stay known as present for more than the 5 s for which a report is valid.

Cause: a VM dates a report that another one sends on by its age as sent and the time of receipt, so each transit makes it younger. Readers of a failure domain send all known reports to each other every 0.6 s, and each took the younger copy of the other one.

Change: a report with the same content replaces the known one only if it is 0.4 s younger. A reader makes the next one after 0.6 s, so new reports are taken, and copies never move the date of the known one.

--- a/src/carawaybank/siblings/liveness.py
+++ b/src/carawaybank/siblings/liveness.py
@@ -25,6 +25,9 @@
 #: Seconds for which a report on another failure domain is valid. A VM that ended must not be listed
 #: 7 s later, which is the limit of the platform; its readers need 3 s of these to detect the end.
 REPORT_VALIDITY_S = 5.0
+#: Seconds that a report may be under way between two VMs and still be taken for the same one.
+#: Readers make the next one after 0.6 s.
+_MAX_TRANSIT_S = 0.4
 
 
 class DomainReport(NamedTuple):
@@ -168,13 +171,17 @@
     def apply_report(self, failure_domain: str, report: DomainReport, *, now: float) -> None:
         """Stores a report, unless a newer one of the same reader is known.
 
-        One with a negative age would be valid for ever, and no later one would replace it.
+        One with a negative age would be valid for ever, and no later one would replace it. One that
+        is sent on between VMs of a failure domain seems younger with each transit, so one that says
+        the same has to be younger by more than that.
         """
         made_at = now - max(0.0, report.age_s)
+        absent = frozenset(report.absent)
         reports = self._reports.setdefault(failure_domain, {})
         known = reports.get(report.reporter)
-        if known is None or made_at > known.made_at:
-            reports[report.reporter] = _Report(made_at, frozenset(report.absent))
+        is_copy = known is not None and known.absent == absent
+        if known is None or made_at > known.made_at + (_MAX_TRANSIT_S if is_copy else 0.0):
+            reports[report.reporter] = _Report(made_at, absent)
 
     def is_reported(self, topic: str, vm: str, *, now: float) -> bool:
         """Returns whether a valid report on a topic lists a VM.
