--- a/src/carawaybank/counters.py
+++ b/src/carawaybank/counters.py
@@ -93,6 +93,7 @@
         self._allotment_wait_s = 0.0
         self._slow_callers: Counter[str] = Counter()
         self._break_offs: Counter[str] = Counter()
+        self._absences: Counter[str] = Counter()
         #: Returns the bytes of memory that the messages of peers use, by kind of the peer.
         self.message_memory: Callable[[], dict[str, int]] = dict
         #: Unix time in seconds at which the paths to a service's targets were lost, by service.
@@ -215,6 +216,16 @@
         with self._lock:
             return dict(self._allotments)
 
+    def count_absences(self, event: str, count: int) -> None:
+        """Counts notices of absence that this VM wrote, confirmed or denied, by the event."""
+        with self._lock:
+            self._absences[event] += count
+
+    def absences(self) -> dict[str, int]:
+        """Returns the number of notices of absence that this VM changed, by the event."""
+        with self._lock:
+            return dict(self._absences)
+
     def count_allotment_wait(self, wait_s: float) -> None:
         """Counts a request that waited for a token of its tenant's allotment."""
         with self._lock:
--- a/src/carawaybank/metrics.py
+++ b/src/carawaybank/metrics.py
@@ -101,8 +101,13 @@
             "carawaybank.vm.weight_changes",
             [lambda _: [Observation(counters.vm_weight_changes)]],
         )
+        counter("carawaybank.vm.absences", [self._observe_absences], description="by event")
         gauge("carawaybank.ticket", [lambda _: [Observation(counters.configuration_version)]])
 
+    def _observe_absences(self, _: CallbackOptions) -> list[Observation]:
+        counts = self._counters.absences()
+        return [Observation(count, {"event": event}) for event, count in counts.items()]
+
     def _observe_requests(self, _: CallbackOptions) -> list[Observation]:
         counts = self._counters.requests()
         return [Observation(count, labels._asdict()) for labels, count in counts.items()]
--- a/src/carawaybank/node.py
+++ b/src/carawaybank/node.py
@@ -39,11 +39,12 @@
 from carawaybank.servers import Servers
 from carawaybank.settingsfile import SettingsFile
 from carawaybank.shutdown import Listeners, drain
-from carawaybank.siblings import registration, weights
+from carawaybank.siblings import absences, registration, weights
 from carawaybank.siblings.allotments import AllotmentExchange
 from carawaybank.siblings.bootstrap import Bootstrap
 from carawaybank.siblings.heartbeat import HeartbeatTask
 from carawaybank.siblings.limits import LimitExchange
+from carawaybank.siblings.lostvms import LostVms
 from carawaybank.siblings.proofs import ConfigurationProofs
 from carawaybank.siblings.registration import Registrations
 from carawaybank.siblings.sources import TableSource
@@ -238,6 +239,16 @@
             journal=self._journal,
             rng=self._rng,
         )
+        self._lost_vms = LostVms(
+            vms=self._vms,
+            versions=self._registrations.versions,
+            store=adapter.store,
+            table=SHARED_TABLE,
+            needs_reads=lambda: self._allotments.is_contending,
+            counters=self._counters,
+            journal=self._journal,
+            rng=self._rng,
+        )
         self._weight_rows = WeightRows(weights=self._vms.weights, journal=self._journal)
         self._source = TableSource(
             vms=self._vms, store=adapter.store, journal=self._journal, rng=self._rng
@@ -328,6 +339,8 @@
         return [
             *(watch.run for watch in self._watches),
             self._registrations.register,
+            self._lost_vms.run,
+            self._lost_vms.run_reads,
             self._heartbeat.run,
             self._checks.run,
             self._maintenance.run,
@@ -426,6 +439,7 @@
     def _on_shared_rows(self, update: TableUpdate) -> None:
         self._weight_rows.apply(update.with_prefix(weights.KEY_PREFIX))
         self._registrations.apply(update.with_prefix(registration.KEY_PREFIX))
+        self._lost_vms.apply(update.with_prefix(absences.KEY_PREFIX))
         self._crashes.apply(update.with_prefix(crashes.KEY_PREFIX))
         if update.is_full:
             self._allotments.start()
--- a/src/carawaybank/platform/store.py
+++ b/src/carawaybank/platform/store.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import base64
-from typing import Annotated, TypedDict
+from collections.abc import Mapping
+from typing import Annotated, Any, TypedDict
 from urllib.parse import urlencode
 
 import msgspec
@@ -13,6 +14,7 @@
 from carawaybank.replies import HttpReply
 from carawaybank.rows import (
     MAX_TABLE_ROWS,
+    ConflictError,
     ConnectionBrokenError,
     HistoryGoneError,
     Position,
@@ -76,9 +78,22 @@
             StoreError: If a call fails, the store is restored from a backup between two pages, or
                 its pages do not end within the memory of tables.
         """
+        return await self._read_pages({"table": table, "part": ""})
+
+    async def read_prefix(self, table: str, prefix: str) -> Rows:
+        """Returns all rows of a table whose keys start with a prefix.
+
+        Raises:
+            StoreError: As for :meth:`read`.
+        """
+        end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
+        rows = await self._read_pages({"table": table, "part": "", "from": prefix, "to": end})
+        return rows._replace(rows=[row for row in rows.rows if row.key.startswith(prefix)])
+
+    async def _read_pages(self, query: dict[str, str]) -> Rows:
         rows: list[Row] = []
         size = 0
-        query = {"table": table, "part": "", "limit": str(_PAGE_ROWS)}
+        query = {**query, "limit": str(_PAGE_ROWS)}
         first_position: Position | None = None
         while True:
             reply = await self._call("GET", f"/rows-get?{urlencode(query)}")
@@ -134,7 +149,7 @@
             StoreError: If the store did not confirm the write; it may still have been applied.
         """
         row = {"table": table, "part": "", "key": key, "value": base64.b64encode(value).decode()}
-        await self._commit(puts=[row], remove=[])
+        await self._commit(puts=[row])
 
     async def remove(self, table: str, key: str) -> None:
         """Removes a row.
@@ -142,10 +157,36 @@
         Raises:
             StoreError: If the store did not confirm the removal; it may still have been applied.
         """
-        await self._commit(puts=[], remove=[{"table": table, "part": "", "key": key}])
+        await self._commit(remove=[{"table": table, "part": "", "key": key}])
+
+    async def commit(
+        self, table: str, changes: Mapping[str, bytes | None], *, expected: Mapping[str, int]
+    ) -> None:
+        """Changes rows in one transaction, if others have the versions that are expected.
 
-    async def _commit(self, *, puts: list[dict[str, str]], remove: list[dict[str, str]]) -> None:
-        body = msgspec.json.encode({"expect": [], "puts": puts, "remove": remove})
+        Args:
+            table: Name of the table.
+            changes: New value by key; None removes the row.
+            expected: Version that a row must have by key; 0 if it must not exist.
+
+        Raises:
+            ConflictError: If a row has another version.
+            StoreError: If the store did not confirm the transaction; it may still be applied later
+                if the versions are still those expected.
+        """
+        rows = {key: {"table": table, "part": "", "key": key} for key in {*changes, *expected}}
+        await self._commit(
+            expect=[{**rows[key], "ver": version} for key, version in expected.items()],
+            puts=[
+                {**rows[key], "value": base64.b64encode(value).decode()}
+                for key, value in changes.items()
+                if value is not None
+            ],
+            remove=[rows[key] for key, value in changes.items() if value is None],
+        )
+
+    async def _commit(self, **entries: list[Any]) -> None:
+        body = msgspec.json.encode({"expect": [], "puts": [], "remove": [], **entries})
         await self._call("POST", "/rows-tx", body=body)
 
     async def _call(
@@ -165,6 +206,8 @@
             raise error_type(message=f"{name}: {error}") from None
         if reply.status == 410:
             raise HistoryGoneError(message=f"{name}: history is gone", status=410)
+        if reply.status == 412:
+            raise ConflictError(message=f"{name}: a row has another version", status=412)
         if reply.status != 200:
             raise StoreError(message=f"{name}: status {reply.status}", status=reply.status)
         return reply
--- a/src/carawaybank/routing/allotments.py
+++ b/src/carawaybank/routing/allotments.py
@@ -34,6 +34,7 @@
 from carawaybank.routing.allotmentslots import ANSWERED_OWNER_S, SlotTable
 from carawaybank.routing.allotmentterms import AllotmentBounds
 from carawaybank.routing.configuration import Tenant
+from carawaybank.routing.electorate import Electorate
 from carawaybank.routing.limitshares import VmLocality
 
 #: Seconds without requests after which the state of a tenant is dropped.
@@ -62,6 +63,8 @@
             vm=vm, locality=locality, send=self._send, on_change=self._record_ownership
         )
         self._shares: dict[str, TenantShare] = {}
+        #: Part of each allotment that this VM grants where it owns it.
+        self._granted_share = 1.0
         self._peers: dict[str, Peer] = {}
         self._lender = Lender()
         self._borrower = Borrower()
@@ -106,15 +109,36 @@
         self._exhausted = {n: e for n, e in self._exhausted.items() if n in self._terms}
         for slot in self._slots.slots.values():
             slot.buckets = {n: b for n, b in slot.buckets.items() if n in self._terms}
+        self._update_buckets(now)
+        self._update_fixed()
+
+    def _update_buckets(self, now: float) -> None:
+        for slot in self._slots.slots.values():
             for name, bucket in slot.buckets.items():
                 bucket.update_terms(self._bucket_terms(name), now=now)
-        self._update_fixed()
+
+    @property
+    def is_contending(self) -> bool:
+        """Whether this VM owns allotments, or would if it heard more than half of all VMs."""
+        return self._slots.is_contending
 
     def update_vms(
-        self, vms: Mapping[str, VmLocality], alive: frozenset[str], *, now: float
+        self,
+        vms: Mapping[str, VmLocality],
+        alive: frozenset[str],
+        *,
+        now: float,
+        electorate: Electorate | None = None,
     ) -> None:
-        """Replaces the registered VMs, and those of them that are alive and not stopping."""
-        if self._slots.update_vms(vms, alive, now=now):
+        """Replaces the registered VMs, and those of them that are alive and not stopping.
+
+        Args:
+            vms: The registered VMs with their localities.
+            alive: Those that are alive and not stopping.
+            now: Current time in monotonic seconds.
+            electorate: Those that count towards a majority; None for all that are registered.
+        """
+        if self._slots.update_vms(vms, alive, now=now, electorate=electorate):
             self._peers = {vm: peer for vm, peer in self._peers.items() if vm in vms}
             self._update_fixed()
 
@@ -124,7 +148,8 @@
             share.update_fixed(allotmentterms.fixed_share(self._terms[name], vm_count=count))
 
     def _bucket_terms(self, name: str) -> AllotmentTerms:
-        return allotmentterms.bucket_terms(self._terms[name], self._bounds)
+        terms = allotmentterms.bucket_terms(self._terms[name], self._bounds)
+        return allotmentterms.scale(terms, self._granted_share)
 
     def share(self, tenant: str, *, now: float) -> TenantShare:
         """Returns the tokens of a limited tenant at this VM."""
@@ -256,6 +281,10 @@
         """Takes over and gives up slots; to be called every 0.1 s or so."""
         self._check_suspension(now)
         self._slots.tick(now=now)
+        share = self._slots.granted_share(now=now)
+        if share and share != self._granted_share:
+            self._granted_share = share
+            self._update_buckets(now)
 
     def _check_suspension(self, now: float) -> None:
         if self._slots.is_suspension(now=now):
--- a/src/carawaybank/routing/allotmentslots.py
+++ b/src/carawaybank/routing/allotmentslots.py
@@ -10,6 +10,7 @@
 from carawaybank.routing.allotmentmessages import Claim, Handover, Message
 from carawaybank.routing.allotmentowners import TRANSITION_S
 from carawaybank.routing.allotmentpeers import SilentVms, Slot
+from carawaybank.routing.electorate import Electorate
 from carawaybank.routing.limitshares import VmLocality
 
 #: Seconds for which a VM counts as the owner after it answered or was named by another VM.
@@ -57,6 +58,7 @@
         self._send = send
         self._on_change = on_change
         self._alive: frozenset[str] = frozenset({vm})
+        self._electorate: Electorate | None = None
         self._silent_names: frozenset[str] = frozenset()
         self._left_at: dict[str, float] = {}
         #: Time of the last claim of each VM, which shows that it is alive.
@@ -81,10 +83,28 @@
             self.slots[number] = Slot()
             self.slots[number].rank(number, self.vms)
 
+    @property
+    def is_contending(self) -> bool:
+        """Whether this VM owns a slot, or would own it if it heard more than half of all VMs."""
+        return any(slot.first == self._vm for slot in self.slots.values())
+
     def update_vms(
-        self, vms: Mapping[str, VmLocality], alive: frozenset[str], *, now: float
+        self,
+        vms: Mapping[str, VmLocality],
+        alive: frozenset[str],
+        *,
+        now: float,
+        electorate: Electorate | None = None,
     ) -> bool:
-        """Replaces the registered and the living VMs; returns whether the former changed."""
+        """Replaces the registered and the living VMs; returns whether the former changed.
+
+        Args:
+            vms: The registered VMs with their localities.
+            alive: Those that are alive.
+            now: Current time in monotonic seconds.
+            electorate: Those that count towards a majority; None for all that are registered.
+        """
+        self._electorate = electorate
         self._alive = alive | {self._vm}
         self._silent_names = self.silent.update(self._alive, now=now)
         self._left_at = {vm: at for vm, at in self._left_at.items() if now - at < LEFT_S}
@@ -111,9 +131,10 @@
         locality = self.vms.get(vm)
         return locality.region if locality is not None else ""
 
-    @property
-    def _hears_majority(self) -> bool:
-        return 2 * len(self._alive & self.vms.keys()) > len(self.vms)
+    def granted_share(self, *, now: float) -> float:
+        """Returns the part of each allotment that owners may grant; 0 without a majority."""
+        electorate = self._electorate or Electorate(frozenset(self.vms), len(self.vms))
+        return electorate.share(self._alive, vm=self._vm, now=now)
 
     def is_suspension(self, *, now: float) -> bool:
         """Returns whether this process was suspended since the last tick."""
@@ -128,7 +149,7 @@
         self._claimed_by = {
             vm: at for vm, at in self._claimed_by.items() if now - at < TRANSITION_S
         }
-        has_majority = self._hears_majority
+        has_majority = self.granted_share(now=now) > 0.0
         for number, slot in self.slots.items():
             first = self.first_alive(slot)
             is_first = first == self._vm and has_majority
@@ -222,7 +243,8 @@
             slot.unanswered.discard(vm)
             if handover.is_stopping and self.first_alive(slot) == self._vm:
                 slot.first = ""
-                slot.ownership.update(is_first=self._hears_majority, predecessor="", now=now)
+                has_majority = self.granted_share(now=now) > 0.0
+                slot.ownership.update(is_first=has_majority, predecessor="", now=now)
             slot.ownership.confirm(vm, now=now)
             if slot.ownership.is_granting(now=now):
                 slot.learn_owner(self._vm, now)
--- a/src/carawaybank/routing/allotmentterms.py
+++ b/src/carawaybank/routing/allotmentterms.py
@@ -57,6 +57,15 @@
     return AllotmentTerms(terms.rate + faster, terms.burst, max(0.0, reserve))
 
 
+def scale(terms: AllotmentTerms, share: float) -> AllotmentTerms:
+    """Returns a part of an allotment, which one side of a cut may grant.
+
+    >>> scale(AllotmentTerms(rate=10.0, burst=30.0, excess=28.0), 0.5)
+    AllotmentTerms(rate=5.0, burst=15.0, excess=14.0)
+    """
+    return AllotmentTerms(terms.rate * share, terms.burst * share, terms.excess * share)
+
+
 def fixed_share(terms: AllotmentTerms, *, vm_count: int) -> float:
     """Returns the requests in a window that each VM may send without a grant."""
     return FIXED_PART * terms.excess / (UNKNOWN_VM_FACTOR * vm_count)
--- a/src/carawaybank/rows.py
+++ b/src/carawaybank/rows.py
@@ -1,5 +1,6 @@
 """Row and position types of the shared store, and the interfaces to read and write it."""
 
+from collections.abc import Mapping
 from typing import NamedTuple, Protocol
 
 from carawaybank.exceptions import CarawaybankError
@@ -29,6 +30,10 @@
         self.status = status
 
 
+class ConflictError(StoreError):
+    """A row has another version than a transaction expects, so nothing was changed."""
+
+
 class ConnectionBrokenError(StoreError):
     """The connection of a call broke, which does not show whether a new one would work."""
 
@@ -159,6 +164,28 @@
             StoreError: If the store did not confirm the removal.
         """
 
+    async def commit(
+        self, table: str, changes: Mapping[str, bytes | None], *, expected: Mapping[str, int]
+    ) -> None:
+        """Changes rows in one transaction, if others have the versions that are expected.
+
+        Args:
+            table: Name of the table.
+            changes: New value by key; None removes the row.
+            expected: Version that a row must have by key; 0 if it must not exist.
+
+        Raises:
+            ConflictError: If a row has another version.
+            StoreError: If the store did not confirm the transaction.
+        """
+
+    async def read_prefix(self, table: str, prefix: str) -> Rows:
+        """Returns all rows of a table whose keys start with a prefix.
+
+        Raises:
+            StoreError: If the store does not respond with usable rows.
+        """
+
 
 class TableUpdate(NamedTuple):
     """An update of a table: its changed rows, or all of its rows.
--- a/src/carawaybank/siblings/allotments.py
+++ b/src/carawaybank/siblings/allotments.py
@@ -34,6 +34,7 @@
 from carawaybank.routing.allotmentshares import Token
 from carawaybank.routing.allotmentterms import AllotmentBounds
 from carawaybank.routing.configuration import Configuration
+from carawaybank.routing.electorate import Electorate
 from carawaybank.routing.limitshares import VmLocality
 from carawaybank.siblings.limits import LimitMessage
 from carawaybank.siblings.vms import VmDirectory, VmRecord
@@ -153,9 +154,16 @@
         )
         self._waiting: dict[str, deque[asyncio.Future[Token | None]]] = {}
         self._asks_due: set[str] = set()
+        #: Numbers of VMs that were logged last.
+        self._logged_counts: tuple[int, ...] = ()
         #: Time at which each other VM was last known to be alive.
         self._alive_at: dict[str, float] = {}
 
+    @property
+    def is_contending(self) -> bool:
+        """Whether this VM owns allotments, or would if it heard more than half of all VMs."""
+        return self._allotments.is_active and self._allotments.is_contending
+
     def update_bounds(self, bounds: AllotmentBounds) -> None:
         """Applies changed settings."""
         self._allotments.update_bounds(bounds)
@@ -367,7 +375,21 @@
                 and not self._vms.has_report(record, now=now)
             )
         )
-        self._allotments.update_vms(localities, alive, now=now)
+        present = frozenset(r.vm for r in others if self._vms.is_present(r, now=now))
+        electorate = self._vms.electorate(now=now)
+        # A VM that is only registered or unreported may be on the other side of a cut.
+        electorate = electorate._replace(doubted=electorate.doubted | (alive - present))
+        self._log_counts(len(present), electorate)
+        self._allotments.update_vms(localities, alive, now=now, electorate=electorate)
+
+    def _log_counts(self, present_count: int, electorate: Electorate) -> None:
+        """Logs how many VMs a majority depends on, if that changed and any tenant has a limit."""
+        counts = (present_count, len(electorate.voters), electorate.registered_count)
+        if counts != self._logged_counts and self._allotments.is_active:
+            self._logged_counts = counts
+            present, voters, registered = counts
+            fields = {"present": present, "voters": voters, "registered": registered}
+            self._journal.log("allotments", "voters", doubted=len(electorate.doubted), **fields)
 
 
 def encode(vm: str, message: Message) -> bytes:
--- a/src/carawaybank/siblings/liveness.py
+++ b/src/carawaybank/siblings/liveness.py
@@ -28,6 +28,9 @@
 #: Seconds that a report may be under way between two VMs and still be taken for the same one.
 #: Readers make the next one after 0.6 s.
 _MAX_TRANSIT_S = 0.4
+#: Prefix of the failure domain under which a reader lists VMs that it has not heard from and does
+#: not list as absent, because they or the reader started a short time ago.
+UNHEARD_PREFIX = "unheard/"
 
 
 class DomainReport(NamedTuple):
@@ -104,12 +107,28 @@
         """
         if vm == self._own or self.is_heard(vm, now=now):
             return True
-        reports = self._valid_reports(failure_domain, now)
-        own = reports.get(vm)
-        if own and len(reports) > 1 and now - own.made_at > HEARTBEAT_TIMEOUT_S:
-            del reports[vm]
+        reports = self._reports_on(vm, failure_domain, now)
         return any(vm not in report.absent for report in reports.values())
 
+    def present_at(self, vm: str, failure_domain: str, *, now: float) -> float:
+        """Returns when this VM or a reader last knew that it hears a VM; ``-inf`` if none does."""
+        if vm == self._own:
+            return now
+        unheard = self._valid_reports(UNHEARD_PREFIX + failure_domain, now)
+        known_at = [
+            report.made_at
+            for reporter, report in self._reports_on(vm, failure_domain, now).items()
+            if vm not in report.absent
+            and (reporter not in unheard or vm not in unheard[reporter].absent)
+        ]
+        if self.is_heard(vm, now=now):
+            known_at.append(self._last_seen_at[vm])
+        return max(known_at, default=float("-inf"))
+
+    def unheard(self, members: Iterable[str], *, now: float) -> set[str]:
+        """Returns the VMs whose heartbeats do not arrive, also if they are not missed yet."""
+        return {vm for vm in members if not self.is_heard(vm, now=now)}
+
     def has_report(self, failure_domain: str, *, now: float) -> bool:
         """Returns whether a valid report says which VMs of a failure domain are absent."""
         return bool(self._valid_reports(failure_domain, now))
@@ -163,7 +182,7 @@
             stopping: Its VMs that are stopping.
             now: Monotonic seconds.
         """
-        unheard = {vm for vm in members if not self.is_heard(vm, now=now)}
+        unheard = self.unheard(members, now=now)
         if self._reader_since is None or now - self._reader_since < HEARTBEAT_TIMEOUT_S:
             unheard = set()  # peers may not send their heartbeats to a new reader yet
         return DomainReport(self._own, 0.0, tuple(sorted(unheard | set(stopping))))
@@ -248,6 +267,14 @@
             if now - report.made_at <= REPORT_VALIDITY_S
         }
 
+    def _reports_on(self, vm: str, failure_domain: str, now: float) -> dict[str, _Report]:
+        """Returns the valid reports that say whether a VM is absent, by reporter."""
+        reports = self._valid_reports(failure_domain, now)
+        own = reports.get(vm)
+        if own and len(reports) > 1 and now - own.made_at > HEARTBEAT_TIMEOUT_S:
+            del reports[vm]
+        return reports
+
     def _drop_expired_reports(self, now: float) -> None:
         for reports in self._reports.values():
             for reporter, report in list(reports.items()):
--- a/src/carawaybank/siblings/registration.py
+++ b/src/carawaybank/siblings/registration.py
@@ -68,6 +68,8 @@
         self._write_requested.set()
         self._confirmed_at: float | None = None
         self._cut_off: frozenset[str] = frozenset()
+        #: Versions of the rows of all VMs by name, as last read.
+        self.versions: dict[str, int] = {}
 
     def apply(self, update: TableUpdate) -> None:
         """Applies changes of the registrations, whose keys are the names of the VMs.
@@ -78,8 +80,11 @@
         now = asyncio.get_running_loop().time()
         present = set()
         own = self._vms.own
+        if update.is_full:
+            self.versions.clear()
         for row in update.rows:
             if row.removed:
+                self.versions.pop(row.key, None)
                 self._vms.remove(row.key, now=now, has_ended=True)
                 if row.key == own.vm and not own.stopping:
                     # A delayed call of an earlier process of this VM removed the row.
@@ -95,6 +100,7 @@
                 reason = "the name differs from the key, or an address is invalid"
                 self._journal.log("siblings", "row passed over", vm=row.key, reason=reason)
                 continue
+            self.versions[row.key] = row.version
             if record.vm != own.vm or record.incarnation == own.incarnation:
                 present.add(row.key)
             if self._vms.update(record, now=now):
--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -10,11 +10,14 @@
 
 from carawaybank.addresses import is_ip_endpoint
 from carawaybank.routing import callerlists
+from carawaybank.routing.electorate import Electorate
 from carawaybank.rows import Position
+from carawaybank.siblings.absences import Absences
 from carawaybank.siblings.ended import EndedVms
 from carawaybank.siblings.liveness import (
     HEARTBEAT_TIMEOUT_S,
     REPORT_VALIDITY_S,
+    UNHEARD_PREFIX,
     DomainReport,
     Liveness,
 )
@@ -27,6 +30,8 @@
 #: Prefix of the failure domain under which reports list VMs that reach no targets. VMs of an older
 #: build pass such reports on as those of a failure domain that has no VMs.
 CUT_OFF_PREFIX = "no-targets/"
+#: Seconds after which what is known of all VMs is old. VMs report to other regions every 1.8 s.
+_ALL_HEARD_S = 4.0
 
 
 class VmRecord(NamedTuple):
@@ -99,6 +104,7 @@
         """
         self._own = own
         self.weights = VmWeights(own=own.vm, own_size=own_size)
+        self.absences = Absences()
         self._records: dict[str, VmRecord] = {}
         self._registered_at: dict[str, float] = {}
         self._ended: EndedVms[VmRecord] = EndedVms()
@@ -179,7 +185,7 @@
         )
 
     def state_reports(self, *, now: float, is_reader: bool) -> dict[str, list[DomainReport]]:
-        """Returns the reports of this VM on VMs that reach no targets or are congested.
+        """Returns the reports of this VM on VMs that reach no targets, are congested or unheard.
 
         Args:
             now: Monotonic seconds.
@@ -191,20 +197,34 @@
             reports |= self._topic_reports(
                 prefix, includes_own=is_reached, now=now, is_reader=is_reader
             )
-        return reports
+        return reports | self._unheard_reports(now=now, is_reader=is_reader)
+
+    def _unheard_reports(self, *, now: float, is_reader: bool) -> dict[str, list[DomainReport]]:
+        """Returns the report of a reader on VMs that it neither hears nor lists as absent."""
+        if not is_reader:
+            return {}
+        peers = [record.vm for record in self.domain_peers]
+        unheard = self._liveness.unheard(peers, now=now)
+        unheard -= set(self.own_report(now=now).absent)
+        return self._topic_report(UNHEARD_PREFIX + self._own.failure_domain, unheard, now=now)
 
     def _topic_reports(
         self, prefix: str, *, includes_own: bool, now: float, is_reader: bool
     ) -> dict[str, list[DomainReport]]:
         """Returns the report of this VM on a topic; empty if it has nothing to report.
 
-        A reader lists those of its failure domain that say so themselves. The end is reported as
-        long as older reports are valid.
+        A reader lists those of its failure domain that say so themselves.
         """
         topic = prefix + self._own.failure_domain
         names = {self._own.vm} if includes_own else set()
         if is_reader:
             names |= self._liveness.self_reported(topic, now=now)
+        return self._topic_report(topic, names, now=now)
+
+    def _topic_report(
+        self, topic: str, names: set[str], *, now: float
+    ) -> dict[str, list[DomainReport]]:
+        """Returns a report that lists VMs, or its end as long as older reports are valid."""
         if names:
             self._reported_until[topic] = now + REPORT_VALIDITY_S
         if now > self._reported_until.get(topic, float("-inf")):
@@ -262,7 +282,7 @@
         if self._own.stopping:
             stopping.append(self._own.vm)
         established = [
-            record.vm for record in domain_peers if not self._is_newly_registered(record.vm, now)
+            record.vm for record in domain_peers if not self.is_newly_registered(record.vm, now=now)
         ]
         return self._liveness.report(established, stopping=stopping, now=now)
 
@@ -328,10 +348,18 @@
 
     def is_alive(self, record: VmRecord, *, now: float) -> bool:
         """Returns whether a VM is heard from, reported as present, or newly registered."""
-        if self._is_newly_registered(record.vm, now):
+        is_absent = self.absences.is_confirmed(record.vm, record.incarnation)
+        if self.is_newly_registered(record.vm, now=now) and not is_absent:
             return True
         return self._liveness.is_alive(record.vm, record.failure_domain, now=now)
 
+    def is_present(self, record: VmRecord, *, now: float) -> bool:
+        """Returns whether this VM or a reader has heard from a VM."""
+        return self._present_at(record, now) > float("-inf")
+
+    def _present_at(self, record: VmRecord, now: float) -> float:
+        return self._liveness.present_at(record.vm, record.failure_domain, now=now)
+
     def has_report(self, record: VmRecord, *, now: float) -> bool:
         """Returns whether a valid report says if a VM is absent."""
         return self._liveness.has_report(record.failure_domain, now=now)
@@ -340,6 +368,25 @@
         """Returns the seconds since the last heartbeat of a VM, or None if there was none."""
         return self._liveness.last_heartbeat_age_s(vm, now=now)
 
+    def is_heard(self, record: VmRecord, *, now: float) -> bool:
+        """Returns whether a heartbeat of a VM arrived recently, whatever reports say."""
+        return self._liveness.is_heard(record.vm, now=now)
+
+    def hears_all(self, *, now: float) -> bool:
+        """Returns whether this VM or a reader hears each VM that is registered and not stopping."""
+        return now - self._all_present_at(now) <= _ALL_HEARD_S
+
+    def _all_present_at(self, now: float) -> float:
+        """Returns when all VMs were present, as far as is known; ``-inf`` if one is not."""
+        running = (record for record in self._records.values() if not record.stopping)
+        return min((self._present_at(record, now) for record in running), default=now)
+
+    def electorate(self, *, now: float) -> Electorate:
+        """Returns the VMs of which more than half have to be heard by one that owns allotments."""
+        self.absences.record_all_present(at=self._all_present_at(now))
+        registered = {record.vm: record.incarnation for record in [self._own, *self.others]}
+        return self.absences.electorate(registered, now=now)
+
     def is_in_own_region(self, record: VmRecord) -> bool:
         """Returns whether a VM is in the own region."""
         return record.region == self._own.region
@@ -397,7 +444,8 @@
         topics = (prefix + record.failure_domain for prefix in CONGESTED_PREFIXES)
         return sum(self._liveness.is_reported(topic, record.vm, now=now) for topic in topics)
 
-    def _is_newly_registered(self, vm: str, now: float) -> bool:
+    def is_newly_registered(self, vm: str, *, now: float) -> bool:
+        """Returns whether a VM registered too recently to be missed."""
         return now - self._registered_at.get(vm, float("-inf")) <= HEARTBEAT_TIMEOUT_S
 
     def _candidates(self, now: float) -> list[VmRecord]:
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -264,6 +264,11 @@
         return self._read_rows(query)
 
     async def _commit(self, body: dict[str, list[dict[str, str]]]) -> HttpReply:
+        expected = {(row["table"], row["key"]): int(row["ver"]) for row in body.get("expect", ())}
+        current = {key: self.rows[key][1] if key in self.rows else 0 for key in expected}
+        if current != expected:
+            rows = [self._encode(key, version) for key, version in current.items()]
+            return _json_reply({"rows": rows}, status=412)
         changed: dict[Key, bytes | None] = {}
         for row in body["puts"]:
             changed[(row["table"], row["key"])] = base64.b64decode(row["value"])
@@ -303,7 +308,9 @@
 
     def _read_rows(self, query: dict[str, str]) -> HttpReply:
         start, limit = query.get("from", ""), int(query.get("limit", "500"))
+        end = query.get("to", "")
         keys = sorted(k for k in self.rows if k[0] == query["table"] and k[1] >= start)
+        keys = [key for key in keys if not end or key[1] < end]
         rows = [self._encode(key, self.rows[key][1]) for key in keys[:limit]]
         more = len(keys) > limit
         return _json_reply({"rows": rows, "hasMore": more, "ver": self.version, "nowMs": 0})
@@ -322,5 +329,6 @@
         await asyncio.sleep(delay_s)
 
 
-def _json_reply(body: object) -> HttpReply:
-    return HttpReply(200, [("content-type", "application/json")], json.dumps(body).encode())
+def _json_reply(body: object, *, status: int = 200) -> HttpReply:
+    content_type = ("content-type", "application/json")
+    return HttpReply(status, [content_type], json.dumps(body).encode())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,7 +7,7 @@
 import pytest
 
 from carawaybank.platform.store import StoreClient
-from carawaybank.rows import INITIAL_POSITION, StoreError
+from carawaybank.rows import INITIAL_POSITION, ConflictError, StoreError
 from tests.scripted_server import ScriptedServer, read_request
 from tests.store_world import run_scenario, wait_until
 
@@ -90,3 +90,33 @@
 
     asyncio.run(run())
     assert next(numbers) < 100
+
+
+def test_a_transaction_fails_when_a_row_has_changed_meanwhile():
+    """Guards against a confirmation of an absence that was denied in the same moment."""
+
+    async def scenario(world):
+        client = world.client
+        await client.put("t", "a", b"1")
+        version = (await client.read("t")).rows[0].version
+        await client.commit("t", {"b": b"2"}, expected={"a": version, "b": 0})
+        await client.put("t", "a", b"changed")
+        for expected in ({"a": version}, {"b": 0}):
+            with pytest.raises(ConflictError):
+                await client.commit("t", {"b": b"3", "c": b"3", "a": None}, expected=expected)
+        rows = {row.key: row.value for row in (await client.read("t")).rows}
+        assert rows == {"a": b"changed", "b": b"2"}
+
+    run_scenario(scenario)
+
+
+def test_a_part_of_a_table_is_read_by_the_prefix_of_its_keys():
+    """Guards against notices that are missed, or a whole table that is read for them."""
+
+    async def scenario(world):
+        for key in ("a", "p", "p/1", "p/2", "p/~", "p0", "q"):
+            await world.client.put("t", key, b"v")
+        found = await world.client.read_prefix("t", "p/")
+        assert [row.key for row in found.rows] == ["p/1", "p/2", "p/~"]
+
+    run_scenario(scenario)
--- a/tests/siblings/test_allotments.py
+++ b/tests/siblings/test_allotments.py
@@ -61,7 +61,15 @@
         for record in records:
             self.vms.update(record, now=now)
         self.exchange.start()
-        self.tasks = [asyncio.create_task(t.run()) for t in (self.exchange, self.socket)]
+        runs = (self.exchange.run, self.socket.run, self.read_notices)
+        self.tasks = [asyncio.create_task(run()) for run in runs]
+
+    async def read_notices(self):
+        """Stands for the store, which has no notice of absence."""
+        while True:
+            now = asyncio.get_running_loop().time()
+            self.vms.absences.apply_read([], 0, sent_at=now, now=now)
+            await asyncio.sleep(0.5)
 
     def kill(self):
         for task in self.tasks:
--- a/tests/siblings/test_vms.py
+++ b/tests/siblings/test_vms.py
@@ -220,3 +220,25 @@
     assert vms.is_alive(make_record("y", domain="b1"), now=0.5)
     later = 0.5 + REPORT_VALIDITY_S + 0.1
     assert not vms.has_report(make_record("y", domain="b1"), now=later)
+
+
+def test_a_reader_that_restarted_does_not_vouch_for_vms_that_it_has_not_heard():
+    """Guards against two sides of a cut that each count VMs of the other one as present."""
+    lost = make_record("x")
+    reader = make_directory(lost)
+    other = VmDirectory(own=make_record("other", domain="a2"))
+    for record in (reader.own, lost):
+        other.update(record, now=0.0)
+    now = HEARTBEAT_TIMEOUT_S
+    assert reader.own in reader.readers(now=now)
+    reports = reader.state_reports(now=now, is_reader=True)
+    reports["a1"] = [reader.own_report(now=now)]
+    other.record_heartbeat(reader.make_heartbeat({}, reports), now=now)
+    assert other.is_alive(lost, now=now)
+    assert not other.is_present(lost, now=now)
+    reader.record_heartbeat(heartbeat("x"), now=now)
+    reports = reader.state_reports(now=now, is_reader=True)
+    later = now + 0.6
+    reports["a1"] = [reader.own_report(now=later)]
+    other.record_heartbeat(reader.make_heartbeat({}, reports), now=later)
+    assert other.is_present(lost, now=later)
