A VM that is left alone lists no VMs that are gone (DRAIN)

From 6 s on 58 of 87 look-ups at the VM that is left named a lost VM, those to the other region nothing else: 87 requests to the addresses failed, 58 were served.

Cause: a VM that hears no other one cannot tell its own isolation from the loss of all others, and listed all that are registered, for ever. Reports that are valid for too long were ruled out: they end after 5 s, and the answers did not change for 30 s.

Change: it lists those that do not leave a notice of their absence unanswered for 2 s. The notices are written at once by a VM that hears nobody.

Why it works: VMs that live and reach the store deny the notice, also while a cut separates them from this one. Without the store no notice is seen, and it lists all, as before. VMs that were frozen for 20 s or restarted are listed as soon as they are heard, which test_lostvms and the new test check.

--- a/src/carawaybank/siblings/vms.py
+++ b/src/carawaybank/siblings/vms.py
@@ -2,7 +2,7 @@
 
 A VM is listed while it is heard from, while it is present in a valid report, and for a short time
 after its registration. A VM that hears from no other VM cannot distinguish its own isolation from
-the loss of all others, and lists them all.
+the loss of all others, and lists those that do not leave a notice of their absence unanswered.
 """
 
 from collections.abc import Collection
@@ -451,5 +451,9 @@
     def _candidates(self, now: float) -> list[VmRecord]:
         alive = [record for record in self._records.values() if self.is_alive(record, now=now)]
         if not alive:
-            alive = list(self._records.values())
+            alive = [
+                record
+                for record in self._records.values()
+                if not self.absences.is_unanswered(record.vm, record.incarnation, now=now)
+            ]
         return [self._own, *alive]
--- a/tests/platform/test_process_lost_vms.py
+++ b/tests/platform/test_process_lost_vms.py
@@ -14,8 +14,10 @@
 RATE = 200
 #: Requests per second that the tenant sends, far below its allotment.
 SENT_PER_S = 20.0
-#: The users' limit: seconds after the VMs are back from which requests are served again.
+#: The users' limits: seconds after the VMs are back from which requests are served again, and
+#: seconds after the loss of a VM from which look-ups do not name it.
 RECOVER_S = 15.0
+DELISTED_S = 6.0
 MEASURED_S = 3.0
 MIN_SERVED = 1 / 4
 #: Seconds for which VMs learn of each other.
@@ -64,3 +66,21 @@
         assert after[200] >= MIN_SERVED * after.total(), after
 
     run_site(tmp_path, scenario)
+
+
+def test_the_vm_that_is_left_lists_no_lost_ones(tmp_path):
+    """Guards against look-ups that name lost VMs for as long as a VM hears no other (DRAIN)."""
+
+    async def scenario(site):
+        await asyncio.sleep(SETTLED_S)
+        left, *lost = VMS
+        assert await site.look_up(left) == set(VMS)
+        await kill(site, lost)
+        await asyncio.sleep(DELISTED_S)
+        assert await site.look_up(left) == {left}
+        for name in lost:
+            await site.start_vm(name, tmp_path)
+        async with asyncio.timeout(SETTLED_S):
+            await site.wait_for_look_up(left, set(VMS))
+
+    run_site(tmp_path, scenario)
