Runs that end well refute crash reports on a request (CONFIG)

Cause: each request in progress at a target that crashes is reported, and three crashes refuse it everywhere. A page of 0.8 s that is read 150 times a second is in progress at all targets; how often it ended well did not count. The reason in the answers and the reports in the log rule out the configuration and a crash that counts several times.

Change: two runs that end well after the latest report refute all reports on a request, and the VM that sees them removes the rows. A VM at which the request has run well before sends it for 1 s more after the third crash, so that there are runs; elsewhere, and if it never ran well, it is refused at once.

Why it works: a request that crashes the targets that run it has no such run, so it stays refused by all VMs, also beside a page in progress at each crash.

--- a/src/carawaybank/routing/feedback.py
+++ b/src/carawaybank/routing/feedback.py
@@ -18,6 +18,8 @@
     from carawaybank.routing.router import Router
 
 _UNREACHABLE = frozenset({Reason.CONNECT_FAILED, Reason.CONNECTION_REFUSED})
+#: Lowest status that does not show that a target has run a request to its end.
+_MIN_ERROR_STATUS = 400
 #: Failures that a lost path would explain: nothing of a response was received.
 _NO_RESPONSE = _UNREACHABLE | {Reason.TIMEOUT, Reason.CONNECTION_LOST}
 
@@ -51,6 +53,10 @@
         router.targets.remove(target.entry.target_id)
     verdict = result.verdict
     reason = None if isinstance(verdict, Answered) else verdict.reason
+    if isinstance(verdict, Answered) and verdict.status < _MIN_ERROR_STATUS:
+        refuted = router.quarantine.record_good_run(progress.request.fingerprint)
+        if refuted:
+            router.on_refuted(refuted)
     _record_time(router, progress, result, reason, now)
     _record_path(router, progress, target, reason, now)
     if router.reachability.is_lost(progress.service) and reason is not None:
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -35,7 +35,7 @@
 from carawaybank.routing.suspects import SuspectedTargets
 from carawaybank.routing.targetlimits import TargetLimits
 from carawaybank.routing.tenants import RequestTerms
-from carawaybank.steering.quarantine import Quarantine
+from carawaybank.steering.quarantine import CrashReport, Quarantine
 from carawaybank.verdicts import UNREACHED_REASONS, Answered, NotRun, Reason, Verdict
 
 _RETRYABLE_REASONS = frozenset(
@@ -45,9 +45,10 @@
 _TOLERANCE_FACTOR = 1.5
 _CRASH_RETENTION_S = 600.0
 _CRASH_CAPACITY = 2_000
-#: Crashes after which a request is not sent again. An unrelated request can be in progress at one
-#: or two targets that crash, but hardly at three.
+#: Crashes after which a request is not sent again.
 _CRASH_LIMIT = 3
+#: Seconds in which runs that end well may still show that a request did not cause them.
+_CRASH_PROBATION_S = 1.0
 
 
 class Router:
@@ -98,9 +99,12 @@
             limit=_CRASH_LIMIT,
             expiry_s=_CRASH_RETENTION_S,
             capacity=_CRASH_CAPACITY,
+            probation_s=_CRASH_PROBATION_S,
             # All entry VMs that have the same request in progress at a target report its crash.
             crash_of=lambda report: report.target,
         )
+        #: Called with crash reports that runs of the request have refuted.
+        self.on_refuted: Callable[[list[CrashReport]], None] = lambda _: None
         self.suspects = SuspectedTargets()
         #: Returns whether the memory for responses that wait for slow callers is not used up.
         self.has_response_room: Callable[[], bool] = lambda: True
--- a/src/carawaybank/targets/crashes.py
+++ b/src/carawaybank/targets/crashes.py
@@ -1,4 +1,9 @@
-"""Reports of requests that crashed targets, shared by all entry VMs through the store."""
+"""Reports of requests that crashed targets, shared by all entry VMs through the store.
+
+Load pattern: a request crashes each target that runs it and comes again at any VM, while targets
+also crash for other reasons, several at a time, with requests in progress that many callers send. A
+VM at which such a request ends well afterwards removes the reports for all VMs.
+"""
 
 import asyncio
 import time
@@ -40,16 +45,20 @@
         self._tasks = ShortTasks(part="crashes", journal=journal)
         #: Own reports by key, each with the wall-clock time at which it was made.
         self._own_reports: dict[str, tuple[float, CrashReport]] = {}
+        router.on_refuted = self._withdraw
 
     def apply(self, update: TableUpdate) -> None:
         """Applies changes of the crash reports, whose keys come without the prefix.
 
-        When all rows are read, rows past their retention are removed from the store. Own reports
-        that a restored backup of the store lacks are written again.
+        When all rows are read, rows past their retention are removed from the store, and reports
+        of other VMs that it no longer has are forgotten. Own reports that a restored backup of the
+        store lacks are written again.
         """
         now = asyncio.get_running_loop().time()
         for row in update.rows:
             if row.removed:
+                self._router.quarantine.remove_crash(*_split(row.key))
+                self._own_reports.pop(KEY_PREFIX + row.key, None)
                 continue
             try:
                 written_at, report = decode_message(
@@ -61,9 +70,19 @@
             if time.time() - written_at < _RETENTION_S:
                 self._router.quarantine.add_report(report, now=now)
             elif update.is_full:
-                self._tasks.start(self._remove(row.key))
+                self._tasks.start(self._remove(KEY_PREFIX + row.key))
+        present = {KEY_PREFIX + row.key for row in update.rows}
         if update.is_backup:
-            self._rewrite_missing({KEY_PREFIX + row.key for row in update.rows})
+            self._rewrite_missing(present)
+        elif update.is_full:
+            self._forget_missing(present)
+
+    def _forget_missing(self, present: set[str]) -> None:
+        """Removes reports that were refuted while this VM did not follow the store."""
+        for report in self._router.quarantine.reports():
+            key = _key(report)
+            if key not in present and key not in self._own_reports:
+                self._router.quarantine.remove_crash(report.fingerprint, report.target)
 
     def _rewrite_missing(self, present: set[str]) -> None:
         """Writes own reports that are missing because the store was restored from a backup."""
@@ -83,22 +102,43 @@
         """
         if self._router.quarantine.add_report(report, now=asyncio.get_running_loop().time()):
             self._journal.log("crashes", "reported", **report._asdict())
-            key = f"{KEY_PREFIX}{report.fingerprint}.{report.target}"
+            key = _key(report)
             timed_report = (time.time(), report)
             self._own_reports[key] = timed_report
             if len(self._own_reports) > _MAX_OWN_REPORTS:
                 del self._own_reports[next(iter(self._own_reports))]
             self._tasks.start(self._write(key, timed_report))
 
+    def _withdraw(self, refuted: list[CrashReport]) -> None:
+        """Removes reports from the store that runs of their request have refuted."""
+        keys = sorted(set(map(_key, refuted)))
+        fingerprint = refuted[0].fingerprint
+        self._journal.log("crashes", "refuted", fingerprint=fingerprint, crashes=len(keys))
+        for key in keys:
+            self._own_reports.pop(key, None)
+            self._tasks.start(self._remove(key))
+
     async def _write(self, key: str, timed_report: tuple[float, CrashReport]) -> None:
         value = msgspec.json.encode(timed_report)
         try:
             await self._store.put(self._table, key, value)
         except StoreError as error:
             self._journal.log("crashes", "report not written", row=key, reason=str(error))
+        if key not in self._own_reports:  # Refuted while it was being written.
+            await self._remove(key)
 
     async def _remove(self, key: str) -> None:
         try:
-            await self._store.remove(self._table, KEY_PREFIX + key)
+            await self._store.remove(self._table, key)
         except StoreError as error:
-            self._journal.log("crashes", "expired report not removed", row=key, reason=str(error))
+            self._journal.log("crashes", "report not removed", row=key, reason=str(error))
+
+
+def _key(report: CrashReport) -> str:
+    return f"{KEY_PREFIX}{report.fingerprint}.{report.target}"
+
+
+def _split(row_key: str) -> tuple[str, str]:
+    """Returns the fingerprint and the target of a row's key, which comes without the prefix."""
+    fingerprint, _, target = row_key.partition(".")
+    return fingerprint, target
