The result of a booking counts also after its caller left (BUDGET)

Cause: a booking is completed although its caller left, but the task that takes the result was cancelled with the caller, and the router had dropped the request. Crash, load, limit, departure, pace, speed and path counted for nobody, and the slot at the target was free while it worked. The log had neither a failed attempt nor a report that was not made, which rules out the check of the target and reports that do not add up.

Change: the router keeps such a request apart until its attempt ends and takes the result then, once.

Why it works: the crash is noticed and reported like any other one. Bookings that a sibling passed on take the same path.

--- a/src/carawaybank/handler.py
+++ b/src/carawaybank/handler.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -297,8 +298,7 @@
             sent = action
             result = await self._send(routing_request, sent, call)
             last = Attempt(sent, result)
-            if result.load is not None and result.load.machine_slowness is not None:
-                self._counters.count_machine_report(result.load.machine_slowness)
+            self._count_load(result)
             if charge is not None:
                 charge.record_attempt(may_have_run=may_have_run(result.verdict))
             self._record_round_trip_times()
@@ -322,7 +322,35 @@
         if sent.idempotent:
             return await attempt
         # A request that must not run twice is completed even if the caller disconnects.
-        return await asyncio.shield(asyncio.ensure_future(attempt))
+        task = asyncio.ensure_future(attempt)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            self._router.detach(routing_request.key)
+            task.add_done_callback(functools.partial(self._end_detached, routing_request, sent))
+            raise
+
+    def _end_detached(
+        self, routing_request: Request, sent: Send, task: asyncio.Future[AttemptResult]
+    ) -> None:
+        """Records the result of an attempt whose caller has left."""
+        failure = None if task.cancelled() else task.exception()
+        result = None if task.cancelled() or failure else task.result()
+        self._router.end_detached(routing_request.key, result, asyncio.get_running_loop().time())
+        self._record_round_trip_times()
+        self._on_attempt()
+        if result is not None:
+            self._count_load(result)
+        if failure is not None:
+            self._journal.log(
+                "request", "attempt failed", id=routing_request.request_id, outcome=repr(failure)
+            )
+        elif result is not None and not isinstance(result.verdict, Answered):
+            self._log_attempt(routing_request, sent, result)
+
+    def _count_load(self, result: AttemptResult) -> None:
+        if result.load is not None and result.load.machine_slowness is not None:
+            self._counters.count_machine_report(result.load.machine_slowness)
 
     def _record_round_trip_times(self) -> None:
         while self._sender.connect_times:
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -76,6 +76,8 @@
         self._work_estimates = WorkEstimates()
         self.response_times = RouteResponseTimes()
         self._requests: dict[int, Progress] = {}
+        #: Requests whose caller left while an attempt goes on, whose result nobody waits for.
+        self._detached: dict[int, Progress] = {}
         self._retry_limits = RetryLimits(started_at=started_at)
         self.identification = Identification(
             is_strict=options.revoke_strict, revoke_within_s=options.revoke_within_s
@@ -309,6 +311,28 @@
             self._release_target(progress)
             relaying.release(self, progress)
 
+    def detach(self, key: int) -> None:
+        """Drops a request whose caller disconnected, while its attempt goes on.
+
+        Its slot at the target is released by :meth:`end_detached`.
+        """
+        progress = self._requests.pop(key, None)
+        if progress is not None:
+            self._detached[key] = progress
+
+    def end_detached(self, key: int, result: AttemptResult | None, now: float) -> None:
+        """Records what the attempt of a detached request shows of its target.
+
+        Args:
+            key: Key of a request; unknown ones are ignored.
+            result: Result of the attempt; None if it ended without one.
+            now: Current time in monotonic seconds.
+        """
+        progress = self._detached.pop(key, None)
+        choice = self._release_target(progress) if progress is not None else None
+        if progress is not None and choice is not None and result is not None:
+            feedback.record_attempt(self, progress, choice, result, now)
+
     @property
     def retry_limits(self) -> RetryLimits:
         """The retry limits by service."""
--- a/tests/test_handler.py
+++ b/tests/test_handler.py
@@ -248,3 +248,81 @@
         assert late <= at_once - 900
 
     asyncio.run(scenario())
+
+
+class Breaking:
+    """A target that breaks a connection some time after it has received a request."""
+
+    def __init__(self, *, after_s):
+        self.after_s, self.received = after_s, 0
+
+    async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        self.received += 1
+        await asyncio.sleep(self.after_s)
+        writer.close()
+
+
+async def leave(call, *, after_s):
+    """Cancels a call after a time, as the connection of a caller that leaves does."""
+    task = asyncio.create_task(call)
+    await asyncio.sleep(after_s)
+    task.cancel()
+    await asyncio.wait([task])
+    assert task.cancelled()
+
+
+@pytest.mark.parametrize("is_relayed", [False, True], ids=["own", "relayed"])
+def test_a_booking_that_ends_after_its_caller_left_counts_at_its_target(is_relayed):
+    """Guards against a crash, a limit or a load that counts for nobody (BUDGET)."""
+
+    async def scenario():
+        vm = await Vm().start()
+        target = Breaking(after_s=0.2)
+        vm.router.targets.update(make_target(1, address=await target.start(), sequence=2), now=0.0)
+        if is_relayed:
+            terms, book = RelayTerms("ledger", (), 1, "acme"), make_request(1, path="/book/1")
+            sent = HttpCall("POST", "/book/1", [("Host", HOST)])
+            call = vm.handler.handle_relayed(book, sent, terms, vm="vm-3")
+        else:
+            call = vm.send(KEY, path="/book/1")
+        await leave(call, after_s=0.1)
+        known = vm.router.targets.find("t1")
+        assert (target.received, known.in_flight, vm.router.is_idle) == (1, 1, True)
+        await asyncio.sleep(0.3)
+        assert known.in_flight == 0
+        assert [report.target for report in vm.router.suspects.pop_crashes()] == ["t1"]
+        assert any(b'"attempt failed"' in line for line in vm.lines)
+
+    asyncio.run(scenario())
+
+
+def test_the_response_to_a_booking_whose_caller_left_counts_once():
+    """Guards against results that are dropped, or recorded by the caller's task as well."""
+
+    async def scenario():
+        vm = await Vm().start()
+        handle = vm.target.handle
+
+        async def answer_late(request):
+            await asyncio.sleep(0.2)
+            return await handle(request)
+
+        late = Peer()
+        late.handle = answer_late
+        known = vm.router.targets.find("t1")
+        vm.router.targets.update(make_target(1, address=await late.start(), sequence=2), now=0.0)
+        await vm.send(KEY, path="/book/1")
+        once = known.failure_share
+        await leave(vm.send(KEY, path="/book/1"), after_s=0.1)
+        assert known.failure_share == once
+        await asyncio.sleep(0.3)
+        await vm.send(KEY, path="/book/1")
+        assert known.failure_share == pytest.approx(1 - (1 - once) ** 3)
+        assert known.in_flight == 0
+
+    asyncio.run(scenario())
