--- a/src/carawaybank/routing/feedback.py
+++ b/src/carawaybank/routing/feedback.py
@@ -10,6 +10,7 @@
 from carawaybank.routing.messages import AttemptResult
 from carawaybank.routing.pace import PacedAnswer
 from carawaybank.routing.progress import Progress
+from carawaybank.routing.suspects import UnfinishedRun
 from carawaybank.routing.target import LoadReport, Target
 from carawaybank.steering.quarantine import CrashReport
 from carawaybank.verdicts import Answered, NotRun, Reason
@@ -17,6 +18,10 @@
 if TYPE_CHECKING:
     from carawaybank.routing.router import Router
 
+#: Seconds after the deadline of a request in which a crash of its target is attributed to it.
+_UNFINISHED_S = 2.0
+#: Reasons for which an attempt was ended at this side, while its target may go on.
+_GIVEN_UP = frozenset({Reason.TIMEOUT, Reason.PATH_LOST})
 _UNREACHABLE = frozenset({Reason.CONNECT_FAILED, Reason.CONNECTION_REFUSED})
 #: Lowest status that does not show that a target has run a request to its end.
 _MIN_ERROR_STATUS = 400
@@ -59,7 +64,10 @@
             router.on_refuted(refuted)
     _record_time(router, progress, result, reason, now)
     _record_path(router, progress, target, reason, now)
-    if router.reachability.is_lost(progress.service) and reason is not None:
+    is_path_lost = router.reachability.is_lost(progress.service) and reason is not None
+    if reason in _GIVEN_UP or (is_path_lost and result.may_have_crashed):
+        record_unfinished(router, progress, target)
+    if is_path_lost:
         return  # The failure is one of the path and says nothing about the target.
     _record_pace(router, progress, target, result, now)
     if isinstance(verdict, Answered) and verdict.status < 500:
@@ -74,6 +82,17 @@
     _record_failure(router, progress, choice, result, now)
 
 
+def record_unfinished(router: "Router", progress: Progress, target: Target) -> None:
+    """Records a run whose end this VM does not see, because a crash may still follow from it."""
+    run = UnfinishedRun(
+        progress.request.fingerprint,
+        target,
+        progress.sent_incarnation,
+        progress.deadline + _UNFINISHED_S,
+    )
+    router.suspects.record_unfinished(run)
+
+
 def _record_time(
     router: "Router",
     progress: Progress,
--- a/src/carawaybank/routing/progress.py
+++ b/src/carawaybank/routing/progress.py
@@ -56,8 +56,9 @@
         self.last_target_id = ""
         #: Time at which the attempt in progress was sent.
         self.sent_at = now
-        #: Address that it was sent to.
+        #: Address and start of the target that it was sent to.
         self.sent_address = ""
+        self.sent_incarnation = 0
         #: Targets of ``tried_targets`` to which no connection could be opened.
         self.unreached_count = 0
         #: Relays of which no result came back, so that their target is unknown.
--- a/src/carawaybank/routing/router.py
+++ b/src/carawaybank/routing/router.py
@@ -308,7 +308,9 @@
         """Drops a request whose caller disconnected, and releases its slot at the target."""
         progress = self._requests.pop(key, None)
         if progress is not None:
-            self._release_target(progress)
+            choice = self._release_target(progress)
+            if choice is not None:
+                feedback.record_unfinished(self, progress, choice.target)
             relaying.release(self, progress)
 
     def detach(self, key: int) -> None:
@@ -427,6 +429,7 @@
         progress.choice = choice
         progress.sent_at = now
         progress.sent_address = target.entry.address
+        progress.sent_incarnation = target.entry.incarnation
         progress.tried_targets.add(target.entry.target_id)
         progress.last_target_id = target.entry.target_id
         target.in_flight += 1
--- a/src/carawaybank/targets/checks.py
+++ b/src/carawaybank/targets/checks.py
@@ -9,15 +9,21 @@
 from carawaybank.journal import Journal
 from carawaybank.replies import HttpReply
 from carawaybank.routing.router import Router
+from carawaybank.routing.suspects import UnfinishedRun
 from carawaybank.routing.target import Target
 from carawaybank.routing.targetlimits import LimitStatement
 from carawaybank.steering.quarantine import CrashReport
 from carawaybank.targets.paths import PathChecks
+from carawaybank.verdicts import Reason
 
 #: Seconds between polls for targets whose check is due.
 _POLL_INTERVAL_S = 0.2
 #: Time limit in seconds for connecting, and again for the response to a health check.
 _TIMEOUT_S = 0.8
+#: Seconds in which a target that accepts connections may prove to have started again just now.
+_RESTART_S = 2.0
+#: The same if no other target could be reached.
+_RETURN_S = 30.0
 #: Largest response body in bytes to a health check; its content is not used.
 _MAX_BODY_BYTES = 65_536
 
@@ -81,6 +87,8 @@
         self._journal = journal
         self._dialect = dialect
         self._tasks = ShortTasks(part="checks", journal=journal)
+        #: Starts of targets that were checked since they are down.
+        self._checked_down: set[tuple[str, int]] = set()
 
     async def run(self) -> None:
         """Starts the checks that are due, until cancelled."""
@@ -102,6 +110,54 @@
                 suspected.setdefault(report.target, []).append(report)
             for target_id, reports in suspected.items():
                 self._tasks.start(self._check_connection(target_id, reports))
+            self._check_unfinished(now)
+
+    def _check_unfinished(self, now: float) -> None:
+        """Finds out whether targets crashed after this VM gave up requests that they ran.
+
+        A target that starts again without having announced its departure has crashed. One that is
+        down is checked once, also if it is no longer known.
+        """
+        targets, suspects = self._router.targets, self._router.suspects
+        down: dict[tuple[str, int], list[UnfinishedRun]] = {}
+        for run in suspects.unfinished(now=now):
+            _, target_id, incarnation = run.key
+            known = targets.find(target_id)
+            if targets.departures.has_left(target_id, incarnation):
+                suspects.forget(run)
+            elif known is not None and known.entry.incarnation > incarnation:
+                suspects.forget(run)
+                self._report_run(run)
+            elif (known or run.target).is_down or known is None:
+                down.setdefault((target_id, incarnation), []).append(run)
+        for start in self._checked_down - down.keys():
+            self._checked_down.remove(start)
+        for start in down.keys() - self._checked_down:
+            self._checked_down.add(start)
+            self._tasks.start(self._check_down(down[start]))
+
+    async def _check_down(self, runs: list[UnfinishedRun]) -> None:
+        """Reports given up requests at a target whose process is gone.
+
+        A machine that does not respond at all is lost, or the path to it is.
+        """
+        target = runs[0].target
+        try:
+            connection = await ClientConnection.open(target.entry.address, timeout_s=_TIMEOUT_S)
+        except ExchangeError as error:
+            is_refused = error.reason is Reason.CONNECTION_REFUSED
+            if not is_refused or await self._paths.is_cut_off(beyond=target):
+                return  # They are reported if the target starts again in time.
+            for run in runs:
+                self._router.suspects.forget(run)
+                self._report_run(run)
+        else:
+            connection.close()
+
+    def _report_run(self, run: UnfinishedRun) -> None:
+        fingerprint, target_id, incarnation = run.key
+        vm = self._router.options.vm
+        self._on_crash(CrashReport(fingerprint, f"{target_id}.{incarnation}", vm))
 
     async def _check_connection(self, target_id: str, reports: list[CrashReport]) -> None:
         """Marks a target as down and reports its lost requests if it accepts no connections."""
@@ -123,22 +179,32 @@
             await self._report_crashes(target, reports)
         else:
             connection.close()
+            self._remember(target, reports, _RESTART_S)
 
     async def _report_crashes(self, target: Target, reports: list[CrashReport]) -> None:
         """Reports requests that were in flight at a target that is down.
 
         The connections of a VM that is cut off break too. A crash is therefore reported only if
-        this VM still reaches another target.
+        this VM still reaches another target, or once the target has started again.
         """
         if not reports:
             return
         if await self._paths.is_cut_off(beyond=target):
             self._log_event(target, "crash not reported", "no other target can be reached either")
+            self._remember(target, reports, _RETURN_S)
             return
         crashed = f"{target.entry.target_id}.{target.entry.incarnation}"
         for report in reports:
             self._on_crash(report._replace(target=crashed))
 
+    def _remember(self, target: Target, reports: list[CrashReport], seconds: float) -> None:
+        """Keeps requests for a time in which a new start of the target shows that it crashed."""
+        until = asyncio.get_running_loop().time() + seconds
+        incarnation = target.entry.incarnation
+        for report in reports:
+            run = UnfinishedRun(report.fingerprint, target, incarnation, until)
+            self._router.suspects.record_unfinished(run)
+
     async def _check_health(self, target: Target) -> None:
         configuration = self._router.configuration
         service = configuration.services.get(target.entry.service) if configuration else None
--- a/tests/targets/test_checks.py
+++ b/tests/targets/test_checks.py
@@ -183,3 +183,107 @@
         assert bool(aborted) is is_aborted
 
     asyncio.run(run())
+
+
+def give_up(router, *, path="/look/1", after_s=0.1):
+    """Sends a request whose caller leaves, or whose time is over, while the target runs it."""
+    now = asyncio.get_running_loop().time()
+    assert isinstance(router.arrive(make_request(1, path=path, fingerprint="bad"), now), Send)
+    router.abandon(1, now + after_s)
+
+
+def start_again(router, address, **changes):
+    entry = make_target(1, address=address, incarnation=7, **changes)
+    router.targets.update(entry, now=asyncio.get_running_loop().time())
+
+
+def test_a_target_that_starts_again_crashed_on_what_was_given_up_there():
+    """Guards against a crash that counts for nobody because the caller had left (BUDGET)."""
+
+    async def scenario(router, server, address, reports):
+        give_up(router)
+        await asyncio.sleep(0.4)
+        assert not reports
+        start_again(router, address)
+        await wait_until(lambda: reports)
+        assert [(report.fingerprint, report.target) for report in reports] == [("bad", "t1.0")]
+
+    run_scenario(scenario)
+
+
+def test_a_target_that_is_down_crashed_on_what_was_given_up_there():
+    """Guards against a crash that counts for nobody because other requests noticed it."""
+
+    async def scenario(router, server, address, reports):
+        give_up(router)
+        server.close()
+        fail_request(router, Reason.TIMEOUT, may_have_crashed=False)
+        await wait_until(lambda: len(reports) == 2)
+        assert {(each.fingerprint, each.target) for each in reports} == {
+            ("bad", "t1.0"),
+            ("f1", "t1.0"),  # It timed out, and may have been the cause as well.
+        }
+
+    run_scenario(scenario)
+
+
+def test_a_target_that_is_gone_crashed_on_what_was_given_up_there():
+    """Guards against a crash that counts for nobody because the target returns by another name."""
+
+    async def scenario(router, server, address, reports):
+        give_up(router)
+        server.close()
+        router.targets.remove("t1")
+        await wait_until(lambda: reports)
+        assert reports[0].target == "t1.0"
+
+    run_scenario(scenario)
+
+
+def test_a_target_that_departed_did_not_crash():
+    """Guards against refusing requests because targets are replaced as planned."""
+
+    async def scenario(router, server, address, reports):
+        give_up(router)
+        router.targets.update(make_target(1, address=address, sequence=1, draining=True), now=0.0)
+        server.close()
+        start_again(router, address)
+        await asyncio.sleep(0.5)
+        assert not reports
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("is_known", [True, False], ids=["down", "gone"])
+def test_a_target_that_accepts_connections_did_not_crash(is_known):
+    """Guards against refusing requests because a target is slow or its entry was lost."""
+
+    async def scenario(router, server, address, reports):
+        give_up(router)
+        if is_known:
+            router.targets.find("t1").eject(now=asyncio.get_running_loop().time() + 10.0)
+        else:
+            router.targets.remove("t1")
+        await asyncio.sleep(0.5)
+        assert not reports
+
+    run_scenario(scenario)
+
+
+def test_a_crash_of_the_only_target_that_is_reached_is_reported_when_it_starts_again():
+    """Guards against a request that crashes a whole small service and is never refused."""
+
+    async def scenario(router, server, address, reports):
+        other, other_address = await start_target("127.0.0.1:0", target_id="t2")
+        router.targets.update(make_target(2, address=other_address), now=0.0)
+        other.close()
+        router.targets.find("t2").eject(now=asyncio.get_running_loop().time() + 10.0)
+        server.close()
+        fail_request(router, Reason.CONNECTION_LOST, may_have_crashed=True)
+        await asyncio.sleep(0.6)
+        assert not reports
+        start_again(router, address)
+        await wait_until(lambda: reports)
+        assert reports[0].target == "t1.0"
+
+    run_scenario(scenario)
