--- a/tests/siblings/lost_site.py
+++ b/tests/siblings/lost_site.py
@@ -48,9 +48,9 @@
 class SimulatedVm:
     """A VM with its directory and its part in finding lost VMs."""
 
-    def __init__(self, record, *, site, read_from=0):
+    def __init__(self, *, record, site):
         self.site, self.record = site, record
-        self.versions, self.position = {}, read_from
+        self.versions, self.position = {}, 0
         self.vms = VmDirectory(own=record)
         self.lost_vms = LostVms(
             vms=self.vms,
@@ -156,7 +156,7 @@
         domains: Failure domain of each VM; the first letter is its region.
     """
 
-    def __init__(self, domains):
+    def __init__(self, *, domains):
         self.store, self.now, self.steps = Store(), 0.0, 0
         self.running, self.cuts, self.incarnation = {}, set(), 1
         self.confirmed_at = None
@@ -171,7 +171,7 @@
         record = VmRecord(
             name, f"{address}:80", f"{address}:90", domain, domain[0], self.incarnation
         )
-        vm = self.running[name] = SimulatedVm(record, site=self)
+        vm = self.running[name] = SimulatedVm(record=record, site=self)
         vm.inbox = []
         vm.read(self.now)
         vm.register()
--- a/tests/siblings/test_lostvms.py
+++ b/tests/siblings/test_lostvms.py
@@ -23,7 +23,7 @@
 
 
 def start(domains=DOMAINS):
-    site = LostSite(domains)
+    site = LostSite(domains=domains)
     site.run(SETTLED_S)
     assert site.leaders == set(site.running)
     assert not site.notices()
--- a/tests/targets/test_crashes.py
+++ b/tests/targets/test_crashes.py
@@ -91,7 +91,7 @@
 class VmOfWorld:
     """The router of a VM that follows the crash reports of a store."""
 
-    def __init__(self, world, name):
+    def __init__(self, *, world, name):
         self.router = make_router(make_target(1), vm=name)
         self.crashes = CrashReports(
             router=self.router, store=world.client, table="shared", journal=world.journal
@@ -118,7 +118,7 @@
 
 @contextlib.asynccontextmanager
 async def three_vms(world):
-    vms = [VmOfWorld(world, f"vm-{number}") for number in range(3)]
+    vms = [VmOfWorld(world=world, name=f"vm-{number}") for number in range(3)]
     yield vms
     for vm in vms:
         vm.task.cancel()
@@ -177,7 +177,7 @@
     """Guards against a VM that refuses a page for ten minutes after an outage of its watch."""
 
     async def scenario(world):
-        vm = VmOfWorld(world, "vm-0")
+        vm = VmOfWorld(world=world, name="vm-0")
         vm.task.cancel()
         report = (asyncio.get_running_loop().time(), CrashReport("page", "t1.1", "vm-1"))
         reports = vm.router.quarantine
