--- a/review/common-3/small_site.py
+++ b/review/common-3/small_site.py
@@ -142,7 +142,8 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        ended = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
+        with contextlib.suppress(*ended):
             while True:
                 first, headers, body = await read_message(reader)
                 await self.answer(writer, first, headers, body)
