--- a/review/common-3/small_site.py
+++ b/review/common-3/small_site.py
@@ -33,6 +33,9 @@
 BEAT_S = 1.5
 ZONES = {"hakata": "chikuzen", "suizenji": "higo", "kanoya": "satsuma"}
 START_S = 30.0
+#: Time budget of a request in milliseconds.
+BUDGET_MS = 2000
+CONTRACTS = ("base", "drain", "config", "cost", "retry", "recover", "places", "platform")
 
 
 class CannotRunError(Exception):
@@ -192,6 +195,7 @@
     def settings(self):
         """Returns the settings as the template of the deploy file renders them."""
         seeds = [vm.address("control") for vm in self.site.vms[:3]]
+        contracts = "".join(f"{name} = true\n" for name in sorted(self.site.contracts))
         regions = "".join(f"{zone} = {json.dumps(region)}\n" for zone, region in ZONES.items())
         return (
             f"[vm]\nname = {json.dumps(self.name)}\nip = {json.dumps(self.ip)}\n"
@@ -207,11 +211,11 @@
             f"[siblings]\nseeds = {json.dumps(seeds)}\n\n"
             f"[store]\naddress = {json.dumps(self.site.store_address)}\n\n"
             f"[regions]\n{regions}\n"
-            "[contracts]\nbase = true\ndrain = true\nconfig = true\ncost = true\nretry = true\n"
-            "recover = true\nplaces = true\nplatform = true\n\n"
+            f"[contracts]\n{contracts}\n"
             "[bounds]\nstop_within_s = 6\nretry_share = 0.2\nretry_slack = 62\n"
             "retry_window_s = 10\ncold_factor = 1.5\ncold_slack = 5\nlookup_ttl_s = 5\n"
             "most_shift = 0.15\nmemory_mb = 300\n"
+            "allotment_window_s = 5\nallotment_excess = 0.1\nallotment_slack = 20\n"
         )
 
     async def start(self):
@@ -322,8 +326,9 @@
 class Site:
     """The store, the servers and the entry VMs of one case."""
 
-    def __init__(self, folder, *, vms=3, store=None):
+    def __init__(self, folder, *, vms=3, store=None, contracts=()):
         """Creates a site that is not started yet; ``folder`` gets the record."""
+        self.contracts = {*CONTRACTS, *contracts}
         self.record = Record(folder)
         self.folder = Path(tempfile.mkdtemp(prefix="carawaybank-review-"))
         self.store = store if store is not None else RowStore()
