--- a/review/13/case.py
+++ b/review/13/case.py
@@ -77,12 +77,11 @@
 
 
 def busiest_window(runs, sent):
-    """Returns the most requests that were sent and arrived in any window."""
+    """Returns the most requests that were both sent and arrived in any window."""
+    times = sorted((sent[request_id], at) for at, request_id in runs)
     most = 0
-    times = sorted((at, sent[request_id]) for at, request_id in runs)
     for index, (begin, _) in enumerate(times):
-        in_window = (s for at, s in times[index:] if at <= begin + WINDOW_S and s >= begin - 0.05)
-        most = max(most, sum(1 for _ in in_window))
+        most = max(most, sum(at < begin + WINDOW_S for _, at in times[index:]))
     return most
 
 
