--- a/review/common-3/small_site.py
+++ b/review/common-3/small_site.py
@@ -162,10 +162,10 @@
             return
         echo = {"X-Carawaybank-Request-Id": request_id}
         expected = headers.get("x-carawaybank-expect-instance", self.name)
-        self.requests.append((time.monotonic(), request_id))
         if expected != self.name:
             await self.send(writer, 421, {**echo, "X-Carawaybank-Not-Run": "1"}, b"")
             return
+        self.requests.append((time.monotonic(), request_id))
         self.record.add(f"run {request_id} {method} {path} at {self.name} of {self.service}")
         self.runs.append((time.monotonic(), request_id))
         await asyncio.sleep(self.work_s)
@@ -335,6 +335,8 @@
         self.store_address = ""
         self.ports, self.vms, self.targets = {}, [], []
         self._ids = itertools.count(1)
+        #: When each request was sent by its client, by its id.
+        self.sent_at = {}
         self._run = f"{random.getrandbits(32):08x}"
         zones = list(ZONES)
         net = random.randrange(16, 250)
@@ -392,6 +394,7 @@
             **(headers or {}),
         }
         self.record.add(f"sent {request_id} {method} {path} to {vm.name}")
+        self.sent_at[request_id] = time.monotonic()
         address = vm.address("front")
         answer = await call(address, method, path, fields, body, limit_s=budget_ms / 1000)
         text = answer.body[:60].decode("latin-1")
